Ask servers before a send only where the price of a probe allows it

Ruled out: load; reports averaged 1.3 requests held and the median answer took 23 ms. At fault: Balancer::new, which clamped the number of asks to at least one whatever the price. Fix: where answers report as well, the number of asks is what ASK_SPEND buys, down to none.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -190,7 +190,10 @@
         settings.validate()?;
         // None are asked before a send where a few nodes' answers keep counts fresh, or where peers may talk.
         let sparse = !settings.answers_report || settings.nodes as f64 > SHARERS;
-        let most = (ASK_SPEND / settings.probe_price).clamp(1.0, SLICE_LEAST as f64) as usize;
+        // Where answers report as well, an ask that costs more than may be spent is left out: all nodes of
+        // many ask before each send, and together they pay its price for every request.
+        let least = if settings.answers_report { 0.0 } else { 1.0 };
+        let most = (ASK_SPEND / settings.probe_price).clamp(least, SLICE_LEAST as f64) as usize;
         Ok(Self {
             quotas: vec![(f64::INFINITY, 0.0); settings.quotas_per_s.len()],
             classes: vec![Pace::default(); settings.classes.len()],
--- a/tests/hsq.rs
+++ b/tests/hsq.rs
@@ -237,6 +237,25 @@
     node.feed(Event::Probed { server: ServerId(server), ending: Ending::Served, report })
 }
 
+/// A fleet of 100 nodes paid a probe for each request, a twelfth of all that the requests were worth, and
+/// refused those whose probe was not answered in a tenth of the aim.
+#[test]
+fn a_node_of_many_does_not_ask_where_asking_costs_more_than_it_may_spend() {
+    let sends = |price: f64, answers_report: bool| {
+        let mut settings = one_class(Effect::Safe);
+        (settings.probes, settings.nodes, settings.probe_price) = (true, 100, price);
+        settings.answers_report = answers_report;
+        let mut node = Node::new(settings, 5);
+        node.servers(ready(0..6));
+        let actions = node.request(1, 0, 800.0);
+        assert_eq!(probes_of(&actions).is_empty(), send_of(&actions).is_some(), "asks or sends: {actions:?}");
+        send_of(&actions).is_some()
+    };
+    assert!(sends(0.08, true), "answers tell the load, too");
+    assert!(!sends(0.002, true), "cheap enough");
+    assert!(!sends(0.08, false), "nothing else tells the load");
+}
+
 /// Incident i5292a8: where reports come by probe only, no count was ever refreshed and all servers filled up.
 /// A few are asked first, and the lowest fresh count is sent to.
 #[test]
