Take a server out after one failure at a node of many, and for seconds

Each node met one once or twice a second, so three failures without a success between them were rare, and 160 ms out were over by then. At fault: judge, with STRIKES and EJECT for nodes that meet a server often. Fix: their counterparts for nodes of many.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -24,6 +24,10 @@
 const STRIKES: u32 = 3;
 /// A server is taken out for this many mean aims.
 const EJECT: f64 = 2.0;
+/// One node of many meets a server seldom: there one failure takes it out, and for longer. By the third in a
+/// row, and with trials in between every other aim, each node would have paid for what all of them know.
+const SPARSE_STRIKES: u32 = 1;
+const SPARSE_EJECT: f64 = 30.0;
 /// Further attempts as a share of requests, so that they cannot multiply an overload.
 const RETRY_SHARE: f64 = 0.2;
 /// Part of a cold server's budget that all nodes together use: sizes are guesses, arrivals come in bunches.
@@ -737,8 +741,10 @@
         } else if failed {
             // Guards against servers that fail quickly, hang or cannot be reached: counts alone favour them.
             server.strikes += 1;
-            let due = server.ejected_until.map_or(server.strikes >= STRIKES, |until| until <= now);
-            if due && server.ejected_until.replace(now + EJECT * self.aim).is_none() {
+            let (strikes, eject) =
+                if self.sparse { (SPARSE_STRIKES, SPARSE_EJECT) } else { (STRIKES, EJECT) };
+            let due = server.ejected_until.map_or(server.strikes >= strikes, |until| until <= now);
+            if due && server.ejected_until.replace(now + eject * self.aim).is_none() {
                 to.push(Action::Note(format!("server {at} is taken out")));
             }
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -94,3 +94,35 @@
     assert!(!shares(10.0), "just told to be crowded");
     assert!(shares(60.0 * AIM), "told so long ago");
 }
+
+/// On all three days a few servers answered half of what they got with quick errors. Each node met them once or
+/// twice a second, so three failures in a row were rare and 160 ms out were over before the next request.
+#[test]
+fn one_quick_error_takes_a_server_out_for_seconds() {
+    let mut node = Node::new(of_many(), 3);
+    node.servers(ready(0..3));
+    refusals(&mut node, 0..60, 25.0, 1.3);
+    let bad = node.sent_to(1_000);
+    node.now += 2.0;
+    let further = node.report(1_000, 0, 2.0, Ending::Error, Some(0.0));
+    assert!(send_of(&further).is_some_and(|at| at != bad), "repeated elsewhere: {further:?}");
+    node.now += 25.0;
+    node.report(1_000, 1, 25.0, Ending::Served, Some(1.0));
+    let back = node.now + 20.0 * AIM;
+    let mut id = 2_000;
+    while node.now < back {
+        let at = node.sent_to(id);
+        assert_ne!(at, bad, "sent to {} ms before it may be tried", back - node.now);
+        node.now += 25.0;
+        node.report(id, 0, 25.0, Ending::Served, Some(1.0));
+        node.now += 41.0;
+        id += 1;
+    }
+    let tried = (id..id + 60).any(|id| {
+        node.now += 66.0;
+        let at = node.sent_to(id);
+        node.report(id, 0, 25.0, Ending::Served, Some(1.0));
+        at == bad
+    });
+    assert!(tried, "a trial comes in time");
+}
