Send a cold server all that it is let see, at nodes of many

At fault: candidates, where a server that won the lottery still stood at the mean until each of its 26 nodes had a report of its own, seconds later. Fix: a cold server that is seen goes first; the lottery alone is its measure.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -420,7 +420,8 @@
             // Guards a cold server, which reports nothing queued and would be swamped. Every node lets the
             // same part of its requests see it: what all send is in step with the load of a warm server.
             let age = now - server.entry.started_at.unwrap_or(f64::NEG_INFINITY);
-            if age < self.settings.cold_ms && !asked {
+            let cold = age < self.settings.cold_ms;
+            if cold && !asked {
                 let cold = (1.0 - self.settings.cold_from) * (1.0 - (age / self.settings.cold_ms).max(0.0));
                 let part = COLD_PART * self.settings.tip_multiple * (1.0 - cold) / total as f64;
                 if self.random.f64() >= part * self.served {
@@ -438,10 +439,14 @@
                 true => (count + 1.0) * lasting.0 / lasting.1,
                 false => (server.out + 1) as f64 * latency / depth,
             };
+            // At one of many nodes a cold server gets all that it is let see: before each node has its own
+            // report of it, and counts it as idle, it would be warm.
+            let ration = if self.sparse && cold { 0.0 } else { 1.0 };
             candidates.push(Candidate {
                 server: at,
                 wait,
-                rank: (count + 1.0) * latency / depth * (1.0 + blur * (2.0 * self.random.f64() - 1.0))
+                rank: ration * (count + 1.0) * latency / depth
+                    * (1.0 + blur * (2.0 * self.random.f64() - 1.0))
                     + if near { 0.0 } else { crossing },
                 unfit: 2 * u8::from(!healthy) + u8::from(held.attempts.iter().any(|a| a.server == at)),
                 near,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -126,3 +126,28 @@
     });
     assert!(tried, "a trial comes in time");
 }
+
+/// The join day: six in ten servers were new and idle, at five sends a second each, while the old ones had fifty
+/// and filled up. A new server got its part of the requests to see it, then stood at the mean, unreported.
+#[test]
+fn a_cold_server_gets_the_part_that_it_is_let_see() {
+    let mut settings = of_many();
+    (settings.cold_from, settings.cold_ms) = (0.5, 1_000_000.0);
+    (settings.tip_multiple, settings.tip_after_ms) = (3.0, 3_000.0);
+    let mut node = Node::new(settings, 3);
+    let mut entries = ready(0..3);
+    entries[2].started_at = Some(node.now);
+    node.servers(entries);
+    let (mut cold, all) = (0, 3_000);
+    for id in 0..all {
+        let at = node.sent_to(id);
+        cold += usize::from(at == 2);
+        node.now += 25.0;
+        // The cold one says nothing that can be read; the others are at their ease.
+        node.report(id, 0, 25.0, Ending::Served, (at != 2).then_some(1.0));
+        node.now += 41.0;
+    }
+    // Half of the multiple, of half a warm server's part: no more, and not a mere third of it.
+    let part = all as f64 * 0.5 * 3.0 * 0.5 / 3.0;
+    assert!((0.7 * part..1.3 * part).contains(&(cold as f64)), "{cold} of {all}, {part} allowed");
+}
