Take less while servers turn requests away, and resend only within the bound

At fault: further, which resends past any bound where nothing was asked; worthwhile, whose counts lag by seconds; a bound of a whole aim, at which half the answers are late. Fix: resends keep to the request's bound; the part of attempts turned away tightens it for some 20 aims; 0.75 aim.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,7 +43,7 @@
 const CHANCE: f64 = 0.2;
 /// Part of its aim that an answer may be expected to take at one node of many, and of that for low worth.
 /// What such a node knows of a queue is old: a tight bound refuses what the fleet has room for.
-const SPARSE_PART: f64 = 1.0;
+const SPARSE_PART: f64 = 0.75;
 const SPARSE_LEAST: f64 = 0.9;
 /// At one node of many, in mean aims: half of what a report told beyond the level is forgotten in this, ...
 const REPORT_LASTS: f64 = 12.0;
@@ -52,8 +52,14 @@
 const LEVEL_LEAST: f64 = 0.15;
 /// ... falls by half to an idle fleet's in this where none come, so that refusals end by themselves, ...
 const LEVEL_LASTS: f64 = 6.0;
+/// ... half of what servers turned away is forgotten in this: they slow down where the pressure stays, ...
+const PRESSURE_LASTS: f64 = 20.0;
 /// ... and half of what was seen of a server's speed is forgotten after this.
 const PACE_LASTS: f64 = 40.0;
+/// Attempts over which the part that was turned away is told, and the power by which the rest tightens the
+/// bound of admission.
+const PRESSURE_OVER: f64 = 6.0;
+const PRESSURE: f64 = 2.0;
 /// Nodes that share a server, about: connections stay few and warm, and each node meets its servers often.
 const SHARERS: f64 = 12.0;
 /// Servers a node's slice has at least, where there are as many, and that are asked at the most.
@@ -208,6 +214,8 @@
     /// One node of many that asks nobody: it meets each server seldom, so its counts are old.
     sparse: bool,
     level: Level,
+    /// Part of the attempts that full servers turned away, of late, and when the last one ended.
+    pressure: (f64, f64),
     /// Requests each tenant may still send within its quota, and when that was last counted up.
     quotas: Vec<(f64, f64)>,
     /// Latency by class and over all.
@@ -248,6 +256,7 @@
             asking_for: Vec::new(),
             sparse: asks == 0 && settings.nodes as f64 > SHARERS,
             level: Level { held: Level::IDLE, at: 0.0 },
+            pressure: (0.0, 0.0),
             asks,
             gap: 0.0,
             came_at: 0.0,
@@ -468,6 +477,9 @@
         let within = self.within_quota(now, request.tenant);
         held.limit = self.worthwhile(&held, within);
         if self.sparse {
+            // Guards against filling up what is left of a fleet: that servers turn requests away is heard at
+            // once, from all of them, where their counts are old.
+            held.limit *= (1.0 - self.pressure(now)).powf(PRESSURE);
             // Guards against all or nothing: where each node sees little, the sum of them admits a part.
             held.limit /= self.random.f64().powf(CHANCE);
         }
@@ -524,6 +536,10 @@
         }
     }
 
+    fn pressure(&self, now: f64) -> f64 {
+        self.pressure.0 * 0.5_f64.powf((now - self.pressure.1) / (PRESSURE_LASTS * self.aim))
+    }
+
     fn within_quota(&mut self, now: f64, tenant: usize) -> bool {
         let Some(quota) = self.settings.quotas_per_s.get(tenant) else { return true };
         let quota = quota / self.settings.nodes as f64;
@@ -670,7 +686,7 @@
         let budget = held.attempts.len() < self.settings.max_attempts && self.retries >= 1.0;
         if allowed && budget && now < held.gives_up_at {
             // Guards against servers filled by what others turned away (incident ia94218, big days).
-            let limit = if self.asks > 0 { held.limit } else { f64::INFINITY };
+            let limit = if self.asks > 0 || self.sparse { held.limit } else { f64::INFINITY };
             if let Some(&server) = self.pick(now, held, limit, 1).first() {
                 self.retries -= 1.0;
                 return self.send(now, id, held, server, actions);
@@ -715,6 +731,9 @@
         // What one node of many has out says nothing of a queue; the server's own report does.
         let told = outcome.report.and_then(|report| report.in_flight).filter(|held| *held <= HELD_MOST);
         let depth = told.filter(|_| self.sparse).map_or(depth, |held| held.max(Level::IDLE));
+        let turned_away = f64::from(u8::from(outcome.ending == Ending::Full));
+        let pressure = self.pressure(now);
+        self.pressure = (pressure + (turned_away - pressure) / PRESSURE_OVER, now);
         self.served += (f64::from(u8::from(outcome.ending == Ending::Served)) - self.served) / RECENT;
         let server = self.servers.get_mut(&at).expect("kept while something is out");
         server.out = server.out.saturating_sub(1);
