Tell every refused client when to come back

At fault: Config::from_env, which took the simulator's flag for the sockets; give_up, whose one turn fits a node that sees its queues. Fix: the node takes the settings' longest wait; a node of many says how long the servers need for what they hold, and longer where they turn requests away.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -109,7 +109,11 @@
         if !facts.is_object() {
             return Err("`settings` is missing or no object".into());
         }
-        let settings = wire::read_settings(facts).map_err(|e| format!("`settings`: {e}"))?;
+        let mut settings = wire::read_settings(facts).map_err(|e| format!("`settings`: {e}"))?;
+        // `allowed.retry_after` says what reaches simulated clients. On sockets each refusal has its header, so
+        // that who is turned away at once is told when to come back; the longest wait is the settings'.
+        let most = || facts["allowed"]["max_retry_after_ms"].as_f64();
+        settings.retry_after_most_ms = settings.retry_after_most_ms.or_else(most);
         settings.validate().map_err(|e| format!("`settings`: {e}"))?;
         let names = Names {
             classes: names(facts, "classes")?,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -511,7 +511,7 @@
             self.send(now, id, &mut held, server, actions);
             self.held.insert(id, held);
         } else {
-            self.give_up(id, &held, actions);
+            self.give_up(now, id, &held, actions);
         }
     }
 
@@ -692,12 +692,12 @@
                 return self.send(now, id, held, server, actions);
             }
         }
-        self.give_up(id, held, actions);
+        self.give_up(now, id, held, actions);
         held.answered = true;
     }
 
     /// The final answer for a request that is not served: a refusal only where it promises nothing false.
-    fn give_up(&mut self, id: RequestId, held: &Held, actions: &mut Vec<Action>) {
+    fn give_up(&mut self, now: f64, id: RequestId, held: &Held, actions: &mut Vec<Action>) {
         let harmless = match self.settings.classes[held.class].effect {
             Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
             Effect::Keyed { .. } | Effect::Unsafe => held.ran.is_none(),
@@ -705,6 +705,12 @@
         // As long as a server takes for one request of those it holds: the next place is free by then, and a
         // longer wait would use up the aim, which goes on from the first try.
         let turn = if self.all.seen > 0.0 { self.all.latency / self.all.depth } else { self.aim * EASY };
+        // A node of many refuses for what all servers hold: it lasts until they have worked that off, and
+        // longer where they turn requests away.
+        let turn = match self.sparse {
+            true => turn * self.level.now(now, self.aim) + self.pressure(now) * PRESSURE_LASTS * self.aim,
+            false => turn,
+        };
         let retry_after_ms = self.settings.retry_after_most_ms.map(|most| turn.min(most));
         let refuse = Action::Refuse { request: id, retry_after_ms };
         actions.push(if harmless { refuse } else { Action::Fail { request: id } });
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -174,3 +174,36 @@
     node.now += 100.0 * AIM;
     assert!(refusals(&mut node, 200..300, 25.0, 1.3) < 10, "past when nothing is turned away");
 }
+
+/// Told to come back after one turn, as at a node that sees its queues, clients came back to full servers.
+#[test]
+fn clients_are_told_to_stay_away_for_as_long_as_servers_are_full() {
+    let told = |actions: &[Action]| {
+        actions.iter().find_map(|a| match a {
+            Action::Refuse { retry_after_ms, .. } => *retry_after_ms,
+            _ => None,
+        })
+    };
+    let mut settings = of_many();
+    settings.retry_after_most_ms = Some(2_000.0);
+    let mut node = Node::new(settings, 3);
+    let idle = told(&node.request(1, 0, 390.0)).expect("no server is known");
+    node.servers(ready(0..60));
+    let mut last = None;
+    for id in 100..140 {
+        let mut actions = node.request(id, 0, 390.0);
+        for attempt in 0.. {
+            last = told(&actions).or(last);
+            if send_of(&actions).is_none() {
+                break;
+            }
+            node.now += 1.0;
+            actions = node.report(id, attempt, 1.0, Ending::Full, Some(8.0));
+        }
+    }
+    let full = last.expect("something is refused");
+    assert!(
+        full > 10.0 * idle && full <= 2_000.0,
+        "{idle} ms where nothing is held, {full} ms where all is full"
+    );
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -483,6 +483,16 @@
     assert_eq!(held.answer().status(), 200);
 }
 
+/// The fleet's settings leave the time to stay away out for simulated clients; real ones were told none either.
+#[test]
+fn a_refusal_names_a_time_whatever_simulated_clients_are_told() {
+    let mut config = config(&[]);
+    config["settings"]["allowed"]["retry_after"] = json!(false);
+    let node = Node::start(&config);
+    let answer = node.client().ask(&request("pay", 20.0));
+    assert_eq!((answer.status(), answer.header("retry-after")), (503, Some("0.250")));
+}
+
 /// Guards against clients that open connections and leave them: whoever comes next is still taken.
 #[test]
 fn idle_clients_make_room_for_new_ones() {
