Ask no server where no report ever comes

Ruled out: full servers (no error, no refusal by a server), descriptors, CPU. A server never heard from also took its age for a report at time zero. Design: the settings say whether probes report (source and fields); only then is a server asked, and a count that no report made counts as the mean.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -118,8 +118,10 @@
     pub probes: bool,
     /// Whether nodes may send each other messages.
     pub peers: bool,
-    /// Whether answers carry the load report; where they do not, only probes do.
+    /// Whether answers carry the load report.
     pub answers_report: bool,
+    /// Whether probes carry it. Where neither does, no report ever comes.
+    pub probes_report: bool,
     /// Price of one probe for each request, as a fraction of the result.
     pub probe_price: f64,
     /// A server starts with at least this fraction of its capacity.
@@ -158,6 +160,7 @@
             probes: false,
             peers: false,
             answers_report: true,
+            probes_report: true,
             probe_price: 0.0,
             cold_from: 1.0,
             cold_ms: 0.0,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -145,7 +145,7 @@
     entry: ServerEntry,
     /// The array of HSQ: the last fresh report and what this node has sent since.
     count: Option<f64>,
-    reported_at: f64,
+    reported_at: Option<f64>,
     /// This node's attempts that are out.
     out: usize,
     pace: Pace,
@@ -244,7 +244,9 @@
         // many ask before each send, and together they pay its price for every request.
         let least = if settings.answers_report { 0.0 } else { 1.0 };
         let most = (ASK_SPEND / settings.probe_price).clamp(least, SLICE_LEAST as f64) as usize;
-        let asks = if settings.probes && !settings.peers && sparse { most } else { 0 };
+        // Guards against asking where no report comes: what is never overwritten rises until all is refused.
+        let asks =
+            if settings.probes && settings.probes_report && !settings.peers && sparse { most } else { 0 };
         Ok(Self {
             quotas: vec![(f64::INFINITY, 0.0); settings.quotas_per_s.len()],
             classes: vec![Pace::default(); settings.classes.len()],
@@ -366,7 +368,7 @@
         let part = if self.asks > 0 || self.sparse { 1.0 } else { self.settings.nodes as f64 };
         self.servers.entry(at).and_modify(|server| {
             server.count = Some(reading / part);
-            server.reported_at = now;
+            server.reported_at = Some(now);
         });
     }
 
@@ -421,7 +423,8 @@
             let count = *server.count.get_or_insert(mean);
             let (count, (latency, depth)) = if self.sparse {
                 // What an old report told is likely over: what it says beyond the level counts for less.
-                let fresh = 0.5_f64.powf((now - server.reported_at) / (REPORT_LASTS * self.aim));
+                let fades = |at: f64| 0.5_f64.powf((now - at) / (REPORT_LASTS * self.aim));
+                let fresh = server.reported_at.map_or(0.0, fades);
                 (mean + (count - mean) * fresh, server.pace.or(now, PACE_LASTS * self.aim, lasting))
             } else {
                 (count, server.pace.or(now, half_life, all))
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -385,7 +385,11 @@
     settings.retry_after_most_ms = told.then_some(most);
     read_flag(allowed, "probes", &mut settings.probes)?;
     read_flag(allowed, "peers", &mut settings.peers)?;
-    settings.answers_report = facts["stats"]["source"] == "inline";
+    // A report that tells neither what a server holds nor what waits there is none to the decisions.
+    let counts = |field: &Value| field == "active" || field == "waiting";
+    let tells = facts["stats"]["fields"].as_array().is_some_and(|fields| fields.iter().any(counts));
+    settings.answers_report = tells && facts["stats"]["source"] == "inline";
+    settings.probes_report = settings.answers_report || tells && facts["stats"]["source"] == "on_probe";
     read(&facts["prices"], "probe", &mut settings.probe_price)?;
     read(&facts["prices"], "waste", &mut settings.waste_price)?;
     read(&facts["prices"], "cross_zone", &mut settings.cross_zone_price)?;
--- a/tests/hsq.rs
+++ b/tests/hsq.rs
@@ -270,6 +270,25 @@
     assert_eq!(send_of(&answer(&mut node, asked[2], 4.0)), Some(asked[1]));
 }
 
+/// Site `fast-tiles`: probes were allowed but no report came by them either, so that each ask and each send
+/// raised a count that nothing overwrote, until all counts stood over the bound and every request was refused.
+#[test]
+fn where_no_report_comes_none_is_asked_for_and_none_is_missed() {
+    for nodes in [2, 100] {
+        let mut settings = asking();
+        (settings.probes_report, settings.nodes) = (false, nodes);
+        let mut node = Node::new(settings, 1);
+        node.servers(ready(0..8));
+        for id in 0..1_000 {
+            let actions = node.request(id, 0, 800.0);
+            assert!(probes_of(&actions).is_empty(), "{nodes} nodes, request {id}");
+            assert!(send_of(&actions).is_some(), "{nodes} nodes, request {id}: {actions:?}");
+            node.now += 20.0;
+            node.end(id, 0, 20.0, Ending::Served);
+        }
+    }
+}
+
 /// A server that is asked and says nothing must not hold the request: those that answered decide.
 #[test]
 fn a_silent_probe_does_not_hold_a_request() {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -216,3 +216,19 @@
     let failed = "NEXT\nREPORT_FAILURE node=node-1 txn=5\nNEXT\n";
     assert!(text(&output.stdout).ends_with(failed), "{}", text(&output.stdout));
 }
+
+/// Which messages bring a report that counts can be taken from.
+#[test]
+fn the_source_and_the_fields_of_reports_come_from_the_settings() {
+    let told = |stats: serde_json::Value| {
+        let facts = serde_json::json!({"classes": [{"deadline_ms": 800.0}], "stats": stats});
+        let settings = spurdrum::wire::read_settings(&facts).expect("sound");
+        (settings.answers_report, settings.probes_report)
+    };
+    let stats = |source, fields| serde_json::json!({"source": source, "fields": fields});
+    assert_eq!(told(stats("inline", ["waiting"])), (true, true));
+    assert_eq!(told(stats("on_probe", ["active"])), (false, true));
+    assert_eq!(told(stats("off", ["active"])), (false, false));
+    assert_eq!(told(stats("inline", ["cpu"])), (false, false));
+    assert_eq!(told(serde_json::Value::Null), (false, false));
+}
