Go round by own counts where no report ever comes

Ruled out: asks (first attempts leave after 0.6 ms), connections, dials (none failed). At fault: candidates() at a node of many lets a count fade to the level of reports; with none the level stays at idle, all ranks are equal, and random choice piles up where going round would not. Design: where neither answers nor probes report, counts rise by own sends and do not fade, a new server starts at their mean, and the expected answer goes by what this node has out.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -400,7 +400,9 @@
         let all = self.all.or(now, half_life.max(GAPS * self.gap), (latency.min(self.aim * EASY), depth));
         let slice = self.slice.clone().into_iter().flatten();
         let counts = slice.filter_map(|i| self.servers[&self.ring[i]].count);
-        let mean = match self.sparse {
+        // Where no report ever comes, own sends are all that a count can tell: they go round and do not fade.
+        let told = self.settings.answers_report || self.settings.probes_report;
+        let mean = match self.sparse && told {
             true => self.level.now(now, self.aim),
             false => counts.clone().sum::<f64>() / counts.count().max(1) as f64,
         };
@@ -424,7 +426,7 @@
             let (count, (latency, depth)) = if self.sparse {
                 // What an old report told is likely over: what it says beyond the level counts for less.
                 let fades = |at: f64| 0.5_f64.powf((now - at) / (REPORT_LASTS * self.aim));
-                let fresh = server.reported_at.map_or(0.0, fades);
+                let fresh = server.reported_at.map_or(if told { 0.0 } else { 1.0 }, fades);
                 (mean + (count - mean) * fresh, server.pace.or(now, PACE_LASTS * self.aim, lasting))
             } else {
                 (count, server.pace.or(now, half_life, all))
@@ -446,7 +448,7 @@
             // A count just asked for is that of all nodes, and so is its pace; an idle server is never late.
             // A report of an answer counts the request that was answered, whose place the next one takes.
             let wait = match self.asks > 0 {
-                _ if self.sparse => count * latency / depth,
+                _ if self.sparse && told => count * latency / depth,
                 true if count < 0.5 => 0.0,
                 true => (count + 1.0) * lasting.0 / lasting.1,
                 false => (server.out + 1) as f64 * latency / depth,
--- a/tests/hsq.rs
+++ b/tests/hsq.rs
@@ -289,6 +289,30 @@
     }
 }
 
+/// With nothing to overwrite them the counts still rise, so that a node of many goes round; one that joins
+/// starts at the mean of the others.
+#[test]
+fn where_no_report_comes_a_node_of_many_goes_round_by_its_own_counts() {
+    let mut settings = one_class(Effect::Safe);
+    (settings.answers_report, settings.probes_report, settings.nodes) = (false, false, 13);
+    let mut node = Node::new(settings, 1);
+    let mut sends = [0_u32; 5];
+    for id in 0..450 {
+        match id {
+            0 => drop(node.servers(ready(0..4))),
+            200 => drop(node.servers(ready(0..5))),
+            _ => {}
+        }
+        sends[node.sent_to(id)] += 1;
+        node.now += 20.0;
+        node.end(id, 0, 20.0, Ending::Served);
+    }
+    assert!(
+        sends.iter().take(4).all(|n| (98..=102).contains(n)) && (48..=52).contains(&sends[4]),
+        "{sends:?}"
+    );
+}
+
 /// A server that is asked and says nothing must not hold the request: those that answered decide.
 #[test]
 fn a_silent_probe_does_not_hold_a_request() {
