Answer all that is owed before the end, whatever still comes after SIGTERM

Seen in review, forced on sockets: the wait for a quiet 200 ms without a new connection never ended under a steady stream of them, so idle connections stayed open to the end and what came on them last was dropped with them; a class deadline of an hour let the node hold requests for an hour, though SIGKILL counts 3 s at most. At fault: frontend::run, its QUIET condition and its last moment taken from the longest deadline alone. Design: connections are taken for 0.45 s and until none waits (0.65 s at most), then the listener goes and idle ones are closed, new ones after the time in which a first request comes; 100 ms before the last moment all that is held is failed and what still comes is refused; the last moment counts 3 s of a deadline.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -32,10 +32,14 @@
 const WAIT_MOST: Duration = Duration::from_secs(3600);
 /// After SIGTERM connections go on coming for up to 0.4 s.
 const STILL_COMING: Duration = Duration::from_millis(450);
-/// And none has come for so long when the last one is thought to have come.
+/// And none comes any more when this much later none has stayed away for a `LOOK`.
 const QUIET: Duration = Duration::from_millis(200);
 /// Past the longest deadline, the node has this long to end.
 const END: Duration = Duration::from_millis(600);
+/// A longer deadline does not put off the SIGKILL that follows SIGTERM.
+const DEADLINE_MOST: Duration = Duration::from_secs(3);
+/// So long before its end a node answers whatever still waits: an answer takes time to get out.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
 /// How often a node that is ending looks whether it can.
 const LOOK: Duration = Duration::from_millis(10);
 /// A client has this long for its first request's head, for any head that it has begun, and for a body: one
@@ -81,6 +85,8 @@
     idle: RefCell<BTreeMap<(bool, u64), Idle>>,
     last_idle: Cell<u64>,
     ending: Cell<bool>,
+    /// The end is near: what comes now is refused at once.
+    over: Cell<bool>,
 }
 
 impl Front {
@@ -95,6 +101,18 @@
         let closed = first.and_then(|place| idle.remove(&place));
         closed.inspect(|(_, close)| close.notify_one()).is_some()
     }
+
+    /// Closes the idle connections of a node that is ending, but for new ones whose first request may be under
+    /// way: whoever is closed before any answer has asked in vain.
+    fn close_idle(&self) {
+        self.idle.borrow_mut().retain(|(answered, _), (since, close)| {
+            let stays = !*answered && since.elapsed() < COMING;
+            if !stays {
+                close.notify_one();
+            }
+            stays
+        });
+    }
 }
 
 /// One connection's place among them.
@@ -231,6 +249,7 @@
         idle: RefCell::default(),
         last_idle: Cell::new(0),
         ending: Cell::new(false),
+        over: Cell::new(false),
     });
     let mut stop = pin!(stop);
     loop {
@@ -242,20 +261,30 @@
     }
     front.ending.set(true);
     let longest = node.config.settings.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
+    let longest =
+        Duration::try_from_secs_f64(longest / 1000.0).map_or(DEADLINE_MOST, |d| d.min(DEADLINE_MOST));
     let asked = Instant::now();
-    let last = asked + Duration::from_secs_f64(longest / 1000.0) + END;
+    let last = asked + longest + END;
+    // Connections go on coming at first; once they are no longer taken, those that stay idle are closed.
     let mut came = asked;
-    while Instant::now() < last {
+    while asked.elapsed() < STILL_COMING || came.elapsed() < LOOK && asked.elapsed() < STILL_COMING + QUIET {
         tokio::select! {
+            biased;
             () = accept(&node, &front, &listener) => came = Instant::now(),
-            () = sleep_until((Instant::now() + LOOK).min(last)) => {}
+            () = sleep(LOOK) => {}
         }
-        if asked.elapsed() >= STILL_COMING && came.elapsed() >= QUIET {
-            while front.close_one() {}
-            if front.open.get() == 0 && node.held() == 0 {
-                break;
-            }
+    }
+    drop(listener);
+    loop {
+        front.close_idle();
+        let now = Instant::now();
+        if front.open.get() == 0 && node.held() == 0 || now >= last {
+            break;
+        }
+        if now + LAST_ANSWERS >= last && !front.over.replace(true) {
+            node.fail_all();
         }
+        sleep_until((now + LOOK).min(last)).await;
     }
 }
 
@@ -347,6 +376,8 @@
     body_by: Instant,
 ) -> Response<Full<Bytes>> {
     match request.uri().path() {
+        // Never sent on, and no time is left to learn what would come of it.
+        "/api" if seat.front.over.get() => refusal(node.config.settings.retry_after_most_ms),
         "/api" => api(node, request, body_by).await,
         "/_health" if seat.front.ending.get() => plain(StatusCode::SERVICE_UNAVAILABLE, "ending\n"),
         "/_health" => plain(StatusCode::OK, "ready\n"),
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -219,6 +219,17 @@
         }
     }
 
+    /// The node ends before the time of what it still holds: each client gets its final answer now.
+    pub fn fail_all(self: &Rc<Self>) {
+        let owed = |(id, held): (&RequestId, &Held)| held.answer.is_some().then_some(*id);
+        let mut owed: Vec<RequestId> = self.requests.borrow().iter().filter_map(owed).collect();
+        owed.sort_unstable();
+        for id in owed {
+            self.answer(id, Answer::Failed);
+            self.handle(Event::ClientGone(id));
+        }
+    }
+
     /// Requests that still wait for something.
     pub fn held(&self) -> usize {
         self.requests.borrow().len()
--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -1,5 +1,7 @@
 //! What the tests of the node share: the real binary, and scripted servers, discovery and clients round it.
 
+#![allow(dead_code)]
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
