Send nothing on for a client that has left while its request waited

Seen, forced on sockets: a request waiting for a connection was sent on after its client had left, (a) where the settings allow no cancel, (b) where a part of a next request stood unread behind it; (c) a whole pipelined request was begun for a client long gone. Ruled out: resends (the module sends nothing after ClientGone, now tested for each ending), waits for probes. At fault: Node::client_gone left it to Action::Cancel, which the module gives only where cancel is allowed; and hyper looks for the end of a connection only while nothing stands unread behind the request. Design: client_gone gives up every attempt of which nothing may be with a server yet; before a request is taken and every 100 ms while it waits, its socket is asked whether the client has left, past unread input by the event loop's word.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -23,7 +23,7 @@
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 use super::node::{Answer, Node, NotTaken};
-use super::socket::{self, has_input, Io};
+use super::socket::{self, has_input, has_left, Io};
 use super::upstream::{Forward, BODY_MOST};
 
 /// Taken off a client's time: its request and the answer are under way for a part of that.
@@ -49,6 +49,9 @@
 const IDLE_MOST: Duration = Duration::from_secs(5);
 /// A request follows its new connection within this time, or it is thought silent.
 const COMING: Duration = Duration::from_millis(250);
+/// How often a client is looked after that waits for its answer: hyper sees that it has left only while nothing
+/// stands unread behind its request.
+const LOOK_AFTER: Duration = Duration::from_millis(100);
 /// A node that is ending waits so long for the rest of a head that has begun to come.
 const LINGER: Duration = Duration::from_millis(500);
 /// What has come on a socket is with hyper after this time.
@@ -318,11 +321,11 @@
         let body_by = seat.due(&socket).max(Instant::now() + LINGER);
         seat.set_busy();
         let framing = socket.take_head();
-        let (node, seat) = (&node, &seat);
+        let (node, seat, socket) = (&node, &seat, &socket);
         async move {
             let mut response = match framing {
                 Framing::Unsound => plain(StatusCode::BAD_REQUEST, "the length is unclear\n"),
-                Framing::Length(_) | Framing::Chunked => answer(node, seat, request, body_by).await,
+                Framing::Length(_) | Framing::Chunked => answer(node, seat, socket, request, body_by).await,
             };
             // Where the next head begins is known only where the length is.
             if seat.front.ending.get() || !matches!(framing, Framing::Length(_)) {
@@ -372,13 +375,14 @@
 async fn answer(
     node: &Rc<Node>,
     seat: &Seat,
+    socket: &Socket,
     request: Request<Incoming>,
     body_by: Instant,
 ) -> Response<Full<Bytes>> {
     match request.uri().path() {
         // Never sent on, and no time is left to learn what would come of it.
         "/api" if seat.front.over.get() => refusal(node.config.settings.retry_after_most_ms),
-        "/api" => api(node, request, body_by).await,
+        "/api" => api(node, socket, request, body_by).await,
         "/_health" if seat.front.ending.get() => plain(StatusCode::SERVICE_UNAVAILABLE, "ending\n"),
         "/_health" => plain(StatusCode::OK, "ready\n"),
         _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
@@ -412,7 +416,22 @@
     }
 }
 
-async fn api(node: &Rc<Node>, request: Request<Incoming>, body_by: Instant) -> Response<Full<Bytes>> {
+/// Done once the client has left.
+async fn left(socket: &Socket) {
+    loop {
+        sleep(LOOK_AFTER).await;
+        if has_left(&socket.stream).await {
+            return;
+        }
+    }
+}
+
+async fn api(
+    node: &Rc<Node>,
+    socket: &Socket,
+    request: Request<Incoming>,
+    body_by: Instant,
+) -> Response<Full<Bytes>> {
     let came = Instant::now();
     let (head, body) = request.into_parts();
     let asked = read_head(node, &head.method, &head.headers);
@@ -447,6 +466,10 @@
     let gives_up_at = came + wait.saturating_sub(MARGIN).max(wait / 2);
     let budget = gives_up_at.saturating_duration_since(Instant::now());
     asked.budget_ms = budget.as_secs_f64() * 1000.0;
+    // Who has left while the request lay unread gets nothing of it, and neither does a server.
+    if has_left(&socket.stream).await {
+        return plain(StatusCode::BAD_REQUEST, "the client has left\n");
+    }
     let forward = Forward { method: head.method, uri, headers, body, gives_up_at };
     let (answer, answered) = oneshot::channel();
     let id = match node.take(forward, asked, answer) {
@@ -457,7 +480,12 @@
     };
     let _waiting = Waiting { node: Rc::clone(node), id };
     // Guards against decisions that leave a request without an answer.
-    match timeout_at(gives_up_at + MARGIN / 2, answered).await {
+    let answer = tokio::select! {
+        biased;
+        answer = timeout_at(gives_up_at + MARGIN / 2, answered) => answer,
+        () = left(socket) => return plain(StatusCode::BAD_REQUEST, "the client has left\n"),
+    };
+    match answer {
         Ok(Ok(Answer::Served(body))) => Response::new(Full::new(body)),
         Ok(Ok(Answer::Refused(retry_after_ms))) => refusal(retry_after_ms),
         Ok(Ok(Answer::Failed) | Err(_)) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -42,8 +42,15 @@
     forward: Rc<Forward>,
     /// Taken by the final answer, or when the client leaves.
     answer: Option<oneshot::Sender<Answer>>,
-    /// How to give each attempt up, while it is out.
-    attempts: Vec<Option<oneshot::Sender<()>>>,
+    /// Each attempt, while it is out.
+    attempts: Vec<Option<Out>>,
+}
+
+/// An attempt that is out.
+struct Out {
+    give_up: oneshot::Sender<()>,
+    /// Set while some of it may be with its server.
+    sent: Rc<Cell<bool>>,
 }
 
 /// One node; all of its parts hold it.
@@ -123,11 +130,12 @@
                 let Some(held) = requests.get_mut(&request) else { return };
                 let (give_up, given_up) = oneshot::channel();
                 let attempt = held.attempts.len();
-                held.attempts.push(Some(give_up));
+                let sent = Rc::new(Cell::new(false));
+                held.attempts.push(Some(Out { give_up, sent: Rc::clone(&sent) }));
                 let (node, forward) = (Rc::clone(self), Rc::clone(&held.forward));
                 tokio::task::spawn_local(async move {
                     let begun = Instant::now();
-                    let reply = upstream::attempt(&node, server, &forward, given_up).await;
+                    let reply = upstream::attempt(&node, server, &forward, &sent, given_up).await;
                     node.ended(request, attempt, begun.elapsed(), reply);
                 });
             }
@@ -141,9 +149,9 @@
             Action::Cancel { request, attempt } => {
                 let mut requests = self.requests.borrow_mut();
                 let out = requests.get_mut(&request).and_then(|held| held.attempts.get_mut(attempt));
-                if let Some(give_up) = out.and_then(Option::take) {
+                if let Some(out) = out.and_then(Option::take) {
                     // It fails where the attempt has just ended by itself.
-                    let _ = give_up.send(());
+                    let _ = out.give_up.send(());
                 }
             }
             Action::Refuse { request, retry_after_ms } => {
@@ -210,10 +218,21 @@
         Ok(id)
     }
 
-    /// The client has left, or its time is up: no answer is owed any more.
+    /// The client has left, or its time is up: no answer is owed any more. What has not been sent yet never is,
+    /// also where the decisions may not cancel an attempt: that concerns servers, and they know nothing of it.
     pub fn client_gone(self: &Rc<Self>, id: RequestId) {
-        let owed = self.requests.borrow_mut().get_mut(&id).and_then(|held| held.answer.take());
-        if owed.is_some() {
+        let mut requests = self.requests.borrow_mut();
+        let held = requests.get_mut(&id);
+        let owed = held.and_then(|held| held.answer.take().map(|_| &mut held.attempts));
+        let was_owed = owed.is_some();
+        for attempt in owed.into_iter().flatten() {
+            if let Some(out) = attempt.take_if(|out| !out.sent.get()) {
+                // It fails where the attempt has just ended by itself.
+                let _ = out.give_up.send(());
+            }
+        }
+        drop(requests);
+        if was_owed {
             self.handle(Event::ClientGone(id));
             self.forget_if_over(id);
         }
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -5,10 +5,12 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// What owns a socket.
 pub trait Socket {
@@ -27,6 +29,20 @@
     !peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
 }
 
+/// Whether the other side has left: it ended its sending, or the connection broke. Input that nobody has read
+/// may stand before that end; then the event loop's word for it counts.
+pub async fn has_left(stream: &TcpStream) -> bool {
+    let mut byte = [std::mem::MaybeUninit::uninit()];
+    match SockRef::from(stream).peek(&mut byte) {
+        Ok(0) => true,
+        Ok(_) => {
+            let ready = timeout(Duration::ZERO, stream.ready(Interest::READABLE)).await;
+            ready.is_ok_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
+        }
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    }
+}
+
 /// hyper's side of a socket.
 pub struct Io<S>(pub Rc<S>);
 
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -224,20 +224,20 @@
     }
 }
 
-/// One attempt of a request, from choosing a connection to the whole answer. When it returns, nothing of it
-/// is out any more.
+/// One attempt of a request, from choosing a connection to the whole answer. `sent` is set while some of it may
+/// have gone out. When it returns, nothing of it is out any more.
 pub async fn attempt(
     node: &Node,
     server: ServerId,
     forward: &Forward,
+    sent: &Cell<bool>,
     given_up: oneshot::Receiver<()>,
 ) -> Reply {
-    let sent = Cell::new(false);
     let unless_sent = |ending| Reply::none(if sent.get() { ending } else { Ending::NotSent });
     // The exchange holds the connection; it is dropped, and that closed, before this returns.
     tokio::select! {
         biased;
-        reply = exchange(node, server, Some(forward), &sent) => reply,
+        reply = exchange(node, server, Some(forward), sent) => reply,
         Ok(()) = given_up => unless_sent(Ending::Cancelled),
         () = sleep_until(forward.gives_up_at) => unless_sent(Ending::TimedOut),
     }
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -9,7 +9,6 @@
 
 use serde_json::json;
 
-const OK: &str = "200 OK";
 const HEALTH: &str = "GET /_health HTTP/1.1\r\nhost: n\r\n\r\n";
 
 // ---- SIGTERM
@@ -65,3 +64,76 @@
     flood.join().expect("ended");
     assert_eq!(node.wait().code(), Some(0));
 }
+
+// ---- Clients that leave
+
+/// Held from now on: what waits for a connection when its client leaves is not sent on. It was where attempts
+/// may not be cancelled, and where a part of a next request stood behind the first.
+#[test]
+fn a_request_whose_client_left_while_it_was_dialled_is_not_sent_on() {
+    for (cancel, behind) in [(false, ""), (true, "GET /api"), (false, "GET /api"), (true, "")] {
+        let (slow, address, filler) = full_listener();
+        let mut config = config(&[member("slow", address, "active")]);
+        config["settings"]["allowed"]["cancel"] = json!(cancel);
+        let node = Node::start(&config);
+        let mut client = node.client();
+        client.send(&(request("pay", 25.0) + behind));
+        until_dialled(address);
+        let gone = client.stream.get_ref().local_addr().expect("connected");
+        drop(client);
+        until_dropped(node.address, gone);
+        drop(slow.accept().expect("the filler"));
+        drop(filler);
+        // The dial may have been given up, before or after it came up; nothing may come on it.
+        slow.set_nonblocking(true).expect("set");
+        until_not_dialled(address);
+        if let Ok((mut stream, _)) = slow.accept() {
+            stream.set_nonblocking(false).expect("set");
+            stream.set_read_timeout(Some(LONG)).expect("set");
+            let read = std::io::Read::read(&mut stream, &mut [0; 1]);
+            assert!(!matches!(read, Ok(1..)), "sent on: cancel {cancel}, behind {behind:?}");
+        }
+    }
+}
+
+/// Neither is it sent again, where its attempt comes back unrun after that.
+#[test]
+fn a_request_whose_client_left_is_not_sent_again() {
+    let servers = [Server::start(), Server::start()];
+    let mut config = config(&members(&[&servers[0], &servers[1]]));
+    config["settings"]["allowed"]["cancel"] = json!(false);
+    let node = Node::start(&config);
+    let mut client = node.client();
+    client.send(&request("read", 60.0));
+    let (_, got) = either(&servers);
+    let gone = client.stream.get_ref().local_addr().expect("connected");
+    drop(client);
+    until_dropped(node.address, gone);
+    got.answer("503 Busy", "x-not-run: 1\r\n", b"");
+    // Another goes all its way, and nothing of the first comes meanwhile.
+    let mut client = node.client();
+    client.send(&request("update", 20.0));
+    let (_, got) = either(&servers);
+    assert!(got.request.first.starts_with("POST "), "{}", got.request.first);
+    got.answer(OK, "", b"");
+    assert_eq!(client.answer().status(), 200);
+    assert!(servers.iter().all(|server| !server.has_request()));
+}
+
+/// A whole next request behind the one that is out: its client leaves, and it must not be begun.
+#[test]
+fn a_pipelined_request_whose_client_left_is_not_begun() {
+    let server = Server::start();
+    let mut config = config(&members(&[&server]));
+    config["settings"]["allowed"]["cancel"] = json!(false);
+    let node = Node::start(&config);
+    let mut client = node.client();
+    client.send(&(request("read", 60.0) + &request("pay", 60.0)));
+    let got = server.request();
+    let gone = client.stream.get_ref().local_addr().expect("connected");
+    drop(client);
+    until_dropped(node.address, gone);
+    got.answer(OK, "", b"");
+    served_by(&node, &server);
+    assert!(!server.has_request());
+}
--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -12,6 +12,8 @@
 
 use serde_json::{json, Value};
 
+/// What a server says that has served.
+pub const OK: &str = "200 OK";
 /// Longer than anything that a test waits for takes, however busy the machine.
 pub const LONG: Duration = Duration::from_secs(90);
 
@@ -364,3 +366,63 @@
          x-tenant: acme\r\nx-deadline: {seconds}\r\n{extra}\r\n{body}"
     )
 }
+
+/// A listener whose queue is full, so that whoever connects waits, with what fills it.
+pub fn full_listener() -> (TcpListener, SocketAddr, TcpStream) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&own_address().into()).expect("bound");
+    socket.listen(0).expect("listening");
+    let slow = TcpListener::from(socket);
+    let address = slow.local_addr().expect("bound");
+    let filler = TcpStream::connect(address).expect("queued");
+    (slow, address, filler)
+}
+
+/// The request that came to one of two servers, and to which.
+pub fn either(servers: &[Server; 2]) -> (usize, Exchange) {
+    let since = Instant::now();
+    loop {
+        for (at, server) in servers.iter().enumerate() {
+            if let Some(exchange) = server.poll() {
+                return (at, exchange);
+            }
+        }
+        assert!(since.elapsed() < LONG, "no request comes");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+pub fn served_by(node: &Node, server: &Server) {
+    let mut client = node.client();
+    client.send(&request("update", 20.0));
+    server.request().answer(OK, "", b"");
+    assert_eq!(client.answer().status(), 200);
+}
+
+/// Waits until a connect to this address is under way: in the kernel's list state 02 is SYN sent.
+pub fn until_dialled(address: SocketAddr) {
+    until_listed(&format!("{} 02", listed(address)), true);
+}
+
+/// Waits until no connect to this address is under way.
+pub fn until_not_dialled(address: SocketAddr) {
+    until_listed(&format!("{} 02", listed(address)), false);
+}
+
+/// Waits until a node's end of a client's connection is gone.
+pub fn until_dropped(node: SocketAddr, client: SocketAddr) {
+    until_listed(&format!("{} {}", listed(node), listed(client)), false);
+}
+
+fn listed(address: SocketAddr) -> String {
+    let SocketAddr::V4(v4) = address else { panic!("IPv4") };
+    format!("{:08X}:{:04X}", u32::from_ne_bytes(v4.ip().octets()), v4.port())
+}
+
+fn until_listed(entry: &str, there: bool) {
+    let since = Instant::now();
+    while std::fs::read_to_string("/proc/net/tcp").expect("Linux").contains(entry) != there {
+        assert!(since.elapsed() < LONG, "`{entry}` is listed: {}", !there);
+        thread::sleep(Duration::from_millis(5));
+    }
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -4,13 +4,11 @@
 use net::*;
 
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr};
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
 
-const OK: &str = "200 OK";
-
 // ---- One request
 
 #[test]
@@ -253,14 +251,7 @@
     let watch = node.discovery.request();
     let mut client = node.client();
     client.send(&request("pay", 25.0));
-    // The kernel tells when the node's connect is under way: state 02 is SYN sent.
-    let SocketAddr::V4(v4) = address else { panic!("IPv4") };
-    let remote = format!("{:08X}:{:04X} 02", u32::from_ne_bytes(v4.ip().octets()), v4.port());
-    let since = Instant::now();
-    while !std::fs::read_to_string("/proc/net/tcp").expect("Linux").contains(&remote) {
-        assert!(since.elapsed() < LONG, "the node does not connect");
-        std::thread::sleep(Duration::from_millis(5));
-    }
+    until_dialled(address);
     watch.answer(OK, "", news(address).to_string().as_bytes());
     // The next watch shows that the list has been applied.
     assert!(node.discovery.request().request.first.contains("since=2&"));
@@ -839,38 +830,6 @@
 
 // ---- Helpers
 
-/// A listener whose queue is full, so that whoever connects waits, with what fills it.
-fn full_listener() -> (TcpListener, SocketAddr, TcpStream) {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&own_address().into()).expect("bound");
-    socket.listen(0).expect("listening");
-    let slow = TcpListener::from(socket);
-    let address = slow.local_addr().expect("bound");
-    let filler = TcpStream::connect(address).expect("queued");
-    (slow, address, filler)
-}
-
-/// The request that came to one of two servers, and to which.
-fn either(servers: &[Server; 2]) -> (usize, Exchange) {
-    let since = Instant::now();
-    loop {
-        for (at, server) in servers.iter().enumerate() {
-            if let Some(exchange) = server.poll() {
-                return (at, exchange);
-            }
-        }
-        assert!(since.elapsed() < LONG, "no request comes");
-        std::thread::sleep(Duration::from_millis(1));
-    }
-}
-
-fn served_by(node: &Node, server: &Server) {
-    let mut client = node.client();
-    client.send(&request("update", 20.0));
-    server.request().answer(OK, "", b"");
-    assert_eq!(client.answer().status(), 200);
-}
-
 fn ends_naming(key: &str, command: &mut std::process::Command) {
     let output = command.output().expect("started");
     let said = String::from_utf8_lossy(&output.stderr);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -445,6 +445,27 @@
     assert!(refusals * 4 < asked, "{refusals} of {asked} refused by what was long past");
 }
 
+/// A request whose client left while it was out goes nowhere again, however its attempt ends, also where an
+/// attempt may not be cancelled.
+#[test]
+fn nothing_follows_for_a_client_that_has_left() {
+    for cancel in [true, false] {
+        for ending in [Ending::Full, Ending::Unreachable, Ending::NotSent, Ending::Error, Ending::Cancelled] {
+            let mut settings = one_class(Effect::Safe);
+            settings.cancel = cancel;
+            let mut node = Node::new(settings, 1);
+            node.servers(ready(0..3));
+            node.sent_to(1);
+            let actions = node.feed(Event::ClientGone(RequestId(1)));
+            assert_eq!(send_of(&actions), None);
+            assert_eq!(actions.len(), usize::from(cancel), "{actions:?}");
+            node.now += 300.0;
+            let actions = node.end(1, 0, 300.0, ending);
+            assert!(actions.iter().all(|a| matches!(a, Action::Note(_))), "{ending:?}: {actions:?}");
+        }
+    }
+}
+
 // ---- Overload
 
 /// Incident i007987: where each of hundreds of nodes sees a few requests a second, a bound that is all or nothing
