Hear the list before the first client, and soon again after silence

Seen in review, forced on sockets: a new process sent to what its last list named until its first watch was answered, though what discovery has counts as told from its first moment; a call for the whole list after SIGHUP could be silent for 21 s before another was made; after failures the pause grew to 2.5 s, longer than the grace of 1 to 2 s in which news at discovery's return must be heard; a silent watch was found after 21 s. Design: before listening the whole list is asked for, a quarter of the grace at most; a call that need not wait has that long, a watch waits 2 s; after any failure the next call asks for news without a wait; where lists are pushed, pauses stay within a quarter of rules.drain_grace_ms.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -106,6 +106,8 @@
     pub weights: Weights,
     /// A node with no subscription must ask again within this time.
     pub ask_within_ms: f64,
+    /// Sends to a server may go on for so long after the node was told that it drains or is gone.
+    pub drain_grace_ms: f64,
     /// Attempts allowed for one request.
     pub max_attempts: usize,
     /// Whether two attempts of one request may be out at once.
@@ -153,6 +155,7 @@
             discovery: Discovery::Push,
             weights: Weights::None,
             ask_within_ms: 10_000.0,
+            drain_grace_ms: 2_000.0,
             max_attempts: 3,
             second_copies: false,
             cancel: true,
@@ -194,6 +197,7 @@
         need(zero_up(self.over_quota_worth), "over_quota_worth")?;
         need(self.nodes > 0, "nodes")?;
         need(some(self.ask_within_ms), "ask_within_ms")?;
+        need(zero_up(self.drain_grace_ms), "drain_grace_ms")?;
         need(self.max_attempts > 0, "max_attempts")?;
         need(self.retry_after_most_ms.is_none_or(zero_up), "max_retry_after_ms")?;
         need(some(self.cold_from) && self.cold_from <= 1.0, "cold_from")?;
--- a/src/main.rs
+++ b/src/main.rs
@@ -34,11 +34,13 @@
     let mut stop = hear(SignalKind::terminate(), "SIGTERM")?;
     let mut reload = hear(SignalKind::hangup(), "SIGHUP")?;
     let config = Config::from_env()?;
-    let listener = TcpListener::bind(config.listen).await;
-    let listener =
-        listener.map_err(|error| format!("`GW_LISTEN`: cannot listen on {}: {error}", config.listen))?;
+    let listen = config.listen;
     let node = Node::start(config)?;
-    tokio::task::spawn_local(discovery::follow(Rc::clone(&node)));
+    // Before the first client comes: where a server has begun to drain, nothing may be sent to it.
+    let known = discovery::first(&node).await;
+    let listener = TcpListener::bind(listen).await;
+    let listener = listener.map_err(|error| format!("`GW_LISTEN`: cannot listen on {listen}: {error}"))?;
+    tokio::task::spawn_local(discovery::follow(Rc::clone(&node), known));
     tokio::task::spawn_local(Rc::clone(&node).reap());
     let reloaded = Rc::clone(&node);
     tokio::task::spawn_local(async move {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -9,54 +9,87 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::config::List;
 use super::node::Node;
 
-/// How long discovery may wait for news before it answers that there are none.
-const WAIT: Duration = Duration::from_secs(20);
-/// A call is silent when its answer has not come this long after that wait.
-/// What discovery has to tell counts as told 2 s after the wait.
-const SILENT: Duration = Duration::from_secs(1);
+/// How long discovery may wait for news before it answers that there are none. What a silent watch misses counts
+/// as told 6 s after it fell silent, or 2 s after this wait; sooner found, less goes to servers that have left.
+const WAIT: Duration = Duration::from_secs(2);
+/// A call is silent when its answer has not come within this part of the grace after a drain, past its wait. Two
+/// such times, with the pause between, are less than the grace: news that counts at once is heard in it.
+const SILENT_PART: f64 = 0.25;
+/// ... or within this time, where the grace is very short.
+const SILENT_LEAST: Duration = Duration::from_millis(100);
+/// Between calls at the start, where discovery is not up.
+const PAUSE: Duration = Duration::from_millis(20);
 /// A list may be this long.
 const LIST_MOST: usize = 1 << 20;
 
+/// Asks for the whole list before the first client is taken: what discovery has counts as told from the first
+/// moment on. Where it does not answer at once it is down, and the list last known has to do.
+pub async fn first(node: &Rc<Node>) -> Option<Sender> {
+    let mut connection = None;
+    let whole = async {
+        loop {
+            if let Some(list) = call(node, &mut connection, Duration::ZERO).await {
+                return list;
+            }
+            connection = None;
+            sleep(PAUSE).await;
+        }
+    };
+    let list = timeout(at_once(node), whole).await.ok()?;
+    node.listed(list);
+    connection
+}
+
 /// Watches whenever the decisions want it, until a call fails; then they are told. Where discovery moves, the
 /// watch goes on there at once, whatever the decisions are waiting for.
-pub async fn follow(node: Rc<Node>) {
-    let mut connection = None;
+pub async fn follow(node: Rc<Node>, mut connection: Option<Sender>) {
+    // Only a discovery that has just answered may take its time with the next answer.
+    let mut wait = if connection.is_some() { WAIT } else { Duration::ZERO };
     loop {
         tokio::select! {
             () = node.subscribed.notified() => {}
-            () = node.moved.notified() => {}
+            () = node.moved.notified() => wait = Duration::ZERO,
         }
         // The next watch follows at once: what changes between watches is told by none.
         loop {
             let list = tokio::select! {
                 biased;
                 () = node.moved.notified() => {
-                    connection = None;
+                    (connection, wait) = (None, Duration::ZERO);
                     continue;
                 }
-                list = timeout(WAIT + SILENT, watch(&node, &mut connection)) => list,
+                list = timeout(wait + at_once(&node), call(&node, &mut connection, wait)) => list,
             };
             let Ok(Some(list)) = list else { break };
+            wait = WAIT;
             node.listed(list);
         }
-        connection = None;
+        (connection, wait) = (None, Duration::ZERO);
         node.list_failed();
     }
 }
 
-type Sender = SendRequest<Empty<Bytes>>;
+/// How long an answer may take that has nothing to wait for.
+fn at_once(node: &Node) -> Duration {
+    let grace = Duration::try_from_secs_f64(node.config.settings.drain_grace_ms / 1000.0);
+    grace.unwrap_or_default().mul_f64(SILENT_PART).max(SILENT_LEAST)
+}
+
+/// A connection to discovery.
+pub type Sender = SendRequest<Empty<Bytes>>;
 
-/// One watch: what changed since the version held, or nothing where the call failed. Where none is held, the
-/// whole list.
-async fn watch(node: &Node, connection: &mut Option<Sender>) -> Option<List> {
+/// One call: what changed since the version held, or nothing where the call failed. Where none is held, the
+/// whole list, and that at once.
+async fn call(node: &Node, connection: &mut Option<Sender>, wait: Duration) -> Option<List> {
     let path = node.revision().map_or_else(
         || "/catalog/members".to_owned(),
-        |revision| format!("/catalog/members?since={revision}&timeout_ms={}", WAIT.as_millis()),
+        // The shortest wait that says what it is: 0 might mean none was named.
+        |revision| format!("/catalog/members?since={revision}&timeout_ms={}", wait.as_millis().max(1)),
     );
     let request = Request::get(path).header("Host", node.discovery().to_string());
     let mut request = request.body(Empty::new()).expect("a sound request");
@@ -89,7 +122,7 @@
 }
 
 async fn connect(node: &Node) -> Option<Sender> {
-    let stream = timeout(SILENT, TcpStream::connect(node.discovery())).await.ok()?.ok()?;
+    let stream = TcpStream::connect(node.discovery()).await.ok()?;
     stream.set_nodelay(true).ok()?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     tokio::task::spawn_local(connection);
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -97,7 +97,8 @@
             last_id: Cell::new(0),
             ids: RefCell::default(),
             last_server: Cell::new(0),
-            revision: Cell::new(Some(known.revision)),
+            // The version of a list that was held before means nothing to a discovery that has moved since.
+            revision: Cell::new(None),
             started: Instant::now(),
             started_unix_ms: unix.as_secs_f64() * 1000.0,
         });
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -68,6 +68,10 @@
 const GOLDEN: f64 = 0.618_033_988_749_895;
 /// The longest wait for a new subscription, in parts of what may pass without; the shortest is a sixteenth.
 const RESUBSCRIBE_MOST: f64 = 0.25;
+/// Where lists are pushed, it is no longer than this part of the grace after a drain, or this time where that
+/// is less: what the agent has counts as told, heard or not.
+const PUSHED_MOST: f64 = 0.25;
+const PUSHED_LEAST_MS: f64 = 50.0;
 /// Part of the result that may be spent on asking servers before each send.
 const ASK_SPEND: f64 = 0.008;
 /// How far to the whole aim the bound of admission moves where counts were just asked for.
@@ -351,6 +355,10 @@
         }
         self.asking = true;
         let most = self.settings.ask_within_ms * RESUBSCRIBE_MOST;
+        let most = match self.settings.discovery {
+            Discovery::Push => most.min((self.settings.drain_grace_ms * PUSHED_MOST).max(PUSHED_LEAST_MS)),
+            Discovery::Subscribe => most,
+        };
         let after_ms = most / 2_f64.powi(4 - self.failed_calls) * (0.5 + 0.5 * self.random.f64());
         self.failed_calls = (self.failed_calls + 1).min(4);
         actions.push(Action::SetTimer { timer: RESUBSCRIBE, after_ms });
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -371,6 +371,7 @@
     };
     let rules = &facts["rules"];
     read(rules, "ask_within_ms", &mut settings.ask_within_ms)?;
+    read(rules, "drain_grace_ms", &mut settings.drain_grace_ms)?;
     read(rules, "cold_from", &mut settings.cold_from)?;
     read(rules, "cold_ms", &mut settings.cold_ms)?;
     read(rules, "tip_multiple", &mut settings.tip_multiple)?;
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -65,6 +65,64 @@
     assert_eq!(node.wait().code(), Some(0));
 }
 
+// ---- Lists
+
+/// What discovery has counts as told from a node's first moment on. The list that it held before named a server
+/// that has begun to drain meanwhile, and requests went there until the first watch was answered.
+#[test]
+fn no_client_is_taken_before_the_first_list() {
+    let servers = [Server::start(), Server::start()];
+    let known = members(&[&servers[0], &servers[1]]);
+    let told = list(7, true, &[member("s0", servers[0].address, "leaving"), known[1].clone()]);
+    let told = serde_json::to_string_pretty(&told).expect("JSON");
+    let node = Node::start_told(&config(&known), |address, first| {
+        assert!(std::net::TcpStream::connect(address).is_err(), "clients are taken already");
+        first.answer(OK, "", told.as_bytes());
+    });
+    assert!(node.discovery.request().request.first.contains("since=7&"));
+    (0..6).for_each(|_| served_by(&node, &servers[1]));
+    assert!(!servers[0].has_request());
+}
+
+/// A discovery that is down at the start says nothing. The list held before has to do then, and the whole list
+/// is asked for until it comes.
+#[test]
+fn a_node_starts_without_discovery_and_goes_on_asking() {
+    let servers = [Server::start(), Server::start()];
+    let mut config = config(&members(&[&servers[0]]));
+    config["settings"]["rules"]["drain_grace_ms"] = json!(400.0);
+    let mut silent = None;
+    let node = Node::start_told(&config, |_, first| silent = Some(first));
+    served_by(&node, &servers[0]);
+    silent.expect("asked").await_end();
+    let again = node.discovery.request();
+    assert_eq!(again.request.first, "GET /catalog/members HTTP/1.1");
+    let news = list(3, true, &[member("s1", servers[1].address, "active")]);
+    again.answer(OK, "", news.to_string().as_bytes());
+    assert!(node.discovery.request().request.first.contains("since=3&"));
+    served_by(&node, &servers[1]);
+}
+
+/// Whatever a silent watch has missed is asked for without a wait: only a discovery that answers may take time.
+#[test]
+fn after_a_silent_watch_news_are_asked_for_at_once() {
+    let mut config = config(&[]);
+    config["settings"]["rules"]["drain_grace_ms"] = json!(400.0);
+    let node = Node::start(&config);
+    let mut silent = node.discovery.request();
+    let waits = |watch: &Exchange| {
+        let line = &watch.request.first;
+        let wait = line.split("timeout_ms=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
+        wait.unwrap_or_else(|| panic!("{line}"))
+    };
+    let usual: u64 = waits(&silent);
+    silent.await_end();
+    // It may be late to answer on a busy machine; then the next one asks the same.
+    let next = node.discovery.request();
+    assert_eq!(waits(&next), 1);
+    assert!(usual >= 1_000, "{usual} ms");
+}
+
 // ---- Clients that leave
 
 /// Held from now on: what waits for a connection when its client leaves is not sent on. It was where attempts
--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -200,7 +200,7 @@
             "classes": [class("read", "retryable"), class("update", "dedup"), class("pay", "fragile")],
             "parties": [{"name": "acme", "quota_per_s": 1_000.0}], "zones": ["a"], "kinds": ["m"],
             "discovery": "subscribe", "stats": {"source": "inline", "fields": ["active", "waiting"]},
-            "rules": {"ask_within_ms": 2_000.0},
+            "rules": {"ask_within_ms": 2_000.0, "drain_grace_ms": 20_000.0},
             "allowed": {"conn_idle_ms": 20_000.0, "dial_timeout_ms": 10_000.0, "most_held": 100,
                         "max_attempts": 3, "cancel": true, "retry_after": true, "max_retry_after_ms": 400.0},
         },
@@ -232,13 +232,21 @@
 }
 
 impl Node {
-    /// Starts with this configuration; returns when it is healthy.
+    /// Starts with this configuration; returns when it is healthy. Discovery tells the list that is in it.
     pub fn start(config: &Value) -> Self {
+        Self::start_told(config, |_, first| first.answer(OK, "", config["known"].to_string().as_bytes()))
+    }
+
+    /// The same, where the test sees to the first call for the list.
+    pub fn start_told(config: &Value, tell: impl FnOnce(SocketAddr, Exchange)) -> Self {
         let (address, discovery) = (own_address(), Server::start());
         let mut command = command(&config.to_string(), address, discovery.address);
         let mut child = command.stderr(Stdio::piped()).spawn().expect("started");
         let log = BufReader::new(child.stderr.take().expect("piped"));
         let node = Self { address, discovery, child, log };
+        let first = node.discovery.request();
+        assert_eq!(first.request.first, "GET /catalog/members HTTP/1.1");
+        tell(node.address, first);
         let since = Instant::now();
         while TcpStream::connect(address).is_err() {
             assert!(since.elapsed() < LONG, "the node does not listen");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -445,6 +445,26 @@
     assert!(refusals * 4 < asked, "{refusals} of {asked} refused by what was long past");
 }
 
+/// What the agent has counts as told, so that a node must hear it again within the grace after a drain.
+#[test]
+fn a_pushed_list_that_fails_is_asked_for_again_within_the_grace() {
+    for (grace, most) in [(2_000.0, 500.0), (1_000.0, 250.0), (0.0, 50.0)] {
+        let mut settings = one_class(Effect::Safe);
+        settings.drain_grace_ms = grace;
+        let mut node = Node::new(settings, 1);
+        node.servers(ready(0..1));
+        for _ in 0..12 {
+            let actions = node.feed(Event::Servers(Listing::Failed));
+            let after =
+                |a: &Action| if let Action::SetTimer { after_ms, .. } = a { Some(*after_ms) } else { None };
+            let after = actions.iter().find_map(after).expect("it asks again");
+            assert!(after > 0.0 && after <= most, "{after} ms of {grace}");
+            node.now += after;
+            assert_eq!(node.feed(Event::Timer(0)), [Action::Subscribe]);
+        }
+    }
+}
+
 /// A request whose client left while it was out goes nowhere again, however its attempt ends, also where an
 /// attempt may not be cancelled.
 #[test]
