Count a spoilt answer as one that may have run, whatever its head says

Seen in review, forced on sockets: an answer with the head of a 503 and X-Not-Run: 1 that ends before its length made even an unsafe request go to another server. Ruled out: whole 503s and 504s (never run, sent on as before), other spoilt answers (failed already). At fault: upstream::read matched the proof before it looked whether the answer was whole. Design: only a whole answer proves anything.

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -339,8 +339,9 @@
     };
     let whole = body.is_some();
     let ending = match head.status {
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Ending::Full,
+        // What comes spoilt proves nothing, whatever its head says.
         _ if !whole => Ending::Reset,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Ending::Full,
         StatusCode::OK => Ending::Served,
         _ => Ending::Error,
     };
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -6,6 +6,7 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 
@@ -52,7 +53,7 @@
             while !over.load(Ordering::Relaxed) {
                 // It fails once the node takes none any more.
                 let _ = std::net::TcpStream::connect(address);
-                std::thread::sleep(std::time::Duration::from_millis(5));
+                std::thread::sleep(Duration::from_millis(5));
             }
         }
     });
@@ -123,6 +124,24 @@
     assert!(usual >= 1_000, "{usual} ms");
 }
 
+// ---- Connections to servers
+
+/// An answer that is cut off proves nothing, though its head says that nothing ran.
+#[test]
+fn a_spoilt_answer_is_no_proof_that_nothing_ran() {
+    for status in ["503 Busy", "504 Late"] {
+        let servers = [Server::start(), Server::start()];
+        let node = Node::before(&[&servers[0], &servers[1]]);
+        let mut client = node.client();
+        client.send(&request("pay", 20.0));
+        let (_, mut got) = either(&servers);
+        got.write(format!("HTTP/1.1 {status}\r\nx-not-run: 1\r\ncontent-length: 9\r\n\r\nhalf").as_bytes());
+        got.stream.shutdown(std::net::Shutdown::Both).expect("cut off");
+        assert_eq!(client.answer().status(), 502, "{status}");
+        assert!(servers.iter().all(|server| !server.has_request()), "{status}: it was sent again");
+    }
+}
+
 // ---- Clients that leave
 
 /// Held from now on: what waits for a connection when its client leaves is not sent on. It was where attempts
