Let go of connections and dials to where a server no longer is

Seen in review, forced on sockets: where a server comes back under its id, the next request was written to a connection kept to the former process; where it moved, a dial begun before came up at the old address and the request was sent there, though the list told otherwise. Ruled out: servers that drain or leave (looked at again before each send), addresses moved with idle connections. At fault: upstream::Upstream::list kept one Server through every change but its address, and exchange() looks only at its ready mark. Design: an entry with another address or start makes a new Server; the old one is not ready, so that its dials end unsent and the module sends anew.

--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -342,16 +342,18 @@
             let next = ServerId(self.last_server.get() + 1);
             let server = *ids.entry(member.id.clone()).or_insert(next);
             self.last_server.set(self.last_server.get().max(server.0));
+            let started_at = Some(member.up_since_ms).filter(|at| *at > 0.0);
             if availability == Availability::Gone {
                 ids.remove(&member.id);
                 self.upstream.forget(server);
             } else {
-                self.upstream.list(server, member.host_port, availability == Availability::Ready);
+                let ready = availability == Availability::Ready;
+                self.upstream.list(server, member.host_port, started_at, ready);
             }
             entries.push(ServerEntry {
                 server,
                 availability,
-                started_at: Some(member.up_since_ms).filter(|at| *at > 0.0),
+                started_at,
                 cell: member.cell,
                 zone: place(&self.config.names.zones, &member.locality),
                 kind: place(&self.config.names.kinds, &member.flavor),
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -112,7 +112,9 @@
 
 /// A server of the list. Attempts and probes hold it for as long as they are out, also past its time there.
 struct Server {
-    address: Cell<SocketAddr>,
+    address: SocketAddr,
+    /// When this process of it started.
+    started: Option<f64>,
     /// Whether the list lets it have new requests.
     ready: Cell<bool>,
     /// Connections that stand idle; the one used last is at the back.
@@ -137,7 +139,7 @@
     }
 
     fn keep(&self, mut connection: Connection) {
-        if self.ready.get() && self.address.get() == connection.address {
+        if self.ready.get() {
             connection.idle_since = Instant::now();
             self.idle.borrow_mut().push_back(connection);
         }
@@ -163,16 +165,19 @@
         }
     }
 
-    /// Notes a server of the list. Idle connections to one that gets nothing more are closed.
-    pub fn list(&self, server: ServerId, address: SocketAddr, ready: bool) {
+    /// Notes a server of the list. Idle connections to one that gets nothing more are closed, and so is all that
+    /// led to a former process of its, or to where it was: no dial that comes up there is of use.
+    pub fn list(&self, server: ServerId, address: SocketAddr, started: Option<f64>, ready: bool) {
+        let same = |known: &Rc<Server>| known.address == address && known.started == started;
+        if !self.servers.borrow().get(&server).is_some_and(same) {
+            self.forget(server);
+        }
         let mut servers = self.servers.borrow_mut();
         let known = servers.entry(server).or_insert_with(|| {
-            let (address, ready) = (Cell::new(address), Cell::new(ready));
-            Rc::new(Server { address, ready, idle: RefCell::default() })
+            Rc::new(Server { address, started, ready: Cell::new(ready), idle: RefCell::default() })
         });
-        let moved = known.address.replace(address) != address;
         known.ready.set(ready);
-        if moved || !ready {
+        if !ready {
             known.idle.borrow_mut().clear();
         }
     }
@@ -206,7 +211,7 @@
     async fn connect(&self, server: &Server, dial_timeout: Duration) -> Result<Connection, Ending> {
         // Without a place the attempt ends unsent, and that is not the server's fault.
         let slot = self.slot().ok_or(Ending::NotSent)?;
-        let address = server.address.get();
+        let address = server.address;
         let stream = match timeout(dial_timeout, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(_)) | Err(_) => return Err(Ending::Unreachable),
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -126,6 +126,47 @@
 
 // ---- Connections to servers
 
+/// A server that comes back under its id is another process. What was kept to the former one is of no use: where
+/// its machine vanished, the next request written there would be a reset.
+#[test]
+fn a_connection_to_a_former_process_is_not_used() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    served_by(&node, &server);
+    let mut back = member("s0", server.address, "active");
+    back["up_since_ms"] = json!(1_700_000_000_000.0);
+    let news = list(2, false, &[back]);
+    node.discovery.request().answer(OK, "", news.to_string().as_bytes());
+    assert!(node.discovery.request().request.first.contains("since=2&"));
+    let mut client = node.client();
+    client.send(&request("pay", 20.0));
+    let got = server.request();
+    assert_eq!(got.connection, 1);
+    got.answer(OK, "", b"");
+    assert_eq!(client.answer().status(), 200);
+}
+
+/// A dial that comes up where its server no longer is gets nothing: the request goes where the server is now.
+#[test]
+fn a_dial_to_where_a_server_was_is_not_used() {
+    let (slow, address, filler) = full_listener();
+    let server = Server::start();
+    let node = Node::start(&config(&[member("s0", address, "active")]));
+    let mut client = node.client();
+    client.send(&request("pay", 25.0));
+    until_dialled(address);
+    let news = list(2, false, &[member("s0", server.address, "active")]);
+    node.discovery.request().answer(OK, "", news.to_string().as_bytes());
+    assert!(node.discovery.request().request.first.contains("since=2&"));
+    drop(slow.accept().expect("the filler"));
+    drop(filler);
+    let (mut stream, _) = slow.accept().expect("the node's connection");
+    stream.set_read_timeout(Some(LONG)).expect("set");
+    assert_eq!(std::io::Read::read(&mut stream, &mut [0; 1]).ok(), Some(0), "it was sent there");
+    server.request().answer(OK, "", b"");
+    assert_eq!(client.answer().status(), 200);
+}
+
 /// An answer that is cut off proves nothing, though its head says that nothing ran.
 #[test]
 fn a_spoilt_answer_is_no_proof_that_nothing_ran() {
