Let a connection rest for 20 ms, as a second answer may be some milliseconds late

At fault: upstream::REST. Design: 20 ms; a request waits for the rest of a connection for a 64th of its time at most, else it dials.

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -28,9 +28,11 @@
 pub const BODY_MOST: usize = 64 * 1024;
 /// Part of the idle limit for which a connection is kept: a server that closes it meanwhile resets a request.
 const IDLE_PART: f64 = 0.9;
-/// A connection is used again this long after an answer at the earliest. What a server sends right behind an
-/// answer, as a second copy of it, has shown by then; the next request must not get it.
-const REST: Duration = Duration::from_millis(5);
+/// A connection is used again this long after an answer at the earliest. What a server sends behind an answer,
+/// some milliseconds late as a second copy of it, has shown by then; the next request must not get it.
+const REST: Duration = Duration::from_millis(20);
+/// Part of a request's time that it waits for such a rest to end, rather than for a new connection.
+const REST_PART: f64 = 1.0 / 64.0;
 /// Part of a request's time that a connection to a server may take to come up: another may be had after it.
 const DIAL_PART: f64 = 0.25;
 /// The head of an answer may be this long.
@@ -122,12 +124,14 @@
 }
 
 impl Server {
-    /// A kept connection that its server does not soon close: the last used of those that have rested.
-    fn idle(&self, keep: Duration) -> Option<Connection> {
+    /// A kept connection that its server does not soon close: the last used of those that have rested, else the
+    /// one that has after `patience`.
+    fn idle(&self, keep: Duration, patience: Duration) -> Option<Connection> {
         self.close_idle(keep);
         let mut idle = self.idle.borrow_mut();
         let rested = idle.iter().rposition(|c| c.idle_since.elapsed() >= REST);
-        let at = rested.or_else(|| idle.len().checked_sub(1))?;
+        let soon = idle.front().filter(|c| c.idle_since.elapsed() + patience >= REST).map(|_| 0);
+        let at = rested.or(soon)?;
         idle.remove(at)
     }
 
@@ -267,8 +271,10 @@
     let Some(server) = upstream.servers.borrow().get(&server).cloned() else {
         return Reply::none(Ending::NotSent);
     };
+    let left = |forward: &Forward| forward.gives_up_at.saturating_duration_since(Instant::now());
     loop {
-        let (mut connection, kept) = match server.idle(upstream.keep) {
+        let patience = forward.map_or(REST, |forward| left(forward).mul_f64(REST_PART));
+        let (mut connection, kept) = match server.idle(upstream.keep, patience) {
             Some(connection) => (connection, true),
             None => match upstream.connect(&server, dial_most(node, forward)).await {
                 Ok(connection) => (connection, false),
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -183,6 +183,25 @@
     }
 }
 
+/// A second answer may come some milliseconds behind the first, and would be taken for that of the next request.
+#[test]
+fn a_connection_rests_before_it_is_used_again() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    let mut client = node.client();
+    client.send(&request("update", 60.0));
+    let mut got = server.request();
+    for _ in 0..3 {
+        let answered = Instant::now();
+        got.answer(OK, "", b"");
+        assert_eq!(client.answer().status(), 200);
+        client.send(&request("update", 60.0));
+        got = server.request();
+        assert_eq!(got.connection, 0);
+        assert!(answered.elapsed() >= Duration::from_millis(20), "{:?}", answered.elapsed());
+    }
+}
+
 // ---- Clients that leave
 
 /// Held from now on: what waits for a connection when its client leaves is not sent on. It was where attempts
