--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -28,9 +28,11 @@
 pub const BODY_MOST: usize = 64 * 1024;
 /// Part of the idle limit for which a connection is kept: a server that closes it meanwhile resets a request.
 const IDLE_PART: f64 = 0.9;
-/// A connection is used again this long after an answer at the earliest. What a server sends right behind an
-/// answer, as a second copy of it, has shown by then; the next request must not get it.
-const REST: Duration = Duration::from_millis(5);
+/// A connection is used again this long after an answer at the earliest. What a server sends behind an answer,
+/// some milliseconds late as a second copy of it, has shown by then; the next request must not get it.
+const REST: Duration = Duration::from_millis(20);
+/// Part of a request's time that it waits for such a rest to end, rather than for a new connection.
+const REST_PART: f64 = 1.0 / 64.0;
 /// Part of a request's time that a connection to a server may take to come up: another may be had after it.
 const DIAL_PART: f64 = 0.25;
 /// The head of an answer may be this long.
@@ -112,7 +114,9 @@
 
 /// A server of the list. Attempts and probes hold it for as long as they are out, also past its time there.
 struct Server {
-    address: Cell<SocketAddr>,
+    address: SocketAddr,
+    /// When this process of it started.
+    started: Option<f64>,
     /// Whether the list lets it have new requests.
     ready: Cell<bool>,
     /// Connections that stand idle; the one used last is at the back.
@@ -120,12 +124,14 @@
 }
 
 impl Server {
-    /// A kept connection that its server does not soon close: the last used of those that have rested.
-    fn idle(&self, keep: Duration) -> Option<Connection> {
+    /// A kept connection that its server does not soon close: the last used of those that have rested, else the
+    /// one that has after `patience`.
+    fn idle(&self, keep: Duration, patience: Duration) -> Option<Connection> {
         self.close_idle(keep);
         let mut idle = self.idle.borrow_mut();
         let rested = idle.iter().rposition(|c| c.idle_since.elapsed() >= REST);
-        let at = rested.or_else(|| idle.len().checked_sub(1))?;
+        let soon = idle.front().filter(|c| c.idle_since.elapsed() + patience >= REST).map(|_| 0);
+        let at = rested.or(soon)?;
         idle.remove(at)
     }
 
@@ -137,7 +143,7 @@
     }
 
     fn keep(&self, mut connection: Connection) {
-        if self.ready.get() && self.address.get() == connection.address {
+        if self.ready.get() {
             connection.idle_since = Instant::now();
             self.idle.borrow_mut().push_back(connection);
         }
@@ -163,16 +169,19 @@
         }
     }
 
-    /// Notes a server of the list. Idle connections to one that gets nothing more are closed.
-    pub fn list(&self, server: ServerId, address: SocketAddr, ready: bool) {
+    /// Notes a server of the list. Idle connections to one that gets nothing more are closed, and so is all that
+    /// led to a former process of its, or to where it was: no dial that comes up there is of use.
+    pub fn list(&self, server: ServerId, address: SocketAddr, started: Option<f64>, ready: bool) {
+        let same = |known: &Rc<Server>| known.address == address && known.started == started;
+        if !self.servers.borrow().get(&server).is_some_and(same) {
+            self.forget(server);
+        }
         let mut servers = self.servers.borrow_mut();
         let known = servers.entry(server).or_insert_with(|| {
-            let (address, ready) = (Cell::new(address), Cell::new(ready));
-            Rc::new(Server { address, ready, idle: RefCell::default() })
+            Rc::new(Server { address, started, ready: Cell::new(ready), idle: RefCell::default() })
         });
-        let moved = known.address.replace(address) != address;
         known.ready.set(ready);
-        if moved || !ready {
+        if !ready {
             known.idle.borrow_mut().clear();
         }
     }
@@ -206,7 +215,7 @@
     async fn connect(&self, server: &Server, dial_timeout: Duration) -> Result<Connection, Ending> {
         // Without a place the attempt ends unsent, and that is not the server's fault.
         let slot = self.slot().ok_or(Ending::NotSent)?;
-        let address = server.address.get();
+        let address = server.address;
         let stream = match timeout(dial_timeout, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(_)) | Err(_) => return Err(Ending::Unreachable),
@@ -262,8 +271,10 @@
     let Some(server) = upstream.servers.borrow().get(&server).cloned() else {
         return Reply::none(Ending::NotSent);
     };
+    let left = |forward: &Forward| forward.gives_up_at.saturating_duration_since(Instant::now());
     loop {
-        let (mut connection, kept) = match server.idle(upstream.keep) {
+        let patience = forward.map_or(REST, |forward| left(forward).mul_f64(REST_PART));
+        let (mut connection, kept) = match server.idle(upstream.keep, patience) {
             Some(connection) => (connection, true),
             None => match upstream.connect(&server, dial_most(node, forward)).await {
                 Ok(connection) => (connection, false),
@@ -339,8 +350,9 @@
     };
     let whole = body.is_some();
     let ending = match head.status {
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Ending::Full,
+        // What comes spoilt proves nothing, whatever its head says.
         _ if !whole => Ending::Reset,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Ending::Full,
         StatusCode::OK => Ending::Served,
         _ => Ending::Error,
     };
