Keep test addresses from being held by processes that are being started

A process started by another test holds every socket of the test for a moment, also the one whose address has just been given up to be bound again. Design: scripted servers bind once; where an address must be given up, no process is being started meanwhile.

--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -7,6 +7,7 @@
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{self, Receiver, Sender};
+use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -17,13 +18,31 @@
 /// Longer than anything that a test waits for takes, however busy the machine.
 pub const LONG: Duration = Duration::from_secs(90);
 
-/// A loopback address that nothing else of these tests uses.
+/// A process that is being started holds, for a moment, every socket of this one. An address that is given up for
+/// it to bind must not be held by another that starts just then.
+static STARTING: Mutex<()> = Mutex::new(());
+
+/// A listener at a loopback address that nothing else of these tests uses.
+pub fn own_listener() -> TcpListener {
+    TcpListener::bind(SocketAddr::from((own_host(), 0))).expect("a free port")
+}
+
+/// Such an address, at which nobody listens yet.
 pub fn own_address() -> SocketAddr {
+    let _alone = STARTING.lock();
+    own_listener().local_addr().expect("bound")
+}
+
+fn own_host() -> [u8; 4] {
     static NEXT: AtomicU32 = AtomicU32::new(1);
     let n = NEXT.fetch_add(1, Ordering::Relaxed);
-    let host = [127, 1 + (std::process::id() % 250) as u8, (n / 250) as u8, 1 + (n % 250) as u8];
-    let free = TcpListener::bind(SocketAddr::from((host, 0))).expect("a free port");
-    free.local_addr().expect("bound")
+    [127, 1 + (std::process::id() % 250) as u8, (n / 250) as u8, 1 + (n % 250) as u8]
+}
+
+/// Starts a process; see `STARTING`.
+pub fn spawn(command: &mut Command) -> Child {
+    let _alone = STARTING.lock();
+    command.spawn().expect("started")
 }
 
 /// A message as it came: its first line, its headers in lower case, its body.
@@ -124,7 +143,7 @@
 
 impl Server {
     pub fn start() -> Self {
-        let listener = TcpListener::bind(own_address()).expect("bound");
+        let listener = own_listener();
         let address = listener.local_addr().expect("bound");
         let (tell, seen) = mpsc::channel();
         thread::spawn(move || {
@@ -241,7 +260,7 @@
     pub fn start_told(config: &Value, tell: impl FnOnce(SocketAddr, Exchange)) -> Self {
         let (address, discovery) = (own_address(), Server::start());
         let mut command = command(&config.to_string(), address, discovery.address);
-        let mut child = command.stderr(Stdio::piped()).spawn().expect("started");
+        let mut child = spawn(command.stderr(Stdio::piped()));
         let log = BufReader::new(child.stderr.take().expect("piped"));
         let node = Self { address, discovery, child, log };
         let first = node.discovery.request();
@@ -281,7 +300,7 @@
     }
 
     fn signal(&self, signal: &str) {
-        let sent = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
+        let sent = spawn(Command::new("kill").args([signal, &self.child.id().to_string()])).wait();
         assert!(sent.expect("sent").success());
     }
 
@@ -378,7 +397,7 @@
 /// A listener whose queue is full, so that whoever connects waits, with what fills it.
 pub fn full_listener() -> (TcpListener, SocketAddr, TcpStream) {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&own_address().into()).expect("bound");
+    socket.bind(&SocketAddr::from((own_host(), 0)).into()).expect("bound");
     socket.listen(0).expect("listening");
     let slow = TcpListener::from(socket);
     let address = slow.local_addr().expect("bound");
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -831,7 +831,8 @@
 // ---- Helpers
 
 fn ends_naming(key: &str, command: &mut std::process::Command) {
-    let output = command.output().expect("started");
+    let child = spawn(command.stdout(std::process::Stdio::null()).stderr(std::process::Stdio::piped()));
+    let output = child.wait_with_output().expect("ended");
     let said = String::from_utf8_lossy(&output.stderr);
     assert!(!output.status.success(), "{key}");
     assert_eq!(said.lines().count(), 1, "{key}: {said}");
