Send nothing of an attempt that was given up in the moment its dial came up

Seen in review: the choice between a finished exchange and a give-up polls the exchange first, so that a dial that came up in the same turn in which the client left was still written to. It is too short a moment to be forced on sockets; the tests of clients that leave cover the way round it. At fault: upstream::attempt with no look at the give-up between dial and write. Design: an attempt is unsent, sent or unwanted; only an unsent one can become unwanted, and is then not sent.

--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -17,7 +17,7 @@
 use tokio::time::{sleep, Instant};
 
 use super::config::{Config, List, Phase};
-use super::upstream::{self, Forward, Reply, Upstream};
+use super::upstream::{self, Forward, Reply, Stage, Upstream};
 
 /// The one final answer to a request.
 pub enum Answer {
@@ -49,8 +49,7 @@
 /// An attempt that is out.
 struct Out {
     give_up: oneshot::Sender<()>,
-    /// Set while some of it may be with its server.
-    sent: Rc<Cell<bool>>,
+    stage: Rc<Cell<Stage>>,
 }
 
 /// One node; all of its parts hold it.
@@ -131,12 +130,12 @@
                 let Some(held) = requests.get_mut(&request) else { return };
                 let (give_up, given_up) = oneshot::channel();
                 let attempt = held.attempts.len();
-                let sent = Rc::new(Cell::new(false));
-                held.attempts.push(Some(Out { give_up, sent: Rc::clone(&sent) }));
+                let stage = Rc::new(Cell::new(Stage::Unsent));
+                held.attempts.push(Some(Out { give_up, stage: Rc::clone(&stage) }));
                 let (node, forward) = (Rc::clone(self), Rc::clone(&held.forward));
                 tokio::task::spawn_local(async move {
                     let begun = Instant::now();
-                    let reply = upstream::attempt(&node, server, &forward, &sent, given_up).await;
+                    let reply = upstream::attempt(&node, server, &forward, &stage, given_up).await;
                     node.ended(request, attempt, begun.elapsed(), reply);
                 });
             }
@@ -227,7 +226,9 @@
         let owed = held.and_then(|held| held.answer.take().map(|_| &mut held.attempts));
         let was_owed = owed.is_some();
         for attempt in owed.into_iter().flatten() {
-            if let Some(out) = attempt.take_if(|out| !out.sent.get()) {
+            if let Some(out) = attempt.take_if(|out| out.stage.get() == Stage::Unsent) {
+                // Its dial may come up in this very moment.
+                out.stage.set(Stage::Unwanted);
                 // It fails where the attempt has just ended by itself.
                 let _ = out.give_up.send(());
             }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -59,6 +59,17 @@
     }
 }
 
+/// How far an attempt has come.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// Nothing of it is with a server.
+    Unsent,
+    /// Some of it may be.
+    Sent,
+    /// Nothing is, and nothing may be any more.
+    Unwanted,
+}
+
 /// How an attempt or a probe ended.
 pub struct Reply {
     /// The outcome.
@@ -233,20 +244,20 @@
     }
 }
 
-/// One attempt of a request, from choosing a connection to the whole answer. `sent` is set while some of it may
-/// have gone out. When it returns, nothing of it is out any more.
+/// One attempt of a request, from choosing a connection to the whole answer. `stage` tells how far it has come.
+/// When it returns, nothing of it is out any more.
 pub async fn attempt(
     node: &Node,
     server: ServerId,
     forward: &Forward,
-    sent: &Cell<bool>,
+    stage: &Cell<Stage>,
     given_up: oneshot::Receiver<()>,
 ) -> Reply {
-    let unless_sent = |ending| Reply::none(if sent.get() { ending } else { Ending::NotSent });
+    let unless_sent = |ending| Reply::none(if stage.get() == Stage::Sent { ending } else { Ending::NotSent });
     // The exchange holds the connection; it is dropped, and that closed, before this returns.
     tokio::select! {
         biased;
-        reply = exchange(node, server, Some(forward), sent) => reply,
+        reply = exchange(node, server, Some(forward), stage) => reply,
         Ok(()) = given_up => unless_sent(Ending::Cancelled),
         () = sleep_until(forward.gives_up_at) => unless_sent(Ending::TimedOut),
     }
@@ -254,8 +265,8 @@
 
 /// Asks a server for its load report.
 pub async fn probe(node: &Node, server: ServerId) -> Reply {
-    let sent = Cell::new(false);
-    let reply = timeout(node.config.dial_timeout, exchange(node, server, None, &sent)).await;
+    let stage = Cell::new(Stage::Unsent);
+    let reply = timeout(node.config.dial_timeout, exchange(node, server, None, &stage)).await;
     let mut reply = reply.unwrap_or_else(|_| Reply::none(Ending::TimedOut));
     if let Some(body) = reply.body.take() {
         reply.report = std::str::from_utf8(&body).ok().and_then(load_report).or(reply.report);
@@ -263,9 +274,8 @@
     reply
 }
 
-/// Sends a request, or a probe where there is none, and reads the answer. `sent` is set while some of it may
-/// have gone out.
-async fn exchange(node: &Node, server: ServerId, forward: Option<&Forward>, sent: &Cell<bool>) -> Reply {
+/// Sends a request, or a probe where there is none, and reads the answer.
+async fn exchange(node: &Node, server: ServerId, forward: Option<&Forward>, stage: &Cell<Stage>) -> Reply {
     let upstream = &node.upstream;
     // It may have gone since the decision.
     let Some(server) = upstream.servers.borrow().get(&server).cloned() else {
@@ -291,20 +301,21 @@
             return Reply::none(Ending::Unreachable);
         }
         // Time has passed since the decision: a server that drains by now gets nothing new.
-        if forward.is_some() && !server.ready.get() {
+        if stage.get() == Stage::Unwanted || forward.is_some() && !server.ready.get() {
             return Reply::none(Ending::NotSent);
         }
         let request = forward.map_or_else(|| probe_request(connection.address), forward_request);
-        sent.set(true);
+        stage.set(Stage::Sent);
         let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => {
                 // What hyper gives back was never written; anything else may have been.
-                sent.set(error.take_message().is_none());
-                match (sent.get(), kept) {
-                    (true, _) => return Reply::none(Ending::Reset),
-                    (false, true) => continue,
-                    (false, false) => return Reply::none(Ending::Unreachable),
+                let unsent = error.take_message().is_some();
+                stage.set(if unsent { Stage::Unsent } else { Stage::Sent });
+                match (unsent, kept) {
+                    (false, _) => return Reply::none(Ending::Reset),
+                    (true, true) => continue,
+                    (true, false) => return Reply::none(Ending::Unreachable),
                 }
             }
         };
