Send no repeat past its window, however late its connection comes up

Seen in review, forced on sockets: a keyed request that may have run was decided on within four fifths of its window, then waited for a dial of up to its time-out, and was written when the window was over. Ruled out: windows long beside dials (2 s and 150 ms here), first sends (no window yet). At fault: Action::Send told the sockets nothing of the window; upstream::dial_most knew the request's time alone. Design: the module says with each repeat of a keyed request until when it may be sent, nine tenths of the window from the first attempt that may have run; a dial waits no longer and a write after it is not begun.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -415,6 +415,8 @@
         request: RequestId,
         /// The server.
         server: ServerId,
+        /// Time from now after which nothing of it may be sent any more, where the effect of its class sets one.
+        within_ms: Option<f64>,
     },
     /// Ask a server for its load report.
     Probe {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -125,17 +125,19 @@
 
     fn carry_out(self: &Rc<Self>, action: Action) {
         match action {
-            Action::Send { request, server } => {
+            Action::Send { request, server, within_ms } => {
                 let mut requests = self.requests.borrow_mut();
                 let Some(held) = requests.get_mut(&request) else { return };
                 let (give_up, given_up) = oneshot::channel();
                 let attempt = held.attempts.len();
                 let stage = Rc::new(Cell::new(Stage::Unsent));
                 held.attempts.push(Some(Out { give_up, stage: Rc::clone(&stage) }));
+                let within = within_ms.map(|ms| Duration::try_from_secs_f64(ms / 1000.0).unwrap_or_default());
+                let send_by = within.map(|within| Instant::now() + within);
                 let (node, forward) = (Rc::clone(self), Rc::clone(&held.forward));
                 tokio::task::spawn_local(async move {
                     let begun = Instant::now();
-                    let reply = upstream::attempt(&node, server, &forward, &stage, given_up).await;
+                    let reply = upstream::attempt(&node, server, &forward, send_by, &stage, given_up).await;
                     node.ended(request, attempt, begun.elapsed(), reply);
                 });
             }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -245,11 +245,12 @@
 }
 
 /// One attempt of a request, from choosing a connection to the whole answer. `stage` tells how far it has come.
-/// When it returns, nothing of it is out any more.
+/// Where it has not been sent by `send_by`, it is not sent at all. When it returns, nothing of it is out any more.
 pub async fn attempt(
     node: &Node,
     server: ServerId,
     forward: &Forward,
+    send_by: Option<Instant>,
     stage: &Cell<Stage>,
     given_up: oneshot::Receiver<()>,
 ) -> Reply {
@@ -257,7 +258,7 @@
     // The exchange holds the connection; it is dropped, and that closed, before this returns.
     tokio::select! {
         biased;
-        reply = exchange(node, server, Some(forward), stage) => reply,
+        reply = exchange(node, server, Some((forward, send_by)), stage) => reply,
         Ok(()) = given_up => unless_sent(Ending::Cancelled),
         () = sleep_until(forward.gives_up_at) => unless_sent(Ending::TimedOut),
     }
@@ -275,7 +276,13 @@
 }
 
 /// Sends a request, or a probe where there is none, and reads the answer.
-async fn exchange(node: &Node, server: ServerId, forward: Option<&Forward>, stage: &Cell<Stage>) -> Reply {
+async fn exchange(
+    node: &Node,
+    server: ServerId,
+    request: Option<(&Forward, Option<Instant>)>,
+    stage: &Cell<Stage>,
+) -> Reply {
+    let (forward, send_by) = request.map_or((None, None), |(forward, send_by)| (Some(forward), send_by));
     let upstream = &node.upstream;
     // It may have gone since the decision.
     let Some(server) = upstream.servers.borrow().get(&server).cloned() else {
@@ -286,7 +293,7 @@
         let patience = forward.map_or(REST, |forward| left(forward).mul_f64(REST_PART));
         let (mut connection, kept) = match server.idle(upstream.keep, patience) {
             Some(connection) => (connection, true),
-            None => match upstream.connect(&server, dial_most(node, forward)).await {
+            None => match upstream.connect(&server, dial_most(node, forward, send_by)).await {
                 Ok(connection) => (connection, false),
                 Err(ending) => return Reply::none(ending),
             },
@@ -301,7 +308,8 @@
             return Reply::none(Ending::Unreachable);
         }
         // Time has passed since the decision: a server that drains by now gets nothing new.
-        if stage.get() == Stage::Unwanted || forward.is_some() && !server.ready.get() {
+        let late = send_by.is_some_and(|by| Instant::now() >= by);
+        if late || stage.get() == Stage::Unwanted || forward.is_some() && !server.ready.get() {
             return Reply::none(Ending::NotSent);
         }
         let request = forward.map_or_else(|| probe_request(connection.address), forward_request);
@@ -327,9 +335,10 @@
     }
 }
 
-fn dial_most(node: &Node, forward: Option<&Forward>) -> Duration {
+fn dial_most(node: &Node, forward: Option<&Forward>, send_by: Option<Instant>) -> Duration {
     let left = forward.map(|f| f.gives_up_at.saturating_duration_since(Instant::now()).mul_f64(DIAL_PART));
-    left.map_or(node.config.dial_timeout, |left| left.min(node.config.dial_timeout))
+    let by = send_by.map(|by| by.saturating_duration_since(Instant::now()));
+    [left, by].into_iter().flatten().fold(node.config.dial_timeout, Duration::min)
 }
 
 fn forward_request(forward: &Forward) -> Request<Full<Bytes>> {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,6 +34,8 @@
 const COLD_PART: f64 = 0.5;
 /// Part of the window for repeats within which a resend is made: it must arrive in it, too.
 const WINDOW_PART: f64 = 0.8;
+/// ... and within which it must have got its connection.
+const WINDOW_LATEST: f64 = 0.9;
 /// Part of its aim that an answer may be expected to take, for most to be in time; and of that for low worth.
 const AIM_PART: f64 = 0.45;
 const LEAST_AIM: f64 = 0.5;
@@ -612,7 +614,13 @@
             cut_at: now + after_ms,
             cut: false,
         });
-        actions.push(Action::Send { request: id, server: ServerId(at) });
+        let within_ms = match (held.ran, self.settings.classes[held.class].effect) {
+            (Some(ran), Effect::Keyed { window_ms, .. }) => {
+                Some(held.attempts[ran].sent_at + window_ms * WINDOW_LATEST - now)
+            }
+            _ => None,
+        };
+        actions.push(Action::Send { request: id, server: ServerId(at), within_ms });
         let more = held.attempts.len() < self.settings.max_attempts && out >= CUT_OUT;
         let in_time = now + after_ms < held.gives_up_at && self.may_follow(now + after_ms, held, true);
         if self.settings.cancel && more && in_time {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -296,7 +296,7 @@
     /// Prints an action of an instance.
     pub fn print(&self, node: &str, action: &Action, out: &mut String) {
         let done = match action {
-            Action::Send { request, server } => {
+            Action::Send { request, server, .. } => {
                 write!(out, "PLACE node={node} txn={} server={}", request.0, self.names[server.0])
             }
             Action::Probe { server } => write!(out, "SOUND_OUT node={node} server={}", self.names[server.0]),
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -167,6 +167,38 @@
     assert_eq!(client.answer().status(), 200);
 }
 
+/// A connection that comes up after the window for repeats is of no use to a keyed request that may have run.
+#[test]
+fn a_late_dial_sends_no_repeat_past_its_window() {
+    let window = Duration::from_secs(3);
+    let (slow, address, filler) = full_listener();
+    let server = Server::start();
+    let mut config = config(&members(&[&server]));
+    config["settings"]["classes"][1]["dedup_window_ms"] = json!(3_000.0);
+    config["settings"]["classes"][1]["promise_ms"] = json!(60_000.0);
+    let node = Node::start(&config);
+    let mut client = node.client();
+    client.send(&request("update", 60.0));
+    let got = server.request();
+    let sent = Instant::now();
+    let news = [member("s0", server.address, "leaving"), member("s1", address, "active")];
+    node.discovery.request().answer(OK, "", list(2, false, &news).to_string().as_bytes());
+    assert!(node.discovery.request().request.first.contains("since=2&"));
+    got.answer("500 Broken", "", b"");
+    until_dialled(address);
+    std::thread::sleep((sent + window).saturating_duration_since(Instant::now()));
+    drop(slow.accept().expect("the filler"));
+    drop(filler);
+    assert_eq!(client.answer().status(), 502);
+    slow.set_nonblocking(true).expect("set");
+    if let Ok((mut stream, _)) = slow.accept() {
+        stream.set_nonblocking(false).expect("set");
+        stream.set_read_timeout(Some(LONG)).expect("set");
+        let read = std::io::Read::read(&mut stream, &mut [0; 1]);
+        assert!(!matches!(read, Ok(1..)), "sent past the window");
+    }
+}
+
 /// An answer that is cut off proves nothing, though its head says that nothing ran.
 #[test]
 fn a_spoilt_answer_is_no_proof_that_nothing_ran() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -465,6 +465,26 @@
     }
 }
 
+/// A repeat must be sent within its window, also where its connection is slow to come up.
+#[test]
+fn a_repeat_says_until_when_it_may_be_sent() {
+    let within = |actions: &[Action]| match actions[..] {
+        [Action::Send { within_ms, .. }, ..] => within_ms,
+        _ => panic!("not sent: {actions:?}"),
+    };
+    let keyed = Effect::Keyed { group: Group::All, window_ms: 1_000.0 };
+    for (effect, repeat) in [(keyed, Some(700.0)), (Effect::Safe, None)] {
+        let mut node = Node::new(one_class(effect), 1);
+        node.servers(ready(0..3));
+        assert_eq!(within(&node.request(1, 0, 800.0)), None);
+        node.now += 200.0;
+        assert_eq!(within(&node.end(1, 0, 200.0, Ending::Error)), repeat);
+        // What never ran starts no window.
+        assert_eq!(within(&node.request(2, 0, 800.0)), None);
+        assert_eq!(within(&node.end(2, 0, 0.0, Ending::Full)), None);
+    }
+}
+
 /// A request whose client left while it was out goes nowhere again, however its attempt ends, also where an
 /// attempt may not be cancelled.
 #[test]
@@ -637,7 +657,7 @@
 
     fn act(&mut self, now: f64, action: &Action) {
         match action {
-            Action::Send { request, server } => {
+            Action::Send { request, server, .. } => {
                 let gone = self.told_gone.get(&server.0);
                 assert!(gone.is_none_or(|t| now <= t + self.grace_ms), "sent to a drained server");
                 let target = self.servers.get(&server.0).expect("a listed server");
