Start and serve where a limit or switch of the settings is absent or zero

Seen in review, tried at start: a missing or zero most_held, conn_idle_ms or dial_timeout_ms, max_attempts 0, cold_from, tip_multiple, tip_after_ms, ask_within_ms, promise_ms or n_instances 0 each ended the start, and a missing longest wait left refusals without a Retry-After. Ruled out: switches that are false, lists of tenants, zones and kinds that are absent (served before). At fault: config::millis and whole, Settings::validate, read_settings and read_class. Design: an absent limit limits nothing, nor does one at zero that would leave nothing to do; no idle time keeps no connection, no attempts refuse at once. What is mistyped or negative still ends the start with its key.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -108,7 +108,7 @@
     pub ask_within_ms: f64,
     /// Sends to a server may go on for so long after the node was told that it drains or is gone.
     pub drain_grace_ms: f64,
-    /// Attempts allowed for one request.
+    /// Attempts allowed for one request; where there is none, every request is refused.
     pub max_attempts: usize,
     /// Whether two attempts of one request may be out at once.
     pub second_copies: bool,
@@ -196,14 +196,13 @@
         need(self.quotas_per_s.iter().all(|q| zero_up(*q)), "quotas_per_s")?;
         need(zero_up(self.over_quota_worth), "over_quota_worth")?;
         need(self.nodes > 0, "nodes")?;
-        need(some(self.ask_within_ms), "ask_within_ms")?;
+        need(zero_up(self.ask_within_ms), "ask_within_ms")?;
         need(zero_up(self.drain_grace_ms), "drain_grace_ms")?;
-        need(self.max_attempts > 0, "max_attempts")?;
         need(self.retry_after_most_ms.is_none_or(zero_up), "max_retry_after_ms")?;
-        need(some(self.cold_from) && self.cold_from <= 1.0, "cold_from")?;
+        need(zero_up(self.cold_from) && self.cold_from <= 1.0, "cold_from")?;
         need(zero_up(self.cold_ms), "cold_ms")?;
-        need(some(self.tip_multiple), "tip_multiple")?;
-        need(some(self.tip_after_ms), "tip_after_ms")?;
+        need(zero_up(self.tip_multiple), "tip_multiple")?;
+        need(zero_up(self.tip_after_ms), "tip_after_ms")?;
         need(zero_up(self.probe_price), "probe_price")?;
         need(zero_up(self.waste_price), "waste_price")?;
         need(zero_up(self.cross_zone_price), "cross_zone_price")
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -7,6 +7,9 @@
 use serde_json::Value;
 use spurdrum::{wire, Effect, Report, Settings};
 
+/// A limit of this length limits nothing.
+const FOREVER: Duration = Duration::from_secs(24 * 3600);
+
 /// Everything that a node knows before its first event.
 pub struct Config {
     /// Its name, for its log.
@@ -25,7 +28,7 @@
     pub settings: Settings,
     /// The names that requests, lists and load reports use.
     pub names: Names,
-    /// A server closes a connection that stands idle for this long.
+    /// A server closes a connection that stands idle for this long; where it is 0, none is kept.
     pub conn_idle: Duration,
     /// A connection that is not made by then has failed.
     pub dial_timeout: Duration,
@@ -111,9 +114,11 @@
         }
         let mut settings = wire::read_settings(facts).map_err(|e| format!("`settings`: {e}"))?;
         // `allowed.retry_after` says what reaches simulated clients. On sockets each refusal has its header, so
-        // that who is turned away at once is told when to come back; the longest wait is the settings'.
-        let most = || facts["allowed"]["max_retry_after_ms"].as_f64();
-        settings.retry_after_most_ms = settings.retry_after_most_ms.or_else(most);
+        // that who is turned away at once is told when to come back; the longest wait is the settings', or what a
+        // client waits at the longest.
+        let longest = settings.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
+        let most = facts["allowed"]["max_retry_after_ms"].as_f64().unwrap_or(longest);
+        settings.retry_after_most_ms = Some(most);
         settings.validate().map_err(|e| format!("`settings`: {e}"))?;
         let names = Names {
             classes: names(facts, "classes")?,
@@ -131,9 +136,13 @@
             known,
             settings,
             names,
-            conn_idle: millis(allowed, "conn_idle_ms")?,
-            dial_timeout: millis(allowed, "dial_timeout_ms")?,
-            most_held: whole(allowed, "most_held")?,
+            conn_idle: millis(allowed, "conn_idle_ms")?.unwrap_or(FOREVER),
+            // A probe that is not told less waits as long as a request would.
+            dial_timeout: millis(allowed, "dial_timeout_ms")?
+                .filter(|most| !most.is_zero())
+                .or_else(|| Duration::try_from_secs_f64(longest / 1000.0).ok())
+                .unwrap_or(FOREVER),
+            most_held: held_at_once(allowed, "most_held")?,
         })
     }
 
@@ -160,10 +169,22 @@
     value.ok_or_else(|| format!("`{key}` is missing or no whole number above 0"))
 }
 
-fn millis(from: &Value, key: &str) -> Result<Duration, String> {
-    let value = from[key].as_f64().filter(|ms| *ms > 0.0);
-    let value = value.and_then(|ms| Duration::try_from_secs_f64(ms / 1000.0).ok());
-    value.ok_or_else(|| format!("`{key}` is missing or no time above 0"))
+/// A limit that may be absent; as 0 it would leave nothing to do, and limits nothing either.
+fn held_at_once(from: &Value, key: &str) -> Result<usize, String> {
+    match &from[key] {
+        Value::Null => Ok(usize::MAX),
+        value if value.as_u64() == Some(0) => Ok(usize::MAX),
+        _ => whole(from, key),
+    }
+}
+
+/// A time that may be absent.
+fn millis(from: &Value, key: &str) -> Result<Option<Duration>, String> {
+    if from[key].is_null() {
+        return Ok(None);
+    }
+    let value = from[key].as_f64().and_then(|ms| Duration::try_from_secs_f64(ms / 1000.0).ok());
+    value.map(|time| Some(time.min(FOREVER))).ok_or_else(|| format!("`{key}` is no time"))
 }
 
 /// The names under a key: a list of texts, or of objects that have one; no list means none.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -19,6 +19,9 @@
 use super::config::{Config, List, Phase};
 use super::upstream::{self, Forward, Reply, Stage, Upstream};
 
+/// Idle connections are looked through no more often than this.
+const REAP_LEAST: Duration = Duration::from_millis(50);
+
 /// The one final answer to a request.
 pub enum Answer {
     /// A server's body.
@@ -370,7 +373,7 @@
     /// Closes connections to servers before the servers do, for as long as the node runs.
     pub async fn reap(self: Rc<Self>) {
         loop {
-            sleep(self.config.conn_idle / 20).await;
+            sleep((self.config.conn_idle / 20).max(REAP_LEAST)).await;
             self.upstream.close_idle();
         }
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -70,10 +70,10 @@
 const GOLDEN: f64 = 0.618_033_988_749_895;
 /// The longest wait for a new subscription, in parts of what may pass without; the shortest is a sixteenth.
 const RESUBSCRIBE_MOST: f64 = 0.25;
-/// Where lists are pushed, it is no longer than this part of the grace after a drain, or this time where that
-/// is less: what the agent has counts as told, heard or not.
+/// Where lists are pushed, it is no longer than this part of the grace after a drain: what the agent has
+/// counts as told, heard or not. It is no shorter than this time, whatever the settings say.
 const PUSHED_MOST: f64 = 0.25;
-const PUSHED_LEAST_MS: f64 = 50.0;
+const AGAIN_LEAST_MS: f64 = 50.0;
 /// Part of the result that may be spent on asking servers before each send.
 const ASK_SPEND: f64 = 0.008;
 /// How far to the whole aim the bound of admission moves where counts were just asked for.
@@ -358,9 +358,10 @@
         self.asking = true;
         let most = self.settings.ask_within_ms * RESUBSCRIBE_MOST;
         let most = match self.settings.discovery {
-            Discovery::Push => most.min((self.settings.drain_grace_ms * PUSHED_MOST).max(PUSHED_LEAST_MS)),
+            Discovery::Push => most.min(self.settings.drain_grace_ms * PUSHED_MOST),
             Discovery::Subscribe => most,
         };
+        let most = most.max(AGAIN_LEAST_MS);
         let after_ms = most / 2_f64.powi(4 - self.failed_calls) * (0.5 + 0.5 * self.random.f64());
         self.failed_calls = (self.failed_calls + 1).min(4);
         actions.push(Action::SetTimer { timer: RESUBSCRIBE, after_ms });
@@ -521,7 +522,8 @@
         self.asking_for.remove(place);
         let Some(mut held) = self.held.remove(&id) else { return };
         // Guards against servers too busy to answer: where none of those asked did, none is sent to unseen.
-        let most = usize::from(self.asks == 0 || !held.reported.is_empty());
+        let told = self.asks == 0 || !held.reported.is_empty();
+        let most = usize::from(told && self.settings.max_attempts > 0);
         if let Some(&server) = self.pick(now, &held, held.limit, most).first() {
             self.send(now, id, &mut held, server, actions);
             self.held.insert(id, held);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -358,6 +358,7 @@
     }
     read(facts, "over_share_worth", &mut settings.over_quota_worth)?;
     read_index(facts, "n_instances", &mut settings.nodes)?;
+    settings.nodes = settings.nodes.max(1);
     read_index(facts, "me", &mut settings.me)?;
     read_index(facts, "az", &mut settings.zone)?;
     settings.kinds = facts["kinds"].as_array().map_or(1, |k| k.len().max(1));
@@ -419,7 +420,8 @@
         // An effect that is not known is treated as the one that allows least.
         _ => Effect::Unsafe,
     };
-    let mut read_class = Class::new(if aim.is_nan() { deadline } else { aim }, deadline, effect);
+    // No aim, or one that nothing can meet, leaves the deadline.
+    let mut read_class = Class::new(if aim > 0.0 { aim } else { deadline }, deadline, effect);
     read(class, "worth", &mut read_class.worth)?;
     read(class, "late_worth", &mut read_class.late_worth)?;
     Ok(read_class)
