Count a pipelined request's time from when it came

Ruled out: requests that come alone (read as they come). At fault: frontend::api took its own start for the coming of the request. Design: the socket notes when something came last; the time counts from there, and what has none left is refused unsent, with a time to come back.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -184,6 +184,8 @@
     ahead: RefCell<Vec<u8>>,
     /// When the head that is coming began to.
     begun: Cell<Option<Instant>>,
+    /// When something came last.
+    came_at: Cell<Instant>,
 }
 
 impl socket::Socket for Socket {
@@ -192,12 +194,25 @@
     }
 
     fn came(&self, bytes: &[u8]) {
+        self.came_at.set(Instant::now());
+        self.sort(bytes);
+    }
+}
+
+impl Socket {
+    fn new(stream: TcpStream) -> Self {
+        let came_at = Cell::new(Instant::now());
+        Self { stream, body: Cell::new(0), ahead: RefCell::default(), begun: Cell::new(None), came_at }
+    }
+
+    /// Tells what belongs to the last body from what comes after it.
+    fn sort(&self, bytes: &[u8]) {
         let body = (bytes.len() as u64).min(self.body.get());
         self.body.set(self.body.get() - body);
         let ahead = &bytes[body as usize..];
         if !ahead.is_empty() {
             self.ahead.borrow_mut().extend_from_slice(ahead);
-            self.begun.set(self.begun.get().or_else(|| Some(Instant::now())));
+            self.begun.set(self.begun.get().or(Some(self.came_at.get())));
         }
     }
 }
@@ -237,7 +252,7 @@
         if let Framing::Length(length) = framing {
             ahead.drain(..end);
             self.body.set(length);
-            socket::Socket::came(self, &ahead);
+            self.sort(&ahead);
         }
         framing
     }
@@ -315,8 +330,7 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let socket =
-        Rc::new(Socket { stream, body: Cell::new(0), ahead: RefCell::default(), begun: Cell::new(None) });
+    let socket = Rc::new(Socket::new(stream));
     let service = service_fn(|request| {
         let body_by = seat.due(&socket).max(Instant::now() + LINGER);
         seat.set_busy();
@@ -432,7 +446,8 @@
     request: Request<Incoming>,
     body_by: Instant,
 ) -> Response<Full<Bytes>> {
-    let came = Instant::now();
+    // Its time counts from when it came, and not from when the one before it on its connection was answered.
+    let came = socket.came_at.get();
     let (head, body) = request.into_parts();
     let asked = read_head(node, &head.method, &head.headers);
     let body_by = asked.as_ref().map_or(body_by, |(wait, _)| body_by.min(came + *wait));
@@ -465,6 +480,9 @@
     headers.entry(HOST).or_insert(HeaderValue::from_static("origin"));
     let gives_up_at = came + wait.saturating_sub(MARGIN).max(wait / 2);
     let budget = gives_up_at.saturating_duration_since(Instant::now());
+    if budget.is_zero() {
+        return refusal(node.config.settings.retry_after_most_ms);
+    }
     asked.budget_ms = budget.as_secs_f64() * 1000.0;
     // Who has left while the request lay unread gets nothing of it, and neither does a server.
     if has_left(&socket.stream).await {
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -289,6 +289,23 @@
     assert!(servers.iter().all(|server| !server.has_request()));
 }
 
+/// The time of a request counts from when it came, also where another on its connection is answered first. One
+/// whose time is over by then is refused, and no server gets it.
+#[test]
+fn a_pipelined_request_whose_time_has_passed_is_refused_unsent() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    let mut client = node.client();
+    client.send(&(request("read", 60.0) + &request("pay", 1.0)));
+    let got = server.request();
+    std::thread::sleep(Duration::from_secs(1));
+    got.answer(OK, "", b"first");
+    assert_eq!(client.answer().body, b"first");
+    assert_eq!(client.answer().status(), 503);
+    served_by(&node, &server);
+    assert!(!server.has_request());
+}
+
 /// A whole next request behind the one that is out: its client leaves, and it must not be begun.
 #[test]
 fn a_pipelined_request_whose_client_left_is_not_begun() {
