Refuse what is whole only when all else has been failed before the end

Seen, forced on sockets: a request of which the last byte came in the last 100 ms of an ending node was sent on and its answer lost with the node. At fault: frontend::answer looked for the end before the body was read, and not after. Design: the look stands where the request would be taken.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -394,9 +394,7 @@
     body_by: Instant,
 ) -> Response<Full<Bytes>> {
     match request.uri().path() {
-        // Never sent on, and no time is left to learn what would come of it.
-        "/api" if seat.front.over.get() => refusal(node.config.settings.retry_after_most_ms),
-        "/api" => api(node, socket, request, body_by).await,
+        "/api" => api(node, seat, socket, request, body_by).await,
         "/_health" if seat.front.ending.get() => plain(StatusCode::SERVICE_UNAVAILABLE, "ending\n"),
         "/_health" => plain(StatusCode::OK, "ready\n"),
         _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
@@ -442,6 +440,7 @@
 
 async fn api(
     node: &Rc<Node>,
+    seat: &Seat,
     socket: &Socket,
     request: Request<Incoming>,
     body_by: Instant,
@@ -480,7 +479,8 @@
     headers.entry(HOST).or_insert(HeaderValue::from_static("origin"));
     let gives_up_at = came + wait.saturating_sub(MARGIN).max(wait / 2);
     let budget = gives_up_at.saturating_duration_since(Instant::now());
-    if budget.is_zero() {
+    // Near the end of the node no time is left to learn what would come of it.
+    if budget.is_zero() || seat.front.over.get() {
         return refusal(node.config.settings.retry_after_most_ms);
     }
     asked.budget_ms = budget.as_secs_f64() * 1000.0;
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -33,6 +33,32 @@
     assert_eq!(node.wait().code(), Some(0));
 }
 
+/// A request of which the last byte comes when all others have been failed is too late to be begun.
+#[test]
+fn a_request_that_is_whole_too_late_is_not_sent_on() {
+    let server = Server::start();
+    let mut config = config(&members(&[&server]));
+    for class in 0..3 {
+        config["settings"]["classes"][class]["deadline_ms"] = json!(1_000.0);
+    }
+    let mut node = Node::start(&config);
+    let mut held = node.client();
+    held.send(&request("pay", 3600.0));
+    let _got = server.request();
+    let whole = request("update", 3600.0);
+    let mut late = node.client();
+    late.send(&whole[..whole.len() - 1]);
+    assert_eq!(node.client().ask(HEALTH).status(), 200);
+    node.terminate();
+    assert_eq!(held.answer().status(), 502);
+    // It fails where the node has ended by now.
+    let _ = std::io::Write::write_all(late.stream.get_mut(), b"k");
+    let said = late.rest();
+    assert!(said.is_empty() || said.starts_with("HTTP/1.1 503 "), "{said}");
+    assert_eq!(node.wait().code(), Some(0));
+    assert!(!server.has_request());
+}
+
 /// New connections that never stop coming kept every idle one open up to the end, and what clients sent on
 /// those last of all was lost.
 #[test]
