Keep no second copy of a body that comes in chunks

Seen in review, forced on sockets: 40 clients with bodies of 0.9 MB in chunks took 45 MB, more than a node with a limit of 48 MB has to spare. Ruled out: bodies with a length (counted off as they come), what is kept of a body for servers (64 KiB at most). At fault: frontend::Socket::take_head left the length of a chunked body at 0, so that all of it was taken for the next head and kept beside hyper's copy. Design: after a head whose body's end is unknown nothing is kept, as the connection ends with its answer. The test stays under 16 MB for the same 40 clients.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -235,7 +235,10 @@
         self.begun.set(None);
         let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
         let mut head = httparse::Request::new(&mut fields);
-        let Ok(httparse::Status::Complete(end)) = head.parse(&ahead) else { return Framing::Unsound };
+        let Ok(httparse::Status::Complete(end)) = head.parse(&ahead) else {
+            self.body.set(u64::MAX);
+            return Framing::Unsound;
+        };
         let field = |name: &'static str| {
             let named = head.headers.iter().filter(move |field| field.name.eq_ignore_ascii_case(name));
             named.map(|field| std::str::from_utf8(field.value).unwrap_or_default().trim())
@@ -249,10 +252,14 @@
             (0, 1) => Framing::Chunked,
             _ => Framing::Unsound,
         };
-        if let Framing::Length(length) = framing {
-            ahead.drain(..end);
-            self.body.set(length);
-            self.sort(&ahead);
+        match framing {
+            Framing::Length(length) => {
+                ahead.drain(..end);
+                self.body.set(length);
+                self.sort(&ahead);
+            }
+            // The connection ends with the answer. Guards against keeping a body that is as long as it likes.
+            Framing::Chunked | Framing::Unsound => self.body.set(u64::MAX),
         }
         framing
     }
--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -306,8 +306,17 @@
 
     /// Memory that it holds, in bytes.
     pub fn memory(&self) -> u64 {
+        self.status("VmRSS:")
+    }
+
+    /// The most that it has held.
+    pub fn memory_at_most(&self) -> u64 {
+        self.status("VmHWM:")
+    }
+
+    fn status(&self, field: &str) -> u64 {
         let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("running");
-        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("told");
+        let line = text.lines().find_map(|line| line.strip_prefix(field)).expect("told");
         line.trim().trim_end_matches(" kB").parse::<u64>().expect("a number") * 1024
     }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -686,6 +686,27 @@
     served_by(&node, &server);
 }
 
+/// What a body holds in chunks was kept a second time, up to a megabyte for each client.
+#[test]
+fn long_bodies_in_chunks_take_no_memory() {
+    let node = Node::before(&[]);
+    let chunk = format!("8000\r\n{}\r\n", "x".repeat(0x8000));
+    let head = request("update", 60.0).replace("content-length: 4", "transfer-encoding: chunked");
+    let head = head.strip_suffix("work").expect("its body");
+    assert_eq!(node.client().ask(&(head.to_owned() + "4\r\nwork\r\n0\r\n\r\n")).status(), 503);
+    let before = node.memory_at_most();
+    let mut clients: Vec<Client> = (0..40).map(|_| node.client()).collect();
+    for client in &mut clients {
+        client.send(&(head.to_owned() + &chunk.repeat(28)));
+    }
+    for client in &mut clients {
+        client.send("0\r\n\r\n");
+        assert_eq!(client.answer().status(), 413);
+    }
+    let grown = node.memory_at_most() - before;
+    assert!(grown < 16 << 20, "{grown} bytes for 40 clients");
+}
+
 #[test]
 fn requests_in_unusual_but_sound_forms_are_served() {
     let server = Server::start();
