--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -31,8 +31,9 @@
 /// A connection is used again this long after an answer at the earliest. What a server sends behind an answer,
 /// some milliseconds late as a second copy of it, has shown by then; the next request must not get it.
 const REST: Duration = Duration::from_millis(20);
-/// Part of a request's time that it waits for such a rest to end, rather than pay for a new connection.
-const REST_PART: f64 = 1.0 / 16.0;
+/// Part of a request's time that it waits for such a rest to end, rather than for a new connection. What waits
+/// counts as slow: with a 16th, nodes of few refused most of what was worth least.
+const REST_PART: f64 = 1.0 / 64.0;
 /// Part of a request's time that a connection to a server may take to come up: another may be had after it.
 const DIAL_PART: f64 = 0.25;
 /// The head of an answer may be this long.
