Move the network code under the library, and let any subscriber follow discovery

Cause: a stand-in of a node could not run the node's own discovery client, as `src/net` was private to the binary and its client knew the node alone. Change: `net` is a module of the library; the client asks for what it needs through the trait `Subscriber`.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 //! ```
 
 mod interface;
+pub mod net;
 mod rules;
 pub mod wire;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,9 +8,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::LocalSet;
 
-mod net;
-
-use net::{config::Config, discovery, frontend, node::Node};
+use spurdrum::net::{config::Config, discovery, frontend, node::Node};
 
 fn main() -> ExitCode {
     match start() {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::{wire, Effect, Report, Settings};
 use serde::Deserialize;
 use serde_json::Value;
-use spurdrum::{wire, Effect, Report, Settings};
 
 /// A limit of this length limits nothing.
 const FOREVER: Duration = Duration::from_secs(24 * 3600);
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::{Effect, RequestId};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -16,7 +17,6 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use spurdrum::{Effect, RequestId};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, Notify};
 use tokio::task::yield_now;
@@ -523,7 +523,7 @@
     node: &Node,
     method: &Method,
     headers: &HeaderMap,
-) -> Result<(Duration, spurdrum::Request), &'static str> {
+) -> Result<(Duration, crate::Request), &'static str> {
     // Guards against one meaning here and another at a server.
     let doubled = |name: &&str| headers.get_all(*name).iter().nth(1).is_some();
     if FIELDS.iter().any(doubled) {
@@ -557,11 +557,11 @@
         return Err("the method or Idempotency-Key does not fit X-Class\n");
     }
     let cost_us = text("x-cost-hint").and_then(|text| text.parse::<f64>().ok());
-    let request = spurdrum::Request {
+    let request = crate::Request {
         tenant,
         cost_ms: cost_us.filter(|us| us.is_finite() && *us >= 0.0).map(|us| us / 1000.0),
         repeat: text("x-retry") == Some("1"),
-        ..spurdrum::Request::new(RequestId(0), class, 0.0)
+        ..crate::Request::new(RequestId(0), class, 0.0)
     };
     Ok((wait, request))
 }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -7,16 +7,17 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use bytes::Bytes;
-use hyper::header::HeaderValue;
-use spurdrum::{
+use crate::{
     wire, Action, Availability, Balancer, Discovery, Ending, Event, Listing, Outcome, Request, RequestId,
     ServerEntry, ServerId,
 };
+use bytes::Bytes;
+use hyper::header::HeaderValue;
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep, Instant};
 
 use super::config::{Config, List, Phase};
+use super::discovery::Subscriber;
 use super::upstream::{self, Forward, Reply, Stage, Upstream};
 
 /// Idle connections are looked through no more often than this.
@@ -62,9 +63,9 @@
     /// Connections to servers.
     pub upstream: Upstream,
     /// Raised when the decisions want the changes of the list.
-    pub subscribed: Notify,
+    subscribed: Notify,
     /// Raised when discovery is to be found elsewhere.
-    pub moved: Notify,
+    moved: Notify,
     discovery: Cell<SocketAddr>,
     balancer: RefCell<Balancer>,
     requests: RefCell<HashMap<RequestId, Held>>,
@@ -300,29 +301,6 @@
 
     // ---- The list of servers
 
-    /// The version of the list that is held, where the present discovery gave it.
-    pub fn revision(&self) -> Option<u64> {
-        self.revision.get()
-    }
-
-    /// Where discovery is.
-    pub fn discovery(&self) -> SocketAddr {
-        self.discovery.get()
-    }
-
-    /// Discovery has answered a watch.
-    pub fn listed(self: &Rc<Self>, list: List) {
-        self.revision.set(Some(list.revision));
-        let entries = self.entries(&list);
-        let listing = if list.complete { Listing::Full(entries) } else { Listing::Changes(entries) };
-        self.handle(Event::Servers(listing));
-    }
-
-    /// A watch failed or was silent.
-    pub fn list_failed(self: &Rc<Self>) {
-        self.handle(Event::Servers(Listing::Failed));
-    }
-
     /// The entries of a list, their servers numbered and their addresses noted.
     fn entries(&self, list: &List) -> Vec<ServerEntry> {
         let mut ids = self.ids.borrow_mut();
@@ -379,6 +357,39 @@
     }
 }
 
+impl Subscriber for Node {
+    fn wanted(&self) -> &Notify {
+        &self.subscribed
+    }
+
+    fn moved(&self) -> &Notify {
+        &self.moved
+    }
+
+    fn discovery(&self) -> SocketAddr {
+        self.discovery.get()
+    }
+
+    fn revision(&self) -> Option<u64> {
+        self.revision.get()
+    }
+
+    fn drain_grace(&self) -> Duration {
+        Duration::try_from_secs_f64(self.config.settings.drain_grace_ms / 1000.0).unwrap_or_default()
+    }
+
+    fn listed(self: &Rc<Self>, list: List) {
+        self.revision.set(Some(list.revision));
+        let entries = self.entries(&list);
+        let listing = if list.complete { Listing::Full(entries) } else { Listing::Changes(entries) };
+        self.handle(Event::Servers(listing));
+    }
+
+    fn list_failed(self: &Rc<Self>) {
+        self.handle(Event::Servers(Listing::Failed));
+    }
+}
+
 impl Reply {
     /// An end without an answer.
     pub fn none(ending: Ending) -> Self {
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::{Ending, Report, ServerId};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -15,7 +16,6 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use spurdrum::{Ending, Report, ServerId};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout, Instant};
