Ask no server where an ask costs more than may be spent, also where only probes report

Cause: where only probes report, Balancer::new asked one server for each request whatever it cost (`least` 1). Ruled out: the servers were not full (0 turned away) and answers took 40 ms in the median. Change: the spend bounds the asks to none; reports count as coming only where some come.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -245,14 +245,12 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.validate()?;
         // None are asked before a send where a few nodes' answers keep counts fresh, or where peers may talk.
-        let sparse = !settings.answers_report || settings.nodes as f64 > SHARERS;
-        // Where answers report as well, an ask that costs more than may be spent is left out: all nodes of
-        // many ask before each send, and together they pay its price for every request.
-        let least = if settings.answers_report { 0.0 } else { 1.0 };
-        let most = (ASK_SPEND / settings.probe_price).clamp(least, SLICE_LEAST as f64) as usize;
+        let old = !settings.answers_report || settings.nodes as f64 > SHARERS;
+        // An ask that costs more than may be spent is left out: all nodes ask before each send, and pay its
+        // price for every request; and the one server that is asked then speaks for all.
+        let most = (ASK_SPEND / settings.probe_price).clamp(0.0, SLICE_LEAST as f64) as usize;
         // Guards against asking where no report comes: what is never overwritten rises until all is refused.
-        let asks =
-            if settings.probes && settings.probes_report && !settings.peers && sparse { most } else { 0 };
+        let asks = if settings.probes && settings.probes_report && !settings.peers && old { most } else { 0 };
         Ok(Self {
             quotas: vec![(f64::INFINITY, 0.0); settings.quotas_per_s.len()],
             classes: vec![Pace::default(); settings.classes.len()],
@@ -412,7 +410,7 @@
         let slice = self.slice.clone().into_iter().flatten();
         let counts = slice.filter_map(|i| self.servers[&self.ring[i]].count);
         // Where no report ever comes, own sends are all that a count can tell: they go round and do not fade.
-        let told = self.settings.answers_report || self.settings.probes_report;
+        let told = self.told();
         let mean = match self.sparse && told {
             true => self.level.now(now, self.aim),
             false => counts.clone().sum::<f64>() / counts.count().max(1) as f64,
@@ -553,6 +551,11 @@
         }
     }
 
+    /// Whether reports come: those of answers, or of the servers asked before each send.
+    fn told(&self) -> bool {
+        self.settings.answers_report || self.asks > 0
+    }
+
     fn pressure(&self, now: f64) -> f64 {
         self.pressure.0 * 0.5_f64.powf((now - self.pressure.1) / (PRESSURE_LASTS * self.aim))
     }
