Admit at nodes of few by what servers hold, and never refuse what an idle one can do in time

Its wait was guessed from the node's own attempts that are out, though reports tell what a server holds for all nodes; the report was divided by the number of nodes. Change: nodes of more than one that ask nobody all admit, count and fade alike (`sparse`); a server known to be idle is never refused where its answer is expected within the aim, at any number of nodes. The test of the idle server fails without the change; the other guards the refusals that must stay.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -199,6 +199,8 @@
 struct Candidate {
     server: usize,
     wait: f64,
+    /// Nothing is before the request there, and its aim is not shorter than what it takes.
+    idle: bool,
     rank: f64,
     unfit: u8,
     near: bool,
@@ -217,7 +219,7 @@
     /// Requests whose servers are being asked, in the order they came, and how many are asked for each.
     asking_for: Vec<RequestId>,
     asks: usize,
-    /// One node of many that asks nobody: it meets each server seldom, so its counts are old.
+    /// One node of several that asks nobody: others send to the same servers unseen, so its counts are old.
     sparse: bool,
     level: Level,
     /// Part of the attempts that full servers turned away, of late, and when the last one ended.
@@ -260,7 +262,7 @@
             slice: [0..0, 0..0],
             held: HashMap::new(),
             asking_for: Vec::new(),
-            sparse: asks == 0 && settings.nodes as f64 > SHARERS,
+            sparse: asks == 0 && settings.nodes > 1,
             level: Level { held: Level::IDLE, at: 0.0 },
             pressure: (0.0, 0.0),
             asks,
@@ -367,16 +369,13 @@
 
     // ---- The ordinary path
 
-    /// A report overwrites the count of its server alone.
-    /// It counts the requests of all nodes. Where a few nodes meet it often, each evens out its own part; one
-    /// of many has next to none, and takes the whole.
+    /// A report overwrites the count of its server alone, whole: it counts the requests of all nodes.
     fn report(&mut self, now: f64, at: usize, report: Report) {
         let reading = report.in_flight.or(report.queued).filter(|held| *held <= HELD_MOST);
         let Some(reading) = reading else { return };
         self.level.add(now, self.aim, reading);
-        let part = if self.asks > 0 || self.sparse { 1.0 } else { self.settings.nodes as f64 };
         self.servers.entry(at).and_modify(|server| {
-            server.count = Some(reading / part);
+            server.count = Some(reading);
             server.reported_at = Some(now);
         });
     }
@@ -386,13 +385,13 @@
         let mut candidates = self.candidates(now, held);
         // Those that are not healthy, or tried already, are left only where there are no others.
         let fittest = candidates.iter().map(|c| c.unfit).min();
-        candidates.retain(|c| Some(c.unfit) == fittest && c.wait <= limit);
+        candidates.retain(|c| Some(c.unfit) == fittest && (c.idle || c.wait <= limit));
         let least = candidates.iter().map(|c| c.wait).fold(f64::INFINITY, f64::min);
         let bound = if self.asks > 0 || self.sparse { limit } else { least * BACKED_UP };
         // A crossing has its price; and nodes that keep to their zones are less in each other's way, unseen.
         // One node of many sees too late that its zone fills up: there the price alone speaks for a zone.
         let near = self.asks == 0 && !self.sparse && candidates.iter().any(|c| c.near && c.wait <= bound);
-        candidates.retain(|c| c.wait <= bound && (c.near || !near));
+        candidates.retain(|c| (c.idle || c.wait <= bound) && (c.near || !near));
         self.random.shuffle(&mut candidates);
         candidates.sort_by(|a, b| a.rank.total_cmp(&b.rank));
         candidates.iter().take(most).map(|c| c.server).collect()
@@ -465,9 +464,15 @@
             // At one of many nodes a cold server gets all that it is let see: before each node has its own
             // report of it, and counts it as idle, it would be warm.
             let ration = if self.sparse && cold { 0.0 } else { 1.0 };
+            // Where others send unseen, only its own report tells that a server is idle.
+            let idle = match self.sparse {
+                true => server.reported_at.is_some() && count < Level::IDLE + 0.5,
+                false => self.asks == 0 && server.out == 0,
+            };
             candidates.push(Candidate {
                 server: at,
                 wait,
+                idle: idle && self.relative(held.class) * latency / depth <= class.aim_ms,
                 rank: ration * (count + 1.0) * latency / depth
                     * (1.0 + blur * (2.0 * self.random.f64() - 1.0))
                     + if near { 0.0 } else { crossing },
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -207,3 +207,39 @@
         "{idle} ms where nothing is held, {full} ms where all is full"
     );
 }
+
+/// Brink days: at a node of few the class of least worth was held to 40 ms, where its work alone takes 39 to 58.
+/// Nine in ten of its requests were refused before idle servers.
+#[test]
+fn what_an_idle_server_can_do_in_time_is_never_refused() {
+    for nodes in [1, 2, 3, 12, 13, 100] {
+        // A tight aim: the answer takes nine parts in ten of it.
+        let mut settings = of_many();
+        (settings.nodes, settings.classes[1].worth) = (nodes, 0.01);
+        let mut node = Node::new(settings, 3);
+        node.servers(ready(0..6));
+        assert_eq!(refusals(&mut node, 0..400, 0.9 * AIM, 1.0), 0, "{nodes} nodes");
+    }
+}
+
+/// What servers hold for all nodes tells a node of few, too, when to refuse; what is worth least is refused first.
+#[test]
+fn few_nodes_refuse_the_least_worth_where_servers_are_full() {
+    for nodes in [2, 3, 12] {
+        let mut settings = of_many();
+        settings.nodes = nodes;
+        let mut node = Node::new(settings, 3);
+        node.servers(ready(0..6));
+        refusals(&mut node, 0..60, 25.0, 1.3);
+        let mut refused_by_class = [0; 2];
+        for id in 100..500 {
+            let class = (id % 2) as usize;
+            match send_of(&node.request(id, class, 390.0)) {
+                Some(_) => drop(node.report(id, 0, 65.0, Ending::Served, Some(3.0))),
+                None => refused_by_class[class] += 1,
+            }
+            node.now += 20.0;
+        }
+        assert!(refused_by_class[1] > 20 + refused_by_class[0], "{nodes} nodes: {refused_by_class:?}");
+    }
+}
