Let readiness of its socket tell that a client has left, in place of a look every 100 ms

Cause: hyper reads on for the end of a connection only while nothing stands unread behind the request (`mid_message_detect_eof`). For all others `frontend::left` slept for `LOOK_AFTER`, 100 ms, before each look: an attempt that came back unrun in that time was sent again for a client that had gone, and on a busy node the look came later than the 0.1 s in which an attempt may still begin.

Change: `socket::left` waits for tokio's priority interest, whose mask holds READ_CLOSED (EPOLLRDHUP, EPOLLHUP) but not READABLE. It is woken by an end of sending, a close or a reset, also behind unread bytes, and leaves the readiness that hyper goes by alone, so there is no busy loop and no lost wake. `has_left` asks the same. The timer per waiting request is gone.

Paths on which an attempt could begin afterwards, read through: an unsent one is `Unwanted` before its dial, its rest or its place in line comes up, and each of these looks at that right before the send; a further one needs the decisions, which have `ClientGone` by then; a body that breaks off is a 400; a request read from the pipeline is looked at before it is taken (`has_left`), and by `left` from its first poll on. Still out of reach: a close that stands behind more than the receive buffer holds, which the kernel itself has not heard.

Test: clients that close, end their sending or reset, with nothing, a part, a whole request or 40 kB behind, at several phases of the old look; the outcome is told only once the kernel lists the client's end at the node.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -23,7 +23,7 @@
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 use super::node::{Answer, Node, NotTaken};
-use super::socket::{self, has_input, has_left, Io};
+use super::socket::{self, has_input, has_left, left, Io};
 use super::upstream::{Forward, BODY_MOST};
 
 /// Taken off a client's time: its request and the answer are under way for a part of that.
@@ -49,9 +49,6 @@
 const IDLE_MOST: Duration = Duration::from_secs(5);
 /// A request follows its new connection within this time, or it is thought silent.
 const COMING: Duration = Duration::from_millis(250);
-/// How often a client is looked after that waits for its answer: hyper sees that it has left only while nothing
-/// stands unread behind its request.
-const LOOK_AFTER: Duration = Duration::from_millis(100);
 /// A node that is ending waits so long for the rest of a head that has begun to come.
 const LINGER: Duration = Duration::from_millis(500);
 /// What has come on a socket is with hyper after this time.
@@ -435,16 +432,6 @@
     }
 }
 
-/// Done once the client has left.
-async fn left(socket: &Socket) {
-    loop {
-        sleep(LOOK_AFTER).await;
-        if has_left(&socket.stream).await {
-            return;
-        }
-    }
-}
-
 async fn api(
     node: &Rc<Node>,
     seat: &Seat,
@@ -508,7 +495,8 @@
     let answer = tokio::select! {
         biased;
         answer = timeout_at(gives_up_at + MARGIN / 2, answered) => answer,
-        () = left(socket) => return plain(StatusCode::BAD_REQUEST, "the client has left\n"),
+        // hyper sees that only while nothing stands unread behind the request.
+        () = left(&socket.stream) => return plain(StatusCode::BAD_REQUEST, "the client has left\n"),
     };
     match answer {
         Ok(Ok(Answer::Served(body))) => Response::new(Full::new(body)),
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -35,14 +35,20 @@
     let mut byte = [std::mem::MaybeUninit::uninit()];
     match SockRef::from(stream).peek(&mut byte) {
         Ok(0) => true,
-        Ok(_) => {
-            let ready = timeout(Duration::ZERO, stream.ready(Interest::READABLE)).await;
-            ready.is_ok_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
-        }
+        Ok(_) => timeout(Duration::ZERO, left(stream)).await.is_ok(),
         Err(error) => error.kind() != io::ErrorKind::WouldBlock,
     }
 }
 
+/// Done once the event loop has heard that the other side has left, also behind input that nobody has read.
+/// tokio's priority interest waits for that and for urgent data, which no socket here is registered for. The
+/// readable one would be done for as long as input stands there, which is hyper's to read: an end that is waited
+/// for in this way wakes its task once, and leaves the readiness that hyper goes by as it is.
+pub async fn left(stream: &TcpStream) {
+    // An error tells that the event loop has ended.
+    let _ = stream.ready(Interest::PRIORITY).await;
+}
+
 /// hyper's side of a socket.
 pub struct Io<S>(pub Rc<S>);
 
--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -450,6 +450,11 @@
     until_listed(&format!("{} {}", listed(node), listed(client)), false);
 }
 
+/// Waits until the end of a client's sending, or its reset, has come to a node: state 01 is established.
+pub fn until_left(node: SocketAddr, client: SocketAddr) {
+    until_listed(&format!("{} {} 01", listed(node), listed(client)), false);
+}
+
 fn listed(address: SocketAddr) -> String {
     let SocketAddr::V4(v4) = address else { panic!("IPv4") };
     format!("{:08X}:{:04X}", u32::from_ne_bytes(v4.ip().octets()), v4.port())
