Bound what may wait at a server, however distant the aim

Cause: Balancer::worthwhile bounds the expected answer by the aim alone. On the variant slow-ledger the aim is some thirty times the work, so that a dozen requests were let wait at each server; servers that hold many for two seconds turn three times slower and stay so. Change: where reports tell what waits apart from what is in work, a request is taken while no more than three wait, less for low worth; a server of many cores holds many of which none waits. A report of the queue alone counts one in work. The test fails without the change.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -47,6 +47,8 @@
 /// What such a node knows of a queue is old: a tight bound refuses what the fleet has room for.
 const SPARSE_PART: f64 = 0.75;
 const SPARSE_LEAST: f64 = 0.9;
+/// Requests that may wait at a server, beside those in work, for the part above of the whole aim.
+const WAITING_MOST: f64 = 3.0;
 /// At one node of many, in mean aims: half of what a report told beyond the level is forgotten in this, ...
 const REPORT_LASTS: f64 = 12.0;
 /// ... the level itself follows new reports in this, though by a part at the least, ...
@@ -222,6 +224,8 @@
     /// One node of several that asks nobody: others send to the same servers unseen, so its counts are old.
     sparse: bool,
     level: Level,
+    /// Requests that a server has in work beside those that wait, of late, where reports tell both apart.
+    in_work: Option<f64>,
     /// Part of the attempts that full servers turned away, of late, and when the last one ended.
     pressure: (f64, f64),
     /// Requests each tenant may still send within its quota, and when that was last counted up.
@@ -264,6 +268,7 @@
             asking_for: Vec::new(),
             sparse: asks == 0 && settings.nodes > 1,
             level: Level { held: Level::IDLE, at: 0.0 },
+            in_work: None,
             pressure: (0.0, 0.0),
             asks,
             gap: 0.0,
@@ -371,15 +376,27 @@
 
     /// A report overwrites the count of its server alone, whole: it counts the requests of all nodes.
     fn report(&mut self, now: f64, at: usize, report: Report) {
-        let reading = report.in_flight.or(report.queued).filter(|held| *held <= HELD_MOST);
-        let Some(reading) = reading else { return };
+        let Some(reading) = self.reading(&report) else { return };
         self.level.add(now, self.aim, reading);
+        if let Some(waiting) = report.queued.filter(|_| self.sparse) {
+            let in_work = (reading - waiting).max(Level::IDLE);
+            let of_late = self.in_work.get_or_insert(in_work);
+            *of_late += (in_work - *of_late) / RECENT;
+        }
         self.servers.entry(at).and_modify(|server| {
             server.count = Some(reading);
             server.reported_at = Some(now);
         });
     }
 
+    /// The requests that a report says its server holds. Those that wait are told without the ones in work:
+    /// the request that has just been answered was one of those.
+    fn reading(&self, report: &Report) -> Option<f64> {
+        let in_work = if self.sparse { Level::IDLE } else { 0.0 };
+        let held = report.in_flight.or(report.queued.map(|waiting| waiting + in_work));
+        held.filter(|held| *held <= HELD_MOST)
+    }
+
     /// The eligible servers with the lowest counts, ties broken at random.
     fn pick(&mut self, now: f64, held: &Held, limit: f64, most: usize) -> Vec<usize> {
         let mut candidates = self.candidates(now, held);
@@ -596,7 +613,10 @@
         let (own, all) = (density(held.class), 0..self.classes.len());
         let worthier = all.filter(|k| *k == held.class || density(*k) > own);
         let aim = |k: usize| self.settings.classes[k].aim_ms / self.relative(k);
-        worthier.map(aim).fold(f64::INFINITY, f64::min) * part
+        let in_time = worthier.map(aim).fold(f64::INFINITY, f64::min) * part;
+        // Nor may any fill them further than keeps servers busy: a long queue serves no more, and slows them.
+        let held = self.in_work.map_or(f64::INFINITY, |in_work| in_work + WAITING_MOST * part);
+        in_time.min(held * self.all.latency / self.all.depth)
     }
 
     /// How much longer a class takes than the mean request.
@@ -765,8 +785,8 @@
         let (at, depth, elapsed) = (attempt.server, attempt.depth, outcome.elapsed_ms);
         let half_life = if self.sparse { PACE_LASTS } else { HALF_LIFE } * self.aim;
         let relative = self.relative(class);
-        // What one node of many has out says nothing of a queue; the server's own report does.
-        let told = outcome.report.and_then(|report| report.in_flight).filter(|held| *held <= HELD_MOST);
+        // What one node of many has out says nothing of a queue: its report does.
+        let told = outcome.report.and_then(|report| self.reading(&report));
         let depth = told.filter(|_| self.sparse).map_or(depth, |held| held.max(Level::IDLE));
         let turned_away = f64::from(u8::from(outcome.ending == Ending::Full));
         let pressure = self.pressure(now);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -243,3 +243,30 @@
         assert!(refused_by_class[1] > 20 + refused_by_class[0], "{nodes} nodes: {refused_by_class:?}");
     }
 }
+
+/// Variant `slow-ledger`: an aim of thirty times the work let queues grow until servers slowed down for good. How
+/// many wait is told apart from how many are in work: a server of many cores holds many, and none waits.
+#[test]
+fn a_distant_aim_does_not_make_queues_long() {
+    let refused = |in_flight: Option<f64>, queued: f64| {
+        let mut settings = of_many();
+        settings.classes.iter_mut().for_each(|class| (class.aim_ms, class.deadline_ms) = (2_400.0, 5_000.0));
+        let mut node = Node::new(settings, 3);
+        node.servers(ready(0..6));
+        let report = Some(Report { in_flight, queued: Some(queued) });
+        let mut refused = 0;
+        for id in 0..300 {
+            let taken = send_of(&node.request(id, 0, 5_000.0)).is_some();
+            node.now += 40.0;
+            refused += usize::from(!taken && id >= 100);
+            let (request, ending) = (RequestId(id), Ending::Served);
+            let outcome = Outcome { request, attempt: 0, elapsed_ms: 400.0, ending, complete: true, report };
+            node.feed(Event::Outcome(outcome));
+        }
+        refused
+    };
+    assert!(refused(None, 9.0) > 100, "nine wait at each server");
+    assert!(refused(Some(10.0), 9.0) > 100, "nine wait beside the one in work");
+    assert_eq!(refused(None, 0.0), 0, "none waits");
+    assert_eq!(refused(Some(16.0), 0.0), 0, "sixteen are in work, none waits");
+}
