Hold the sum of all nodes under a cold server's budget, however slices lie

Before, each node let 1/slice of its choices see a cold server: - Slices of more than 12 nodes are one stretch of the near and one of the far servers.

Now the chance goes by 1/servers, over the part of the nodes that meet the server, and by no more than a warm server serves of the node's choices (own refusals, full and late ones count as not served, failures not at all).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -163,6 +163,11 @@
 }
 
 impl Server {
+    /// Time since it started, without end where that was long ago.
+    fn age(&self, now: f64) -> f64 {
+        now - self.entry.started_at.unwrap_or(f64::NEG_INFINITY)
+    }
+
     /// Gone, with nothing out to it: nothing more is heard of it.
     fn is_over(&self) -> bool {
         self.entry.availability == Availability::Gone && self.out == 0
@@ -233,8 +238,10 @@
     /// Mean aim of the classes: the time scale of all judgements.
     aim: f64,
     retries: f64,
-    /// Part of the attempts that are served, of late.
-    served: f64,
+    /// Of the choices of a server, the part that each warm one of the fleet served, of late; and about how
+    /// many of those there are.
+    share: f64,
+    warm: f64,
     subscribed: bool,
     asking: bool,
     failed_calls: i32,
@@ -271,7 +278,8 @@
             aim: settings.classes.iter().map(|c| c.aim_ms).sum::<f64>() / settings.classes.len() as f64,
             all: Pace::default(),
             retries: settings.max_attempts as f64,
-            served: 1.0,
+            share: 1.0,
+            warm: 0.0,
             subscribed: false,
             asking: false,
             failed_calls: 0,
@@ -400,6 +408,16 @@
         candidates.iter().take(most).map(|c| c.server).collect()
     }
 
+    /// Takes down whether a warm server served what one was chosen for. With none left the last share stands.
+    /// Failures say nothing: what came of them would starve the cold servers that replace those that failed.
+    fn chosen(&mut self, served_warm: bool) {
+        if self.warm > 0.0 {
+            let served = if served_warm { 1.0 / self.warm } else { 0.0 };
+            let share = self.share.min(1.0 / self.warm);
+            self.share = share + (served - share) / (4.0 * RECENT);
+        }
+    }
+
     /// All servers that the rules allow for this request.
     fn candidates(&mut self, now: f64, held: &Held) -> Vec<Candidate> {
         let class = &self.settings.classes[held.class];
@@ -417,7 +435,13 @@
             true => self.level.now(now, self.aim),
             false => counts.clone().sum::<f64>() / counts.count().max(1) as f64,
         };
-        let total = self.slice[0].len() + self.slice[1].len();
+        let (total, ring) = (self.slice[0].len() + self.slice[1].len(), self.ring.len() as f64);
+        let slice = self.slice.clone().into_iter().flatten().map(|i| &self.servers[&self.ring[i]]);
+        let warm = slice.filter(|s| s.age(now) >= self.settings.cold_ms && s.ejected_until.is_none()).count();
+        self.warm = warm as f64 * ring / total.max(1) as f64;
+        // What a cold server may see is in step with what a warm one serves: no more than an even part, and
+        // less where requests are refused, or most servers are lost.
+        let share = COLD_PART * self.settings.tip_multiple * self.share.min(1.0 / ring);
         // A crossing counts as its price in aims.
         let crossing = self.settings.cross_zone_price * class.aim_ms;
         let blur = if self.asks > 0 && held.reported.is_empty() { BLUR } else { 0.0 };
@@ -425,7 +449,12 @@
         let mut candidates = Vec::new();
         // A request that may have run is bound to its group, wherever that is; any other stays in the slice.
         let [near, far] = if home.is_some() { [0..self.ring.len(), 0..0] } else { self.slice.clone() };
-        for at in near.chain(far).map(|i| self.ring[i]) {
+        // The part of the nodes that meet a server of each zone: all of them where a request is bound.
+        let near_all = if home.is_some() { near.end } else { self.slice[1].start };
+        let met_by = |part: &std::ops::Range<usize>, all: usize| part.len() as f64 / all as f64;
+        let (near_by, far_by) = (met_by(&near, near_all), met_by(&far, self.ring.len() - near_all));
+        for i in near.chain(far) {
+            let (at, met_by) = (self.ring[i], if i < near_all { near_by } else { far_by });
             let first = held.attempts.is_empty();
             let asked = first && held.reported.contains(&at);
             let server = self.servers.get_mut(&at).expect("listed");
@@ -442,14 +471,14 @@
             } else {
                 (count, server.pace.or(now, half_life, all))
             };
-            // Guards a cold server, which reports nothing queued and would be swamped. Every node lets the
-            // same part of its requests see it: what all send is in step with the load of a warm server.
-            let age = now - server.entry.started_at.unwrap_or(f64::NEG_INFINITY);
+            // Guards a cold server, which reports nothing queued and would be swamped. Every node lets a part
+            // of its requests see it, a greater one where fewer nodes meet it: what all send is in step with
+            // the load of a warm server.
+            let age = server.age(now);
             let cold = age < self.settings.cold_ms;
             if cold && !asked {
                 let cold = (1.0 - self.settings.cold_from) * (1.0 - (age / self.settings.cold_ms).max(0.0));
-                let part = COLD_PART * self.settings.tip_multiple * (1.0 - cold) / total as f64;
-                if self.random.f64() >= part * self.served {
+                if self.random.f64() >= share * (1.0 - cold) / met_by {
                     continue;
                 }
             }
@@ -528,6 +557,7 @@
             self.send(now, id, &mut held, server, actions);
             self.held.insert(id, held);
         } else {
+            self.chosen(false);
             self.give_up(now, id, &held, actions);
         }
     }
@@ -714,6 +744,7 @@
                 self.retries -= 1.0;
                 return self.send(now, id, held, server, actions);
             }
+            self.chosen(false);
         }
         self.give_up(now, id, held, actions);
         held.answered = true;
@@ -763,7 +794,10 @@
         let turned_away = f64::from(u8::from(outcome.ending == Ending::Full));
         let pressure = self.pressure(now);
         self.pressure = (pressure + (turned_away - pressure) / PRESSURE_OVER, now);
-        self.served += (f64::from(u8::from(outcome.ending == Ending::Served)) - self.served) / RECENT;
+        let warm = self.servers[&at].age(now) >= self.settings.cold_ms;
+        if matches!(outcome.ending, Ending::Served | Ending::Full | Ending::TimedOut) {
+            self.chosen(warm && outcome.ending == Ending::Served);
+        }
         let server = self.servers.get_mut(&at).expect("kept while something is out");
         server.out = server.out.saturating_sub(1);
         if server.is_over() {
