Take a node's stretch of the ring once for each request, not three times

Cause: the stretch was walked place by place through nested iterators for its servers, again for their number, and where no report is told twice more for the mean. A profile of requests at 21,000 servers put a sixth there.

Change: it is gathered once, each part in one go.

The rest is the weighing itself, some 320 instructions for each of 252 servers.

--- a/src/ring.rs
+++ b/src/ring.rs
@@ -56,9 +56,11 @@
     }
 
     /// The slots of the node's own stretch, near ones first.
-    pub fn stretch(&self) -> impl Iterator<Item = usize> + '_ {
+    pub fn stretch(&self) -> Vec<usize> {
         let all = self.parts.iter().map(Vec::len).sum::<usize>();
         let length = self.least.max((all as f64 * self.share).ceil() as usize);
-        self.parts().into_iter().flat_map(move |part| part.take(length))
+        let mut slots = Vec::with_capacity(all.min(2 * length));
+        self.parts().into_iter().for_each(|part| slots.extend(part.take(length)));
+        slots
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -462,23 +462,21 @@
         let lasting = self.all.or(now, f64::INFINITY, (self.aim * EASY, 1.0));
         let all = self.all.or(now, half_life.max(GAPS * self.gap), (latency.min(self.aim * EASY), depth));
         let home = held.ran.map(|first| &held.attempts[first]);
-        // A request that may have run is bound to its group, wherever that is; any other to the stretch.
-        let may = |home, slot: &usize| may_move(class.effect, home, &self.servers.slots[*slot].entry);
-        let slots: Vec<usize> = match home {
-            None => self.ring.stretch().collect(),
-            Some(home) => {
-                let parts = self.ring.parts().into_iter();
-                parts.flat_map(|part| part.filter(|slot| may(home, slot)).take(REPEAT_MOST)).collect()
-            }
-        };
-        let counts = || self.ring.stretch().filter_map(|slot| self.servers.slots[slot].count);
+        let stretch = self.ring.stretch();
+        let total = stretch.len();
+        let counts = || stretch.iter().filter_map(|slot| self.servers.slots[*slot].count);
         // Where no report ever comes, own sends are all that a count can tell: they go round and do not fade.
         let told = self.settings.answers_report || self.settings.probes_report;
         let mean = match self.sparse && told {
             true => self.level.now(now, self.aim),
             false => counts().sum::<f64>() / counts().count().max(1) as f64,
         };
-        let total = self.ring.stretch().count();
+        // A request that may have run is bound to its group, wherever that is; any other to the stretch.
+        let may = |home, slot: &usize| may_move(class.effect, home, &self.servers.slots[*slot].entry);
+        let slots = home.map_or(stretch, |home| {
+            let parts = self.ring.parts().into_iter();
+            parts.flat_map(|part| part.filter(|slot| may(home, slot)).take(REPEAT_MOST)).collect()
+        });
         // A crossing counts as its price in aims.
         let crossing = self.settings.cross_zone_price * class.aim_ms;
         let blur = if self.asks > 0 && held.reported.is_empty() { BLUR } else { 0.0 };
