Weigh at most 256 near and 256 far servers for one request, a window drawn afresh

Cause: what a request costs goes with the node's part of the fleet, which nothing bounds: 100 to 240 us where some 600 to 1,200 servers are weighed, and more for a few nodes of a large fleet.

Change: of a part of more than 256 servers a request sees a window of 256, from a place drawn for it, that goes on from the end of the stretch to its start. All have the same chance, so a cold server's budget goes by the window. Up to 256 of a part all is as before, with no draw more: 300 nodes and 200 servers never come near.

--- a/src/ring.rs
+++ b/src/ring.rs
@@ -49,18 +49,27 @@
 
     /// The slots of the near and of the far part, from the node's own place all the way round.
     pub fn parts(&self) -> [impl Iterator<Item = usize> + '_; 2] {
-        self.parts.each_ref().map(|part| {
-            let (before, after) = part.split_at((self.start * part.len() as f64) as usize);
-            after.iter().chain(before).map(|(.., slot)| *slot)
-        })
+        self.parts.each_ref().map(|part| self.turned(part).map(|(.., slot)| *slot))
     }
 
-    /// The slots of the node's own stretch, near ones first.
-    pub fn stretch(&self) -> Vec<usize> {
+    /// The slots of the node's own stretch, near ones first; of a part of more than `most` a window of so many,
+    /// drawn afresh, that goes on from the end of the stretch to its start.
+    pub fn stretch(&self, most: usize, random: &mut fastrand::Rng) -> Vec<usize> {
         let all = self.parts.iter().map(Vec::len).sum::<usize>();
         let length = self.least.max((all as f64 * self.share).ceil() as usize);
-        let mut slots = Vec::with_capacity(all.min(2 * length));
-        self.parts().into_iter().for_each(|part| slots.extend(part.take(length)));
+        let mut slots = Vec::with_capacity(2 * most.min(length));
+        for part in &self.parts {
+            let length = length.min(part.len());
+            let from = if length > most { random.usize(..length) } else { 0 };
+            let (first, all) = (most.min(length - from), most.min(length));
+            slots.extend(self.turned(part).skip(from).take(first).map(|(.., slot)| *slot));
+            slots.extend(self.turned(part).take(all - first).map(|(.., slot)| *slot));
+        }
         slots
     }
+
+    fn turned<'a>(&self, part: &'a [Place]) -> impl Iterator<Item = &'a Place> {
+        let (before, after) = part.split_at((self.start * part.len() as f64) as usize);
+        after.iter().chain(before)
+    }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -69,9 +69,9 @@
 const SLICE_LEAST: usize = 3;
 /// More entries than this at once, and the ring is laid out anew: each moved alone would cost more.
 const MOVED_MOST: usize = 300;
-/// Servers of each part of the ring that a request which may have run is offered at the most.
-/// Guards against weighing tens of thousands for one request; up to so many are offered all.
-const REPEAT_MOST: usize = 256;
+/// Servers of each part of the ring, near and far, that one request is offered at the most.
+/// Guards against weighing tens of thousands for it; up to so many are offered all.
+const OFFERED_MOST: usize = 256;
 /// The golden ratio's fraction: its multiples spread node numbers evenly over a ring.
 const GOLDEN: f64 = 0.618_033_988_749_895;
 /// The longest wait for a new subscription, in parts of what may pass without; the shortest is a sixteenth.
@@ -462,7 +462,7 @@
         let lasting = self.all.or(now, f64::INFINITY, (self.aim * EASY, 1.0));
         let all = self.all.or(now, half_life.max(GAPS * self.gap), (latency.min(self.aim * EASY), depth));
         let home = held.ran.map(|first| &held.attempts[first]);
-        let stretch = self.ring.stretch();
+        let stretch = self.ring.stretch(OFFERED_MOST, &mut self.random);
         let total = stretch.len();
         let counts = || stretch.iter().filter_map(|slot| self.servers.slots[*slot].count);
         // Where no report ever comes, own sends are all that a count can tell: they go round and do not fade.
@@ -475,7 +475,7 @@
         let may = |home, slot: &usize| may_move(class.effect, home, &self.servers.slots[*slot].entry);
         let slots = home.map_or(stretch, |home| {
             let parts = self.ring.parts().into_iter();
-            parts.flat_map(|part| part.filter(|slot| may(home, slot)).take(REPEAT_MOST)).collect()
+            parts.flat_map(|part| part.filter(|slot| may(home, slot)).take(OFFERED_MOST)).collect()
         });
         // A crossing counts as its price in aims.
         let crossing = self.settings.cross_zone_price * class.aim_ms;
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -78,3 +78,14 @@
         assert!(second != first && cell(second) == cell(first), "{first}, then {second}");
     }
 }
+
+/// Beyond some hundreds of servers a request sees a window of them. All have their turn, as evenly as if seen at once.
+#[test]
+fn a_window_of_a_large_fleet_goes_round() {
+    let mut node = Node::new(Settings::new(vec![Class::new(40_000.0, 80_000.0, Effect::Safe)]), 1);
+    node.servers(ready(0..700));
+    let mut sends = [0; 700];
+    (0..7_000).for_each(|id| sends[node.sent_to(id)] += 1);
+    let (least, most) = (sends.iter().min(), sends.iter().max());
+    assert!(least >= Some(&8) && most <= Some(&12), "{least:?} to {most:?} of ten each");
+}
