--- a/src/rules.rs
+++ b/src/rules.rs
@@ -247,6 +247,8 @@
 struct Candidate {
     server: usize,
     wait: f64,
+    /// Nothing is before the request there, and its aim is not shorter than what it takes.
+    idle: bool,
     rank: f64,
     unfit: u8,
     near: bool,
@@ -262,7 +264,7 @@
     /// Requests whose servers are being asked, in the order they came, and how many are asked for each.
     asking_for: Vec<RequestId>,
     asks: usize,
-    /// One node of many that asks nobody: it meets each server seldom, so its counts are old.
+    /// One node of several that asks nobody: others send to the same servers unseen, so its counts are old.
     sparse: bool,
     level: Level,
     /// Part of the attempts that full servers turned away, of late, and when the last one ended.
@@ -290,14 +292,12 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.validate()?;
         // None are asked before a send where a few nodes' answers keep counts fresh, or where peers may talk.
-        let sparse = !settings.answers_report || settings.nodes as f64 > SHARERS;
-        // Where answers report as well, an ask that costs more than may be spent is left out: all nodes of
-        // many ask before each send, and together they pay its price for every request.
-        let least = if settings.answers_report { 0.0 } else { 1.0 };
-        let most = (ASK_SPEND / settings.probe_price).clamp(least, SLICE_LEAST as f64) as usize;
+        let old = !settings.answers_report || settings.nodes as f64 > SHARERS;
+        // An ask that costs more than may be spent is left out: all nodes ask before each send, and pay its
+        // price for every request; and the one server that is asked then speaks for all.
+        let most = (ASK_SPEND / settings.probe_price).clamp(0.0, SLICE_LEAST as f64) as usize;
         // Guards against asking where no report comes: what is never overwritten rises until all is refused.
-        let asks =
-            if settings.probes && settings.probes_report && !settings.peers && sparse { most } else { 0 };
+        let asks = if settings.probes && settings.probes_report && !settings.peers && old { most } else { 0 };
         Ok(Self {
             quotas: vec![(f64::INFINITY, 0.0); settings.quotas_per_s.len()],
             classes: vec![Pace::default(); settings.classes.len()],
@@ -312,7 +312,7 @@
             ),
             held: HashMap::new(),
             asking_for: Vec::new(),
-            sparse: asks == 0 && settings.nodes as f64 > SHARERS,
+            sparse: asks == 0 && settings.nodes > 1,
             level: Level { held: Level::IDLE, at: 0.0 },
             pressure: (0.0, 0.0),
             asks,
@@ -416,16 +416,13 @@
 
     // ---- The ordinary path
 
-    /// A report overwrites the count of its server alone.
-    /// It counts the requests of all nodes. Where a few nodes meet it often, each evens out its own part; one
-    /// of many has next to none, and takes the whole.
+    /// A report overwrites the count of its server alone, whole: it counts the requests of all nodes.
     fn report(&mut self, now: f64, at: usize, report: Report) {
         let reading = report.in_flight.or(report.queued).filter(|held| *held <= HELD_MOST);
         let Some(reading) = reading else { return };
         self.level.add(now, self.aim, reading);
-        let part = if self.asks > 0 || self.sparse { 1.0 } else { self.settings.nodes as f64 };
         if let Some(server) = self.servers.get_mut(at) {
-            server.count = Some(reading / part);
+            server.count = Some(reading);
             server.reported_at = Some(now);
         }
     }
@@ -435,13 +432,13 @@
         let mut candidates = self.candidates(now, held);
         // Those that are not healthy, or tried already, are left only where there are no others.
         let fittest = candidates.iter().map(|c| c.unfit).min();
-        candidates.retain(|c| Some(c.unfit) == fittest && c.wait <= limit);
+        candidates.retain(|c| Some(c.unfit) == fittest && (c.idle || c.wait <= limit));
         let least = candidates.iter().map(|c| c.wait).fold(f64::INFINITY, f64::min);
         let bound = if self.asks > 0 || self.sparse { limit } else { least * BACKED_UP };
         // A crossing has its price; and nodes that keep to their zones are less in each other's way, unseen.
         // One node of many sees too late that its zone fills up: there the price alone speaks for a zone.
         let near = self.asks == 0 && !self.sparse && candidates.iter().any(|c| c.near && c.wait <= bound);
-        candidates.retain(|c| c.wait <= bound && (c.near || !near));
+        candidates.retain(|c| (c.idle || c.wait <= bound) && (c.near || !near));
         self.random.shuffle(&mut candidates);
         let mut picked = Vec::with_capacity(most);
         while picked.len() < most {
@@ -466,7 +463,7 @@
         let total = stretch.len();
         let counts = || stretch.iter().filter_map(|slot| self.servers.slots[*slot].count);
         // Where no report ever comes, own sends are all that a count can tell: they go round and do not fade.
-        let told = self.settings.answers_report || self.settings.probes_report;
+        let told = self.told();
         let mean = match self.sparse && told {
             true => self.level.now(now, self.aim),
             false => counts().sum::<f64>() / counts().count().max(1) as f64,
@@ -523,9 +520,15 @@
             // At one of many nodes a cold server gets all that it is let see: before each node has its own
             // report of it, and counts it as idle, it would be warm.
             let ration = if self.sparse && cold { 0.0 } else { 1.0 };
+            // Where others send unseen, only its own report tells that a server is idle.
+            let idle = match self.sparse {
+                true => server.reported_at.is_some() && count < Level::IDLE + 0.5,
+                false => self.asks == 0 && server.out == 0,
+            };
             candidates.push(Candidate {
                 server: at,
                 wait,
+                idle: idle && self.relative(held.class) * latency / depth <= class.aim_ms,
                 rank: ration * (count + 1.0) * latency / depth
                     * (1.0 + blur * (2.0 * self.random.f64() - 1.0))
                     + if near { 0.0 } else { crossing },
@@ -609,6 +612,11 @@
         }
     }
 
+    /// Whether reports come: those of answers, or of the servers asked before each send.
+    fn told(&self) -> bool {
+        self.settings.answers_report || self.asks > 0
+    }
+
     fn pressure(&self, now: f64) -> f64 {
         self.pressure.0 * 0.5_f64.powf((now - self.pressure.1) / (PRESSURE_LASTS * self.aim))
     }
