--- a/src/ring.rs
+++ b/src/ring.rs
@@ -1,4 +1,4 @@
-//! The ready servers in an order that all nodes share, and the stretch of it that is one node's.
+//! The ready servers in an order that all nodes share, and the subset of them that is one node's.
 
 /// A ready server: its key, its number, and its slot in the table of servers.
 pub type Place = (u64, usize, usize);
@@ -6,10 +6,10 @@
 /// Two rings, of the servers in the node's own zone and of all others, each in the order of its keys.
 ///
 /// They are kept in that order, so a change moves what it names and no more. The node's turn is in where its
-/// stretch starts.
+/// subset starts.
 pub struct Ring {
     parts: [Vec<Place>; 2],
-    /// Where this node's stretch starts, as a fraction of each ring.
+    /// Where this node's subset starts, as a fraction of each ring.
     start: f64,
     /// Its length as a fraction of all servers, and the servers it has at least, where there are as many.
     share: f64,
@@ -52,9 +52,9 @@
         self.parts.each_ref().map(|part| self.turned(part).map(|(.., slot)| *slot))
     }
 
-    /// The slots of the node's own stretch, near ones first; of a part of more than `most` a window of so many,
-    /// drawn afresh, that goes on from the end of the stretch to its start.
-    pub fn stretch(&self, most: usize, random: &mut fastrand::Rng) -> Vec<usize> {
+    /// The slots of the node's own subset, near ones first; of a part of more than `most` a window of so many,
+    /// drawn afresh, that goes on from the end of the subset to its start.
+    pub fn subset(&self, most: usize, random: &mut fastrand::Rng) -> Vec<usize> {
         let all = self.parts.iter().map(Vec::len).sum::<usize>();
         let length = self.least.max((all as f64 * self.share).ceil() as usize);
         let mut slots = Vec::with_capacity(2 * most.min(length));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -65,8 +65,8 @@
 const PRESSURE: f64 = 2.0;
 /// Nodes that share a server, about: connections stay few and warm, and each node meets its servers often.
 const SHARERS: f64 = 12.0;
-/// Servers a node's slice has at least, where there are as many, and that are asked at the most.
-const SLICE_LEAST: usize = 3;
+/// Servers a node's subset has at least, where there are as many, and that are asked at the most.
+const SUBSET_LEAST: usize = 3;
 /// More entries than this at once, and the ring is laid out anew: each moved alone would cost more.
 const MOVED_MOST: usize = 300;
 /// Servers of each part of the ring, near and far, that one request is offered at the most.
@@ -295,7 +295,7 @@
         let old = !settings.answers_report || settings.nodes as f64 > SHARERS;
         // An ask that costs more than may be spent is left out: all nodes ask before each send, and pay its
         // price for every request; and the one server that is asked then speaks for all.
-        let most = (ASK_SPEND / settings.probe_price).clamp(0.0, SLICE_LEAST as f64) as usize;
+        let most = (ASK_SPEND / settings.probe_price).clamp(0.0, SUBSET_LEAST as f64) as usize;
         // Guards against asking where no report comes: what is never overwritten rises until all is refused.
         let asks = if settings.probes && settings.probes_report && !settings.peers && old { most } else { 0 };
         Ok(Self {
@@ -303,12 +303,12 @@
             classes: vec![Pace::default(); settings.classes.len()],
             random: fastrand::Rng::with_seed(seed),
             servers: Servers::default(),
-            // Each node uses an equal stretch, from a place of its own, of a ring that all order alike.
+            // Each node uses an equal subset, from a place of its own, of a ring that all order alike.
             // Guards against connections of each node to each server, and against too few reports of them.
             ring: Ring::new(
                 ((settings.me + 1) as f64 * GOLDEN).fract(),
                 SHARERS / settings.nodes as f64,
-                SLICE_LEAST,
+                SUBSET_LEAST,
             ),
             held: HashMap::new(),
             asking_for: Vec::new(),
@@ -459,18 +459,18 @@
         let lasting = self.all.or(now, f64::INFINITY, (self.aim * EASY, 1.0));
         let all = self.all.or(now, half_life.max(GAPS * self.gap), (latency.min(self.aim * EASY), depth));
         let home = held.ran.map(|first| &held.attempts[first]);
-        let stretch = self.ring.stretch(OFFERED_MOST, &mut self.random);
-        let total = stretch.len();
-        let counts = || stretch.iter().filter_map(|slot| self.servers.slots[*slot].count);
+        let subset = self.ring.subset(OFFERED_MOST, &mut self.random);
+        let total = subset.len();
+        let counts = || subset.iter().filter_map(|slot| self.servers.slots[*slot].count);
         // Where no report ever comes, own sends are all that a count can tell: they go round and do not fade.
         let told = self.told();
         let mean = match self.sparse && told {
             true => self.level.now(now, self.aim),
             false => counts().sum::<f64>() / counts().count().max(1) as f64,
         };
-        // A request that may have run is bound to its group, wherever that is; any other to the stretch.
+        // A request that may have run is bound to its group, wherever that is; any other to the subset.
         let may = |home, slot: &usize| may_move(class.effect, home, &self.servers.slots[*slot].entry);
-        let slots = home.map_or(stretch, |home| {
+        let slots = home.map_or(subset, |home| {
             let parts = self.ring.parts().into_iter();
             parts.flat_map(|part| part.filter(|slot| may(home, slot)).take(OFFERED_MOST)).collect()
         });
--- a/tests/hsq.rs
+++ b/tests/hsq.rs
@@ -203,20 +203,20 @@
 }
 
 /// Incident ie11f3d: every node opened connections to every server, more than they accept. Hundreds of nodes
-/// keep to slices that spread evenly over the fleet.
+/// keep to subsets that spread evenly over the fleet.
 #[test]
-fn slices_of_many_nodes_cover_the_fleet_evenly() {
+fn subsets_of_many_nodes_cover_the_fleet_evenly() {
     let mut nodes_of = [0; 60];
     for me in 0..300 {
         let mut settings = patient();
         (settings.nodes, settings.me) = (300, me);
         let mut node = Node::new(settings, me as u64);
         node.servers(ready(0..60));
-        let mut slice: Vec<usize> = (0..40).map(|id| node.sent_to(id)).collect();
-        slice.sort_unstable();
-        slice.dedup();
-        assert!(slice.len() <= 6, "{slice:?}");
-        slice.into_iter().for_each(|at| nodes_of[at] += 1);
+        let mut subset: Vec<usize> = (0..40).map(|id| node.sent_to(id)).collect();
+        subset.sort_unstable();
+        subset.dedup();
+        assert!(subset.len() <= 6, "{subset:?}");
+        subset.into_iter().for_each(|at| nodes_of[at] += 1);
     }
     assert!(nodes_of.iter().all(|n| (10..=20).contains(n)), "{nodes_of:?}");
 }
