--- a/src/ring.rs
+++ b/src/ring.rs
@@ -57,14 +57,14 @@
         self.parts.iter().map(Vec::len).sum()
     }
 
-    /// The part of the near and of the far servers that one request sees, where it sees `most` of each at most.
+    /// The part of the near and of the far servers that one request sees, `most` of each at most.
     pub fn seen(&self, most: usize) -> [f64; 2] {
         let length = self.length().min(most);
         self.parts.each_ref().map(|part| length.min(part.len()) as f64 / part.len().max(1) as f64)
     }
 
-    /// The slots of the node's own subset, near ones first; of a part of more than `most` a window of so many,
-    /// drawn afresh, that goes on from the end of the subset to its start.
+    /// The slots of the node's own subset, near ones first; of a part of more than `most` a window of so
+    /// many, drawn afresh, that goes on from the end of the subset to its start.
     pub fn subset(&self, most: usize, random: &mut fastrand::Rng) -> Vec<usize> {
         let length = self.length();
         let mut slots = Vec::with_capacity(2 * most.min(length));
