Ask discovery again in time, however long a node may go without asking

Where a node subscribes, the wait after a failed call (rules.rs, `resubscribe`) grows to a quarter of `ask_within_ms` with no other bound. A change counts as told 6 s after discovery had it and could be reached, whatever became of the calls. At 10 s the longest wait is 2.5 s and all is well: a silent watch is found after 2 s + a quarter of the grace, 3.6 s in all. From `ask_within_ms` 24 s on the wait alone is longer than the 6 s; at an hour a node that met one 500 stayed away for 45 s (measured), and for up to a quarter of an hour later on.

Ruled out, by the paths in discovery.rs: a refused, silent or late connection, half an answer, drips, a reset, an error, a redirect and spoilt JSON all end the call within its time, keep the version and lead to `list_failed`. Pushed lists are bounded by the grace already.

The wait is no longer than 0.4 of the 6 s where a node subscribes: two waits fit, each with a call that is given up. At 10 s it goes from 2.5 to 2.4 s at the most.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -70,6 +70,10 @@
 const GOLDEN: f64 = 0.618_033_988_749_895;
 /// The longest wait for a new subscription, in parts of what may pass without; the shortest is a sixteenth.
 const RESUBSCRIBE_MOST: f64 = 0.25;
+/// A change counts as told after this time at the latest, whatever became of the calls. The wait is no longer
+/// than this part of it: two of them, each with a call that is given up, are over by then.
+const TOLD_MS: f64 = 6_000.0;
+const TOLD_PART: f64 = 0.4;
 /// Where lists are pushed, it is no longer than this part of the grace after a drain: what the agent has
 /// counts as told, heard or not. It is no shorter than this time, whatever the settings say.
 const PUSHED_MOST: f64 = 0.25;
@@ -359,7 +363,7 @@
         let most = self.settings.ask_within_ms * RESUBSCRIBE_MOST;
         let most = match self.settings.discovery {
             Discovery::Push => most.min(self.settings.drain_grace_ms * PUSHED_MOST),
-            Discovery::Subscribe => most,
+            Discovery::Subscribe => most.min(TOLD_MS * TOLD_PART),
         };
         let most = most.max(AGAIN_LEAST_MS);
         let after_ms = most / 2_f64.powi(4 - self.failed_calls) * (0.5 + 0.5 * self.random.f64());
