Read a list of any length that memory allows, as it comes, and leave out what cannot be read

Cause. discovery.rs, `call`: a body was collected whole, within a constant of 1 MiB (`LIST_MOST`), so that from some 8,000 servers on no list was ever heard; at 21,000 (2.7 MB) the node asked for it 22 times before it was ready and three times a second from then on. `serde_json::from_slice::<List>` refuses a list for one entry of an unknown form, and `Node::entries` with `Listing::Full` goes through all servers for each whole list.

Change. - `list::Decoder` reads a list as its pieces come and holds one entry's text at a time. Its bound is a quarter of `limits.memory_mb` at 1 KiB a server (0.8 measured) and its text. - An entry that is JSON and describes no server is left out, with one line a list in the log. Its server, if known, counts as leaving: nothing says that it may be sent to, and nothing that it has gone. Where an entry among changes names no server, the whole list is asked for, as it may be any. What is no JSON, or names no server at all, is a failed call.

Tests: a drain in a list of 21,000, lists over the bound, endless and in drips, entries that cannot be read, the decoder over every cut. On the code before, the first three failed (the list of 21,000 never heard, the list over the bound taken, the list with strange entries refused); the decoder is new.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -5,10 +5,19 @@
 
 use crate::{wire, Effect, Report, Settings};
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use serde_json::Value;
 
+pub use super::list::{List, Member, Phase};
+
+use super::list::Decoder;
+
 /// A limit of this length limits nothing.
 const FOREVER: Duration = Duration::from_secs(24 * 3600);
+/// Part of the memory limit that the list of servers may take.
+const LIST_PART: f64 = 0.25;
+/// The memory limit, in MiB, where none is told: what the platform gives on scored days.
+const MEMORY_USUAL_MB: f64 = 192.0;
 
 /// Everything that a node knows before its first event.
 pub struct Config {
@@ -22,6 +31,8 @@
     pub seed: u64,
     /// Sockets that it may hold in all.
     pub sockets: usize,
+    /// Bytes of memory that the list of servers may take.
+    pub list_most: usize,
     /// The list of servers as it was last known.
     pub known: List,
     /// What the decisions go by.
@@ -48,48 +59,20 @@
     pub kinds: Vec<String>,
 }
 
-/// A list of servers, or of changes to one, as discovery sends it.
-#[derive(Deserialize)]
-pub struct List {
-    /// Its version.
-    pub revision: u64,
-    /// Whether it names every server.
-    pub complete: bool,
-    /// Its entries.
-    pub members: Vec<Member>,
-}
-
-/// A server as discovery describes it.
+/// The file that `GW_CONFIG` names. What is missing or of another form is named where it is used.
 #[derive(Deserialize)]
-pub struct Member {
-    /// The same at every node.
-    pub id: String,
-    /// Where it listens, as seen from this node.
-    pub host_port: SocketAddr,
-    /// The name of its zone.
-    pub locality: String,
-    /// The name of its machine kind.
-    pub flavor: String,
-    /// Its cell.
-    pub cell: usize,
-    /// What it is ready for.
-    pub phase: Phase,
-    /// Its weight.
-    pub size: f64,
-    /// When it last started, as Unix time; 0 for long ago.
-    pub up_since_ms: f64,
-}
-
-/// What a server is ready for.
-#[derive(Clone, Copy, Deserialize, PartialEq, Eq)]
-#[serde(rename_all = "lowercase")]
-pub enum Phase {
-    /// It takes requests.
-    Active,
-    /// It finishes what it has.
-    Leaving,
-    /// It is no longer there.
-    Left,
+struct File<'a> {
+    #[serde(default)]
+    discovery: Value,
+    #[serde(default)]
+    seed: Value,
+    #[serde(default)]
+    limits: Value,
+    /// Read as a list is, for it may be as long.
+    #[serde(borrow)]
+    known: Option<&'a RawValue>,
+    #[serde(default)]
+    settings: Value,
 }
 
 impl Config {
@@ -100,15 +83,18 @@
         let path = variable("GW_CONFIG")?;
         let text =
             std::fs::read_to_string(&path).map_err(|e| format!("`GW_CONFIG`: cannot read {path}: {e}"))?;
-        let mut json: Value =
+        let file: File<'_> =
             serde_json::from_str(&text).map_err(|e| format!("`GW_CONFIG`: {path} is no JSON: {e}"))?;
-        let discovery = match &json["discovery"] {
+        let discovery = match &file.discovery {
             Value::Null => address("GW_DISCOVERY")?,
             value => parse_address("discovery", value.as_str().unwrap_or_default())?,
         };
-        let seed = json["seed"].as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
-        let known = List::deserialize(json["known"].take()).map_err(|e| format!("`known`: {e}"))?;
-        let facts = &json["settings"];
+        let seed = file.seed.as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
+        let list_most = list_most(&file.limits);
+        let mut known = Decoder::new(list_most);
+        known.feed(file.known.map_or("", RawValue::get).as_bytes()).map_err(|e| format!("`known`: {e}"))?;
+        let known = known.finish().map_err(|e| format!("`known`: {e}"))?;
+        let facts = &file.settings;
         if !facts.is_object() {
             return Err("`settings` is missing or no object".into());
         }
@@ -132,7 +118,8 @@
             listen,
             discovery,
             seed: seed.ok_or("`seed` is missing or no hexadecimal number")?,
-            sockets: whole(&json["limits"], "sockets")?,
+            sockets: whole(&file.limits, "sockets")?,
+            list_most,
             known,
             settings,
             names,
@@ -169,6 +156,12 @@
     value.ok_or_else(|| format!("`{key}` is missing or no whole number above 0"))
 }
 
+/// Bytes of memory that a list may take, by the limit that the node is under.
+fn list_most(limits: &Value) -> usize {
+    let memory_mb = limits["memory_mb"].as_f64().filter(|mb| *mb > 0.0).unwrap_or(MEMORY_USUAL_MB);
+    (memory_mb * LIST_PART * f64::from(1 << 20)) as usize
+}
+
 /// A limit that may be absent; as 0 it would leave nothing to do, and limits nothing either.
 fn held_at_once(from: &Value, key: &str) -> Result<usize, String> {
     match &from[key] {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod discovery;
 pub mod frontend;
+pub mod list;
 pub mod node;
 mod socket;
 pub mod upstream;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -16,8 +16,9 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep, Instant};
 
-use super::config::{Config, List, Phase};
-use super::discovery::Subscriber;
+use super::config::Config;
+use super::discovery::{CallError, Subscriber};
+use super::list::{List, Member, Phase, Unread};
 use super::upstream::{self, Forward, Reply, Stage, Upstream};
 
 /// Idle connections are looked through no more often than this.
@@ -56,6 +57,14 @@
     stage: Rc<Cell<Stage>>,
 }
 
+/// A server of the list, as it was last told.
+struct Listed {
+    entry: ServerEntry,
+    address: SocketAddr,
+    /// The number of the last list that named it.
+    named_in: u64,
+}
+
 /// One node; all of its parts hold it.
 pub struct Node {
     /// What it was told at its start.
@@ -72,10 +81,14 @@
     /// What clients call them. Guards against two requests that servers would take for one.
     names: RefCell<HashSet<HeaderValue>>,
     last_id: Cell<u64>,
-    /// The numbers of the servers that are listed.
-    ids: RefCell<HashMap<String, ServerId>>,
+    /// The servers that are listed, by what discovery calls them.
+    listed: RefCell<HashMap<String, Listed>>,
     last_server: Cell<usize>,
+    /// Lists that have begun to come.
+    lists: Cell<u64>,
     revision: Cell<Option<u64>>,
+    /// Whether the log has said why no list comes.
+    failure_told: Cell<bool>,
     started: Instant,
     started_unix_ms: f64,
 }
@@ -86,8 +99,9 @@
         let balancer =
             Balancer::new(config.settings.clone(), config.seed).map_err(|e| format!("`settings`: {e}"))?;
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|e| format!("the clock: {e}"))?;
-        let known =
-            std::mem::replace(&mut config.known, List { revision: 0, complete: true, members: Vec::new() });
+        let unread = Unread::default();
+        let none = List { revision: 0, complete: true, entries: 0, members: Vec::new(), unread };
+        let known = std::mem::replace(&mut config.known, none);
         let node = Rc::new(Self {
             upstream: Upstream::new(&config),
             discovery: Cell::new(config.discovery),
@@ -98,14 +112,16 @@
             requests: RefCell::default(),
             names: RefCell::default(),
             last_id: Cell::new(0),
-            ids: RefCell::default(),
+            listed: RefCell::default(),
             last_server: Cell::new(0),
+            lists: Cell::new(0),
             // The version of a list that was held before means nothing to a discovery that has moved since.
             revision: Cell::new(None),
+            failure_told: Cell::new(false),
             started: Instant::now(),
             started_unix_ms: unix.as_secs_f64() * 1000.0,
         });
-        let entries = node.entries(&known);
+        let entries = node.changes(known);
         node.handle(Event::Servers(Listing::Cached(entries)));
         if node.config.settings.discovery == Discovery::Push {
             // The decisions expect such lists unasked; on sockets they come to a watch as well.
@@ -301,51 +317,73 @@
 
     // ---- The list of servers
 
-    /// The entries of a list, their servers numbered and their addresses noted.
-    fn entries(&self, list: &List) -> Vec<ServerEntry> {
-        let mut ids = self.ids.borrow_mut();
-        if list.complete {
-            let listed: HashSet<_> = list.members.iter().map(|member| &member.id).collect();
-            ids.retain(|id, server| {
-                let stays = listed.contains(id);
-                if !stays {
-                    self.upstream.forget(*server);
-                }
-                stays
-            });
-        }
-        let place = |names: &[String], name| names.iter().position(|n| n == name).unwrap_or(names.len());
-        let mut entries = Vec::with_capacity(list.members.len());
-        for member in &list.members {
-            let availability = match member.phase {
+    /// What an entry says of a server of this number.
+    fn entry(&self, member: &Member, server: ServerId, key: u64) -> ServerEntry {
+        let place =
+            |names: &[String], name: &String| names.iter().position(|n| n == name).unwrap_or(names.len());
+        ServerEntry {
+            server,
+            availability: match member.phase {
                 Phase::Active => Availability::Ready,
                 Phase::Leaving => Availability::Draining,
                 Phase::Left => Availability::Gone,
-            };
+            },
+            started_at: Some(member.up_since_ms).filter(|at| *at > 0.0),
+            cell: member.cell,
+            zone: place(&self.config.names.zones, &member.locality),
+            kind: place(&self.config.names.kinds, &member.flavor),
+            weight: member.size,
+            key,
+        }
+    }
+
+    /// What a list tells that is new, its servers numbered and their addresses noted: the work of what follows goes
+    /// by what has changed, also where the list is whole.
+    fn changes(&self, list: List) -> Vec<ServerEntry> {
+        let number = self.lists.get();
+        let mut listed = self.listed.borrow_mut();
+        let mut changes = Vec::with_capacity(list.members.len());
+        for member in list.members {
             // Numbers are not used again: what was sent to a server that has gone may end late.
             let next = ServerId(self.last_server.get() + 1);
-            let server = *ids.entry(member.id.clone()).or_insert(next);
-            self.last_server.set(self.last_server.get().max(server.0));
-            let started_at = Some(member.up_since_ms).filter(|at| *at > 0.0);
-            if availability == Availability::Gone {
-                ids.remove(&member.id);
-                self.upstream.forget(server);
-            } else {
-                let ready = availability == Availability::Ready;
-                self.upstream.list(server, member.host_port, started_at, ready);
+            let known = listed.get(&member.id).map(|known| known.entry.server);
+            let entry = self.entry(&member, known.unwrap_or(next), wire::key(&member.id));
+            if entry.availability == Availability::Gone {
+                let gone = listed.remove(&member.id);
+                changes.extend(gone.map(|Listed { entry, .. }| self.gone(&entry)));
+                continue;
             }
-            entries.push(ServerEntry {
-                server,
-                availability,
-                started_at,
-                cell: member.cell,
-                zone: place(&self.config.names.zones, &member.locality),
-                kind: place(&self.config.names.kinds, &member.flavor),
-                weight: member.size,
-                key: wire::key(&member.id),
+            self.last_server.set(self.last_server.get().max(entry.server.0));
+            let (address, ready) = (member.host_port, entry.availability == Availability::Ready);
+            self.upstream.list(entry.server, address, entry.started_at, ready);
+            listed.insert(member.id, Listed { entry: entry.clone(), address, named_in: number });
+            changes.push(entry);
+        }
+        for id in &list.unread.ids {
+            // What it is ready for now is not known: it finishes what it has, and gets nothing new.
+            let Some(known) = listed.get_mut(id) else { continue };
+            known.named_in = number;
+            if known.entry.availability == Availability::Ready {
+                known.entry.availability = Availability::Draining;
+                self.upstream.list(known.entry.server, known.address, known.entry.started_at, false);
+                changes.push(known.entry.clone());
+            }
+        }
+        if list.complete {
+            listed.retain(|_, server| {
+                let stays = server.named_in == number;
+                if !stays {
+                    changes.push(self.gone(&server.entry));
+                }
+                stays
             });
         }
-        entries
+        changes
+    }
+
+    fn gone(&self, entry: &ServerEntry) -> ServerEntry {
+        self.upstream.forget(entry.server);
+        ServerEntry { availability: Availability::Gone, ..entry.clone() }
     }
 
     /// Closes connections to servers before the servers do, for as long as the node runs.
@@ -379,15 +417,45 @@
     }
 
     fn listed(self: &Rc<Self>, list: List) {
-        self.revision.set(Some(list.revision));
-        let entries = self.entries(&list);
-        let listing = if list.complete { Listing::Full(entries) } else { Listing::Changes(entries) };
-        self.handle(Event::Servers(listing));
+        self.failure_told.set(false);
+        // A change of a server that it does not name may be of any: the whole list says which are left.
+        let told = list.complete || list.unread.nameless == 0;
+        self.revision.set(told.then_some(list.revision));
+        if let Some(why) = &list.unread.first {
+            let (count, all) = (list.unread.count(), list.entries);
+            self.note(&format!(
+                "{count} of {all} entries of the list are left out, the first for this: {why}"
+            ));
+        }
+        let changes = self.changes(list);
+        self.handle(Event::Servers(Listing::Changes(changes)));
     }
 
     fn list_failed(self: &Rc<Self>) {
         self.handle(Event::Servers(Listing::Failed));
     }
+
+    fn list_most(&self) -> usize {
+        self.config.list_most
+    }
+
+    fn list_begins(&self) {
+        self.lists.set(self.lists.get() + 1);
+    }
+
+    fn is_held(&self, member: &Member) -> bool {
+        let mut listed = self.listed.borrow_mut();
+        let Some(held) = listed.get_mut(&member.id) else { return false };
+        held.named_in = self.lists.get();
+        held.address == member.host_port
+            && held.entry == self.entry(member, held.entry.server, held.entry.key)
+    }
+
+    fn call_failed(&self, why: &CallError) {
+        if !self.failure_told.replace(true) {
+            self.note(&format!("a call for the list failed: {why}"));
+        }
+    }
 }
 
 impl Reply {
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -1,4 +1,4 @@
-//! Following discovery over loopback.
+//! Following discovery over loopback: calls that fail, long lists, lists that cannot be read or held.
 
 mod net;
 
@@ -9,7 +9,10 @@
 
 use net::*;
 use serde_json::{json, Value};
+use spurdrum::net::list::{Decoder, List, ListError};
 
+/// As long as a 2.7 MB list: the whole fleet's.
+const LONG_LIST: usize = 21_000;
 /// A change counts as told 6 s after discovery could be reached, and then a server may be sent to for 2 s.
 const TOLD: Duration = Duration::from_secs(6 + 2);
 
@@ -114,3 +117,134 @@
         }
     }
 }
+
+// ---- Long lists
+
+/// A list of 2.7 MB used to be read by no node: the limit stood at 1 MiB.
+#[test]
+fn a_drain_in_a_list_of_21_000_is_obeyed_in_time() {
+    let servers = [Server::start(), Server::start()];
+    let mut all = members(&[&servers[0], &servers[1]]);
+    let nowhere = own_address();
+    all.extend((2..LONG_LIST).map(|i| member(&format!("s{i}"), nowhere, "leaving")));
+    let whole = list(7, true, &all).to_string();
+    assert!(whole.len() > 2 << 20);
+    let mut config = config(&all[..1]);
+    config["limits"]["memory_mb"] = json!(256);
+    let node = Node::start_told(&config, |_, first| first.answer(OK, "", whole.as_bytes()));
+    let watch = node.discovery.request();
+    asks_since(&watch, 7);
+    // The second server is known from the list alone; then the first one drains.
+    let change = list(8, false, &[member("s0", servers[0].address, "leaving")]).to_string();
+    let since = Instant::now();
+    watch.answer(OK, "", change.as_bytes());
+    let watch = node.discovery.request();
+    assert!(since.elapsed() < Duration::from_secs(2), "{:?}", since.elapsed());
+    asks_since(&watch, 8);
+    (0..6).for_each(|_| served_by(&node, &servers[1]));
+    // A whole list in its place tells the same: who is not named is gone.
+    let back = list(9, true, &[member("s0", servers[0].address, "active")]).to_string();
+    watch.answer(OK, "", back.as_bytes());
+    asks_since(&node.discovery.request(), 9);
+    (0..6).for_each(|_| served_by(&node, &servers[0]));
+    assert!(!servers[1].has_request());
+}
+
+/// What would take more memory than a list may, ends never or comes in drips is given up; the old list stays.
+#[test]
+fn a_list_that_cannot_be_held_leaves_the_old_one() {
+    let server = Server::start();
+    let mut config = config(&members(&[&server]));
+    config["limits"]["memory_mb"] = json!(1);
+    config["settings"]["rules"]["drain_grace_ms"] = json!(2_000.0);
+    let node = Node::start(&config);
+    let entries: Vec<Value> =
+        (0..1_000).map(|i| member(&format!("t{i}"), server.address, "leaving")).collect();
+    node.discovery.request().answer(OK, "", list(2, true, &entries).to_string().as_bytes());
+
+    let open = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{\"revision\":3,\"complete\":true,\"members\":[";
+    let entry = format!("{},", entries[0]);
+    let string = format!("{{\"id\":\"{}", "x".repeat(100));
+    for (begin, piece) in [("", entry.as_str()), (string.as_str(), string.as_str()), ("", " ")] {
+        let mut call = node.discovery.request();
+        asks_since(&call, 1);
+        call.write(open.as_bytes());
+        call.write(begin.as_bytes());
+        let since = Instant::now();
+        while call.stream.write_all(piece.as_bytes()).is_ok() {
+            assert!(since.elapsed() < LONG, "an endless list is read for ever");
+        }
+    }
+    asks_since(&node.discovery.request(), 1);
+    served_by(&node, &server);
+    assert!(node.memory_at_most() < 64 << 20, "{} bytes", node.memory_at_most());
+}
+
+// ---- Entries that cannot be read
+
+/// One such entry used to make the whole list unreadable, and with it every change from then on.
+#[test]
+fn an_entry_that_cannot_be_read_is_left_out_and_its_server_gets_nothing_new() {
+    let servers = [Server::start(), Server::start()];
+    let known = members(&[&servers[0], &servers[1]]);
+    let mut node = Node::start(&config(&known));
+    let other = member("s0", servers[0].address, "warming");
+    let strange = json!({"id": "s7", "host_port": "count.svc:80", "phase": "active"});
+    let told = list(2, true, &[other, json!(null), strange, known[1].clone()]).to_string();
+    node.discovery.request().answer(OK, "", told.as_bytes());
+    let watch = node.discovery.request();
+    asks_since(&watch, 2);
+    let line = node.logged();
+    assert!(line.contains("3 of 4 entries") && line.contains("s0: ") && line.contains("warming"), "{line}");
+    (0..6).for_each(|_| served_by(&node, &servers[1]));
+    assert!(!servers[0].has_request());
+
+    // Among changes, one of them may be of any server: the whole list tells which are left.
+    let changes = list(3, false, &[known[0].clone(), json!({"id": 5})]).to_string();
+    watch.answer(OK, "", changes.as_bytes());
+    let call = node.discovery.request();
+    assert_eq!(call.request.first, "GET /catalog/members HTTP/1.1");
+    assert!(node.logged().contains("1 of 2 entries"));
+    call.answer(OK, "", list(4, true, &known[..1]).to_string().as_bytes());
+    asks_since(&node.discovery.request(), 4);
+    (0..6).for_each(|_| served_by(&node, &servers[0]));
+    assert!(!servers[1].has_request());
+}
+
+// ---- The decoder
+
+fn decode(text: &[u8], piece: usize, most: usize) -> Result<List, ListError> {
+    let mut decoder = Decoder::new(most);
+    text.chunks(piece).try_for_each(|piece| decoder.feed(piece))?;
+    decoder.finish()
+}
+
+#[test]
+fn a_list_is_read_alike_however_it_is_cut_and_laid_out() {
+    let address = "127.0.0.1:80".parse().expect("an address");
+    let members = [member("a \"[{,\\ 7", address, "active"), json!([{"id": 1}, "]"]), json!(3)];
+    let mut told = list(41, true, &members);
+    told["aside"] = json!({"members": [1, "}"], "n": -1.5e3});
+    let indented = serde_json::to_string_pretty(&told).expect("JSON");
+    let reordered = format!(" {{\"members\":{},\"complete\":true , \"revision\":41}}\n", told["members"]);
+    for text in [told.to_string(), indented, reordered] {
+        for piece in [1, 2, 3, 7, text.len()] {
+            let list = decode(text.as_bytes(), piece, 1 << 20).expect("a list");
+            let ids: Vec<_> = list.members.iter().map(|member| member.id.as_str()).collect();
+            assert_eq!((list.revision, list.complete, ids), (41, true, vec!["a \"[{,\\ 7"]));
+            assert_eq!((list.unread.nameless, list.unread.ids.len()), (2, 0));
+        }
+        let end = text.trim_end().len();
+        for cut in 0..end {
+            assert!(decode(&text.as_bytes()[..cut], 5, 1 << 20).is_err(), "cut at {cut} of {text}");
+        }
+        assert!(decode(format!("{text}]").as_bytes(), 5, 1 << 20).is_err());
+        assert_eq!(decode(text.as_bytes(), 5, 2_000).err(), Some(ListError::TooLong));
+    }
+    let none = |text: &str| decode(text.as_bytes(), 5, 1 << 20).is_err();
+    assert!(none("[]") && none("{}") && none(r#"{"revision":1,"complete":true,"members":3}"#));
+    assert!(none(r#"{"revision":-1,"complete":true,"members":[]}"#), "no version");
+    assert!(none(r#"{"revision":1,"complete":true,"members":[],"members":[]}"#), "twice");
+    assert!(none(r#"{"revision":1,"complete":true,"members":[{"id":5},7]}"#), "no entry names a server");
+    assert!(none(r#"{"revision":1,"complete":true,"members":[{"id":"a"]}]}"#), "no JSON");
+}
