Spread the calls for a new discovery's whole list over the nodes

SIGHUP reaches all nodes together, and discovery.rs, `follow`, asks the new discovery at once: with 2,000 nodes and 2.7 MB a list that is 5.4 GB wanted in one moment. Elsewhere whole lists are asked for by one node at a time, or are spread already: a node that starts is bounded by being ready, a broken watch goes on from the version held, and where discovery is down from the start on each retry has chance in its wait (rules.rs, `resubscribe`).

Each node has a place, drawn from its seed, in a quarter of the grace after a drain, and in 1 s at the most. What the new discovery has counts as told 4 s after SIGHUP; a place, a call that is silent, the pause and another call are less than the grace together, so that also what the old one told last is still heard in time. At a node with a grace of 2 s that is up to 0.5 s.

Test: two followers told together, at the first and the last place: the last one's call comes when the first one is watching already.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -31,6 +31,9 @@
 const WHOLE_WITHIN: u32 = 2;
 /// Between calls at the start, where discovery is not up.
 const PAUSE: Duration = Duration::from_millis(20);
+/// What the new discovery has counts as told 4 s after it was named. Nodes that are told of it together spread
+/// their calls for its whole list over this at the most.
+const MOVED_MOST: Duration = Duration::from_secs(1);
 /// So much of a list is read at once: what waits meanwhile waits for a fraction of a millisecond.
 const PIECE: usize = 32 << 10;
 /// A list may take so much memory where the subscriber has no word on it.
@@ -62,6 +65,10 @@
     fn is_held(&self, _member: &Member) -> bool {
         false
     }
+    /// Where in the time over which nodes spread their calls for a whole list this one makes its own, from 0 to 1.
+    fn place_in_spread(&self) -> f64 {
+        0.0
+    }
     /// Why the next [`list_failed`](Self::list_failed) comes.
     fn call_failed(&self, _why: &CallError) {}
 }
@@ -113,14 +120,14 @@
 }
 
 /// Watches whenever the decisions want it, until a call fails; then they are told. Where discovery moves, the
-/// watch goes on there at once, whatever the decisions are waiting for.
+/// watch goes on there soon, whatever the decisions are waiting for.
 pub async fn follow<S: Subscriber>(node: Rc<S>, mut connection: Option<Sender>) {
     // Only a discovery that has just answered may take its time with the next answer.
     let mut wait = if connection.is_some() { WAIT } else { Duration::ZERO };
     loop {
         tokio::select! {
             biased;
-            () = node.moved().notified() => (connection, wait) = (None, Duration::ZERO),
+            () = node.moved().notified() => (connection, wait) = moved(&*node).await,
             () = node.wanted().notified() => {}
         }
         // The next watch follows at once: what changes between watches is told by none.
@@ -128,7 +135,7 @@
             let list = tokio::select! {
                 biased;
                 () = node.moved().notified() => {
-                    (connection, wait) = (None, Duration::ZERO);
+                    (connection, wait) = moved(&*node).await;
                     continue;
                 }
                 list = call(&*node, &mut connection, wait, wait + at_once(&*node)) => list,
@@ -145,6 +152,12 @@
     }
 }
 
+/// A new discovery is asked for its whole list, and all nodes are told of it together: each has its own moment.
+async fn moved(node: &impl Subscriber) -> (Option<Sender>, Duration) {
+    sleep(at_once(node).min(MOVED_MOST).mul_f64(node.place_in_spread())).await;
+    (None, Duration::ZERO)
+}
+
 /// How long an answer may take that has nothing to wait for.
 fn at_once(node: &impl Subscriber) -> Duration {
     node.drain_grace().mul_f64(SILENT_PART).max(SILENT_LEAST)
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -89,6 +89,8 @@
     revision: Cell<Option<u64>>,
     /// Whether the log has said why no list comes.
     failure_told: Cell<bool>,
+    /// This node's place where all nodes want the same at once.
+    place_in_spread: f64,
     started: Instant,
     started_unix_ms: f64,
 }
@@ -105,6 +107,7 @@
         let node = Rc::new(Self {
             upstream: Upstream::new(&config),
             discovery: Cell::new(config.discovery),
+            place_in_spread: fastrand::Rng::with_seed(!config.seed).f64(),
             config,
             subscribed: Notify::new(),
             moved: Notify::new(),
@@ -451,6 +454,10 @@
             && held.entry == self.entry(member, held.entry.server, held.entry.key)
     }
 
+    fn place_in_spread(&self) -> f64 {
+        self.place_in_spread
+    }
+
     fn call_failed(&self, why: &CallError) {
         if !self.failure_told.replace(true) {
             self.note(&format!("a call for the list failed: {why}"));
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -2,14 +2,19 @@
 
 mod net;
 
+use std::cell::Cell;
 use std::io::{BufReader, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use net::*;
 use serde_json::{json, Value};
+use spurdrum::net::discovery::{self, Subscriber};
 use spurdrum::net::list::{Decoder, List, ListError};
+use tokio::sync::Notify;
+use tokio::task::LocalSet;
 
 /// As long as a 2.7 MB list: the whole fleet's.
 const LONG_LIST: usize = 21_000;
@@ -84,7 +89,7 @@
 fn a_discovery_that_can_be_reached_again_is_asked_in_time() {
     let mut config = patient(&[]);
     let mut node = Node::start(&config);
-    let mut lost = |node: &mut Node, address: std::net::SocketAddr| {
+    let mut lost = |node: &mut Node, address: SocketAddr| {
         config["discovery"] = json!(address.to_string());
         node.reload(&config.to_string());
         while !node.logged().contains("does not come") {}
@@ -211,6 +216,68 @@
     assert!(!servers[1].has_request());
 }
 
+// ---- Calls for whole lists
+
+/// Stands for a node, at a place of its own among those that are told of a new discovery together.
+struct Follower {
+    place: f64,
+    discovery: SocketAddr,
+    revision: Cell<Option<u64>>,
+    wanted: Notify,
+    moved: Notify,
+}
+
+impl Subscriber for Follower {
+    fn wanted(&self) -> &Notify {
+        &self.wanted
+    }
+    fn moved(&self) -> &Notify {
+        &self.moved
+    }
+    fn discovery(&self) -> SocketAddr {
+        self.discovery
+    }
+    fn revision(&self) -> Option<u64> {
+        self.revision.get()
+    }
+    fn drain_grace(&self) -> Duration {
+        Duration::from_secs(20)
+    }
+    fn listed(self: &Rc<Self>, list: List) {
+        self.revision.set(Some(list.revision));
+    }
+    fn list_failed(self: &Rc<Self>) {}
+    fn place_in_spread(&self) -> f64 {
+        self.place
+    }
+}
+
+/// All nodes hear of a new discovery in the same moment, and each wants its whole list.
+#[test]
+fn whole_lists_of_a_new_discovery_are_asked_for_one_after_the_other() {
+    let discovery = Server::start();
+    let address = discovery.address;
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            let follow = |place| {
+                let (revision, wanted, moved) = (Cell::default(), Notify::new(), Notify::new());
+                let node = Rc::new(Follower { place, discovery: address, revision, wanted, moved });
+                node.moved.notify_one();
+                discovery::follow(node, None)
+            };
+            tokio::join!(follow(1.0), follow(0.0))
+        });
+    });
+    let first = discovery.request();
+    assert_eq!(first.request.first, "GET /catalog/members HTTP/1.1");
+    first.answer(OK, "", list(3, true, &[]).to_string().as_bytes());
+    asks_since(&discovery.request(), 3);
+    let second = discovery.request();
+    assert_eq!(second.request.first, "GET /catalog/members HTTP/1.1");
+    assert_ne!(second.connection, 0);
+}
+
 // ---- The decoder
 
 fn decode(text: &[u8], piece: usize, most: usize) -> Result<List, ListError> {
