Give up a silent call for the list within the 6 s, however long the grace after a drain

Cause. discovery.rs, `at_once`: a call is thought silent after a quarter of `drain_grace_ms`, with no other bound, and rules.rs, `resubscribe`, waits as long where lists are pushed. At 2 s of grace that is 0.5 s. Drains are safe with any grace, as what is told late may be sent to for longer; but a start of a server counts as told after 6 s, too, and from a grace of some 16 s on a silent watch alone lasts longer than that (by arithmetic). A start with discovery silent took as long: at a grace of an hour a node was not listening within 90 s (measured).

A call is silent after 1.5 s at the latest, and the wait after it is 2.4 s at the most also where lists are pushed: 1.5 + 2.4 + 1.5 s, or 2 + 1.5 s for a silent watch and the short first wait. Nothing changes for the call at a grace of 6 s or less, and for the wait at one of 9.6 s or less.

Tests over sockets: the calls that fail now do so at a grace of an hour, and a node starts with a silent discovery there. Without the bound both fail: no call within 90 s, and not listening within 90 s. ./test.sh passed.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -24,8 +24,11 @@
 /// A call is silent when its answer has not begun within this part of the grace after a drain, past its wait. Two
 /// such times, with the pause between, are less than the grace: news that counts at once is heard in it.
 const SILENT_PART: f64 = 0.25;
-/// ... or within this time, where the grace is very short.
+/// ... or within this time, where the grace is very short ...
 const SILENT_LEAST: Duration = Duration::from_millis(100);
+/// ... or very long: two such times, with the longest pause between, are less than the 6 s after which a change
+/// counts as told, as is one past the wait.
+const SILENT_MOST: Duration = Duration::from_millis(1500);
 /// A list that has begun to come has so many of these times to be whole. One that comes in drips is given up
 /// then, and with the next call's time and the pause between the grace is not over.
 const WHOLE_WITHIN: u32 = 2;
@@ -160,7 +163,7 @@
 
 /// How long an answer may take that has nothing to wait for.
 fn at_once(node: &impl Subscriber) -> Duration {
-    node.drain_grace().mul_f64(SILENT_PART).max(SILENT_LEAST)
+    node.drain_grace().mul_f64(SILENT_PART).clamp(SILENT_LEAST, SILENT_MOST)
 }
 
 /// A connection to discovery.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -360,10 +360,10 @@
             actions.push(Action::Note("the list of servers does not come".into()));
         }
         self.asking = true;
-        let most = self.settings.ask_within_ms * RESUBSCRIBE_MOST;
+        let most = (self.settings.ask_within_ms * RESUBSCRIBE_MOST).min(TOLD_MS * TOLD_PART);
         let most = match self.settings.discovery {
             Discovery::Push => most.min(self.settings.drain_grace_ms * PUSHED_MOST),
-            Discovery::Subscribe => most.min(TOLD_MS * TOLD_PART),
+            Discovery::Subscribe => most,
         };
         let most = most.max(AGAIN_LEAST_MS);
         let after_ms = most / 2_f64.powi(4 - self.failed_calls) * (0.5 + 0.5 * self.random.f64());
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -21,10 +21,10 @@
 /// A change counts as told 6 s after discovery could be reached, and then a server may be sent to for 2 s.
 const TOLD: Duration = Duration::from_secs(6 + 2);
 
-/// A configuration under which a node that goes by `ask_within_ms` alone would stay away for very long.
+/// A configuration under which a node that goes by the settings alone would stay away for very long.
 fn patient(members: &[Value]) -> Value {
     let mut config = config(members);
-    config["settings"]["rules"] = json!({"ask_within_ms": 3_600_000.0, "drain_grace_ms": 2_000.0});
+    config["settings"]["rules"] = json!({"ask_within_ms": 3_600_000.0, "drain_grace_ms": 3_600_000.0});
     config
 }
 
@@ -113,6 +113,16 @@
     assert_eq!(call, "GET /catalog/members HTTP/1.1", "another discovery's versions may be others");
 }
 
+/// The same at the start, where clients wait for the node.
+#[test]
+fn a_silent_discovery_does_not_keep_a_node_from_its_start() {
+    let server = Server::start();
+    let (since, mut silent) = (Instant::now(), None);
+    let node = Node::start_told(&patient(&members(&[&server])), |_, first| silent = Some(first));
+    assert!(since.elapsed() < Duration::from_secs(10), "{:?}", since.elapsed());
+    served_by(&node, &server);
+}
+
 /// The first call that comes, on whatever connection.
 fn asked(listener: &TcpListener) -> (TcpStream, String) {
     loop {
