Add the fleet emulator: slopes of the module and discovery, and a small play of silence

A workspace member with a package of its own: a stand-in discovery and hollow servers and nodes on loopback addresses. The nodes run the project's Balancer and discovery client. The node's package, its dependencies and the deploy file stay as they were.

--- /dev/null
+++ b/fleet/src/discovery.rs
@@ -0,0 +1,117 @@
+//! The stand-in discovery: one agent for each region, as the protocol page's chapter 'Discovery' has it.
+
+use std::convert::Infallible;
+use std::net::TcpListener;
+use std::sync::atomic::Ordering::Relaxed;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
+use tokio::time::timeout;
+
+use crate::traffic::Counted;
+use crate::world::{accept, World};
+
+/// No watch waits longer.
+const WAIT_MOST: Duration = Duration::from_secs(60);
+
+/// What is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ask {
+    /// The whole list.
+    Whole,
+    /// What is newer than a version, once there is something.
+    Since {
+        /// The version that is held.
+        revision: u64,
+        /// The longest wait.
+        wait: Duration,
+    },
+}
+
+impl Ask {
+    /// Reads the path and query of a call; the error is the status to answer with.
+    ///
+    /// # Errors
+    ///
+    /// 404 for another path, 400 for a query that cannot be read.
+    pub fn parse(uri: &Uri) -> Result<Self, StatusCode> {
+        if uri.path() != "/catalog/members" {
+            return Err(StatusCode::NOT_FOUND);
+        }
+        let (mut since, mut wait_ms) = (None, 0);
+        for pair in uri.query().into_iter().flat_map(|query| query.split('&')) {
+            let (key, value) = pair.split_once('=').ok_or(StatusCode::BAD_REQUEST)?;
+            let value: u64 = value.parse().map_err(|_| StatusCode::BAD_REQUEST)?;
+            match key {
+                "since" => since = Some(value),
+                "timeout_ms" => wait_ms = value,
+                _ => return Err(StatusCode::BAD_REQUEST),
+            }
+        }
+        let wait = Duration::from_millis(wait_ms).min(WAIT_MOST);
+        Ok(since.map_or(Self::Whole, |revision| Self::Since { revision, wait }))
+    }
+}
+
+/// Serves the agent of one region; runs within a `LocalSet`, for as long as that does.
+pub async fn serve(listener: TcpListener, world: Arc<World>, region: usize) {
+    accept(listener, |stream| {
+        let world = Arc::clone(&world);
+        tokio::task::spawn_local(async move {
+            // Small answers must not wait for the client's acknowledgement.
+            let _ = stream.set_nodelay(true);
+            let stream = TokioIo::new(Counted::new(stream, Arc::clone(&world.discovery)));
+            let service = service_fn(|request| answer(&world, region, request));
+            // It fails where the client breaks the connection off, as it does when the agent is silent.
+            let _ = http1::Builder::new().serve_connection(stream, service).await;
+        });
+    })
+    .await;
+}
+
+async fn answer(
+    world: &World,
+    region: usize,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    world.discovery.message();
+    let status = |code| {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = code;
+        Ok(response)
+    };
+    if request.method() != Method::GET {
+        return status(StatusCode::METHOD_NOT_ALLOWED);
+    }
+    let ask = match Ask::parse(request.uri()) {
+        Ok(ask) => ask,
+        Err(code) => return status(code),
+    };
+    if let Ask::Since { revision, wait } = ask {
+        // A wait that ends without news is answered as well.
+        let _ = timeout(wait, world.newest().wait_for(|newest| *newest != revision)).await;
+    }
+    // An agent that is silent leaves the call open: the client gives up, and this future is dropped.
+    world.heard(region).await;
+    let mut catalogue = world.catalogue();
+    let answer = match ask {
+        Ask::Whole => catalogue.whole(),
+        Ask::Since { revision, .. } => catalogue.since(revision),
+    };
+    drop(catalogue);
+    let count = match answer.members {
+        _ if answer.complete => &world.counts.whole_lists,
+        0 => &world.counts.no_news,
+        _ => &world.counts.changes,
+    };
+    count.fetch_add(1, Relaxed);
+    let response = Response::builder().header("Content-Type", "application/json");
+    Ok(response.body(Full::new(answer.body)).expect("a sound response"))
+}
--- /dev/null
+++ b/fleet/src/fit.rs
@@ -0,0 +1,39 @@
+//! A straight line through measured points, by least squares.
+
+use serde::Serialize;
+
+/// A line `y = intercept + slope * x`, and the power law that fits the same points.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Fit {
+    /// Units of `y` for each unit of `x`.
+    pub slope: f64,
+    /// `y` where `x` is 0.
+    pub intercept: f64,
+    /// Part of the variance of `y` that the line accounts for; 1 where all points lie on it.
+    pub r2: f64,
+    /// The slope of `ln y` over `ln x`: 1 for what grows in proportion. `None` where a value is not above 0.
+    pub exponent: Option<f64>,
+}
+
+/// Fits a line to the points; `None` for fewer than two different `x`.
+#[must_use]
+pub fn fit(points: &[(f64, f64)]) -> Option<Fit> {
+    let (slope, intercept, r2) = line(points)?;
+    let positive = points.iter().all(|(x, y)| *x > 0.0 && *y > 0.0);
+    let logs: Vec<_> = points.iter().map(|(x, y)| (x.ln(), y.ln())).collect();
+    let exponent = if positive { line(&logs).map(|(slope, ..)| slope) } else { None };
+    Some(Fit { slope, intercept, r2, exponent })
+}
+
+fn line(points: &[(f64, f64)]) -> Option<(f64, f64, f64)> {
+    let n = points.len() as f64;
+    let mean = |of: fn(&(f64, f64)) -> f64| points.iter().map(of).sum::<f64>() / n;
+    let (x, y) = (mean(|p| p.0), mean(|p| p.1));
+    let sum = |of: &dyn Fn(f64, f64) -> f64| points.iter().map(|p| of(p.0 - x, p.1 - y)).sum::<f64>();
+    let (xx, xy, yy) = (sum(&|a, _| a * a), sum(&|a, b| a * b), sum(&|_, b| b * b));
+    if points.len() < 2 || xx <= 0.0 {
+        return None;
+    }
+    let r2 = if yy > 0.0 { xy * xy / (xx * yy) } else { 1.0 };
+    Some((xy / xx, y - xy / xx * x, r2))
+}
--- /dev/null
+++ b/fleet/src/node.rs
@@ -0,0 +1,475 @@
+//! Hollow nodes: the project's own decisions and its own discovery client, many to a thread.
+//!
+//! A thread's nodes share their connections to the hollow servers, and count into one tally. A node keeps its
+//! `Balancer` and little more: the names of servers are their numbers, and their addresses the catalogue's.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::StatusCode;
+use hyper_util::rt::TokioIo;
+use spurdrum::net::config::{load_report, List, Phase};
+use spurdrum::net::discovery::{self, Subscriber};
+use spurdrum::{
+    wire, Action, Availability, Balancer, Ending, Event, Listing, Outcome, Report, Request, RequestId,
+    ServerEntry, ServerId, Settings,
+};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot, Notify, Semaphore};
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, timeout};
+
+use crate::catalogue::{self, Size};
+use crate::tally::Tally;
+use crate::world::World;
+
+/// Nodes of a thread that may read their first list at once. They share one core, which real nodes do not: all at
+/// once each would miss the client's time limit for it.
+const STARTING_MOST: usize = 2;
+/// An answer of a hollow server is no longer than this.
+const ANSWER_MOST: usize = 1 << 10;
+/// Idle connections kept to the servers of one rack, for all nodes of a thread.
+const IDLE_MOST: usize = 32;
+
+/// What all hollow nodes are told.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// How many there are of each.
+    pub size: Size,
+    /// All random numbers follow from it.
+    pub seed: u64,
+    /// Where the agent of each region listens.
+    pub agents: Vec<SocketAddr>,
+    /// The settings; `me` and `zone` are each node's own.
+    pub settings: Settings,
+    /// Requests that come to one node in a second, on average.
+    pub requests_per_s: f64,
+}
+
+/// What a thread of nodes is to do.
+#[derive(Clone, Copy, Debug)]
+pub enum Command {
+    /// Ends a node, where it runs, and starts it.
+    Start(usize),
+}
+
+/// The tally of a thread, shared with who reads it.
+pub type SharedTally = Arc<Mutex<Tally>>;
+
+/// Locks a tally.
+pub fn lock(tally: &Mutex<Tally>) -> MutexGuard<'_, Tally> {
+    tally.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The nodes of one thread and what they share.
+struct Crew {
+    plan: Arc<Plan>,
+    world: Arc<World>,
+    zones: Vec<String>,
+    tally: SharedTally,
+    idle: RefCell<HashMap<SocketAddr, Vec<SendRequest<Empty<Bytes>>>>>,
+    /// Versions held by the nodes that run, for who waits until all have the newest.
+    held: Arc<Held>,
+    starting: Semaphore,
+}
+
+/// The version that each node holds; 0 for none.
+#[derive(Debug)]
+pub struct Held(Vec<std::sync::atomic::AtomicU64>);
+
+impl Held {
+    /// None holds any yet.
+    #[must_use]
+    pub fn new(nodes: usize) -> Self {
+        Self((0..nodes).map(|_| 0.into()).collect())
+    }
+
+    /// The versions, by node.
+    pub fn versions(&self) -> impl Iterator<Item = u64> + '_ {
+        self.0.iter().map(|version| version.load(std::sync::atomic::Ordering::Relaxed))
+    }
+
+    fn set(&self, node: usize, version: u64) {
+        self.0[node].store(version, std::sync::atomic::Ordering::Relaxed);
+    }
+}
+
+/// Runs the nodes of a thread until no command can come any more; runs within a `LocalSet`.
+pub async fn run(
+    plan: Arc<Plan>,
+    world: Arc<World>,
+    tally: SharedTally,
+    held: Arc<Held>,
+    mut commands: mpsc::UnboundedReceiver<Command>,
+) {
+    let crew = Rc::new(Crew {
+        zones: catalogue::zone_names(plan.size),
+        plan,
+        world,
+        tally,
+        idle: RefCell::default(),
+        held,
+        starting: Semaphore::new(STARTING_MOST),
+    });
+    let mut running: HashMap<usize, (Rc<HollowNode>, Vec<AbortHandle>)> = HashMap::new();
+    while let Some(Command::Start(number)) = commands.recv().await {
+        if let Some((old, tasks)) = running.remove(&number) {
+            old.end();
+            tasks.iter().for_each(AbortHandle::abort);
+        }
+        match HollowNode::new(&crew, number) {
+            Ok(node) => {
+                let follow = tokio::task::spawn_local(Rc::clone(&node).follow());
+                let take = tokio::task::spawn_local(Rc::clone(&node).take_requests());
+                running.insert(number, (node, vec![follow.abort_handle(), take.abort_handle()]));
+            }
+            Err(error) => tracing::error!(number, %error, "a node cannot start"),
+        }
+    }
+}
+
+/// A request that a node holds.
+#[derive(Default)]
+struct Taken {
+    answered: bool,
+    /// Each attempt, while it is out.
+    attempts: Vec<Option<oneshot::Sender<()>>>,
+}
+
+/// A node that is all decisions and discovery.
+pub struct HollowNode {
+    crew: Rc<Crew>,
+    number: usize,
+    region: usize,
+    wanted: Notify,
+    moved: Notify,
+    started: Instant,
+    revision: Cell<Option<u64>>,
+    over: Cell<bool>,
+    balancer: RefCell<Balancer>,
+    taken: RefCell<HashMap<RequestId, Taken>>,
+    last_request: Cell<u64>,
+}
+
+impl HollowNode {
+    fn new(crew: &Rc<Crew>, number: usize) -> Result<Rc<Self>, spurdrum::SettingsError> {
+        let size = crew.plan.size;
+        let zone = size.zone(number);
+        let mut settings = crew.plan.settings.clone();
+        (settings.nodes, settings.me, settings.zone) = (size.nodes, number, zone);
+        let balancer = Balancer::new(settings, crew.plan.seed ^ number as u64)?;
+        crew.held.set(number, 0);
+        lock(&crew.tally).starts += 1;
+        let node = Rc::new(Self {
+            crew: Rc::clone(crew),
+            number,
+            region: size.region(zone),
+            wanted: Notify::new(),
+            moved: Notify::new(),
+            started: Instant::now(),
+            revision: Cell::new(None),
+            over: Cell::new(false),
+            balancer: RefCell::new(balancer),
+            taken: RefCell::default(),
+            last_request: Cell::new(0),
+        });
+        // As the real node does where lists are pushed.
+        node.wanted.notify_one();
+        Ok(node)
+    }
+
+    /// The process has ended: what is still out concerns nobody.
+    fn end(&self) {
+        self.over.set(true);
+        self.taken.borrow_mut().clear();
+    }
+
+    async fn follow(self: Rc<Self>) {
+        let known = {
+            let _permit = self.crew.starting.acquire().await;
+            discovery::first(&self).await
+        };
+        discovery::follow(self, known).await;
+    }
+
+    // ---- Requests
+
+    async fn take_requests(self: Rc<Self>) {
+        let rate = self.crew.plan.requests_per_s;
+        if rate <= 0.0 {
+            return;
+        }
+        let mut random = fastrand::Rng::with_seed(self.crew.plan.seed.rotate_left(32) ^ self.number as u64);
+        loop {
+            let gap = -(1.0 - random.f64()).ln() / rate;
+            sleep(Duration::from_secs_f64(gap)).await;
+            if self.revision.get().is_some() {
+                let classes = self.crew.plan.settings.classes.len();
+                self.take(random.usize(0..classes));
+            }
+        }
+    }
+
+    fn take(self: &Rc<Self>, class: usize) {
+        let id = RequestId(self.last_request.get() + 1);
+        self.last_request.set(id.0);
+        self.taken.borrow_mut().insert(id, Taken::default());
+        let begun = Instant::now();
+        let budget_ms = self.crew.plan.settings.classes[class].deadline_ms;
+        let actions = self.decide(Event::Request(Request::new(id, class, budget_ms)));
+        let mut tally = lock(&self.crew.tally);
+        tally.request.add(begun.elapsed());
+        tally.requests += 1;
+        drop(tally);
+        self.carry_out(actions);
+        self.forget_if_over(id);
+    }
+
+    fn handle(self: &Rc<Self>, event: Event) {
+        let actions = self.decide(event);
+        self.carry_out(actions);
+    }
+
+    fn decide(&self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if !self.over.get() {
+            self.balancer.borrow_mut().handle(self.crew.world.now_ms(), event, &mut actions);
+        }
+        actions
+    }
+
+    fn carry_out(self: &Rc<Self>, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { request, server, .. } => self.send(request, server),
+                Action::Probe { server } => self.probe(server),
+                Action::Cancel { request, attempt } => {
+                    let mut taken = self.taken.borrow_mut();
+                    let out = taken.get_mut(&request).and_then(|held| held.attempts.get_mut(attempt));
+                    // Dropped, it tells the attempt to end.
+                    drop(out.and_then(Option::take));
+                }
+                Action::Refuse { request, .. } => self.answer(request, |tally| tally.refused += 1),
+                Action::Fail { request } => self.answer(request, |tally| tally.failed += 1),
+                Action::Subscribe => self.wanted.notify_one(),
+                Action::SetTimer { timer, after_ms } => {
+                    let node = Rc::clone(self);
+                    let after = Duration::try_from_secs_f64(after_ms / 1000.0).unwrap_or_default();
+                    tokio::task::spawn_local(async move {
+                        sleep(after).await;
+                        node.handle(Event::Timer(timer));
+                    });
+                }
+                Action::Note(text) => tracing::debug!(node = self.number, "{text}"),
+            }
+        }
+    }
+
+    fn answer(&self, request: RequestId, count: impl FnOnce(&mut Tally)) {
+        if let Some(held) = self.taken.borrow_mut().get_mut(&request) {
+            if !std::mem::replace(&mut held.answered, true) {
+                count(&mut lock(&self.crew.tally));
+            }
+        }
+        self.forget_if_over(request);
+    }
+
+    fn forget_if_over(&self, request: RequestId) {
+        let mut taken = self.taken.borrow_mut();
+        if taken.get(&request).is_some_and(|held| held.answered && held.attempts.iter().all(Option::is_none))
+        {
+            taken.remove(&request);
+        }
+    }
+
+    fn send(self: &Rc<Self>, request: RequestId, server: ServerId) {
+        let mut taken = self.taken.borrow_mut();
+        let Some(held) = taken.get_mut(&request) else { return };
+        let (stop, stopped) = oneshot::channel();
+        let attempt = held.attempts.len();
+        held.attempts.push(Some(stop));
+        lock(&self.crew.tally).sends += 1;
+        let node = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let begun = Instant::now();
+            let (ending, report) = tokio::select! {
+                reply = node.crew.call(server, node.region, "/api") => reply,
+                _ = stopped => (Ending::Cancelled, None),
+            };
+            node.ended(request, attempt, begun.elapsed(), ending, report);
+        });
+    }
+
+    fn ended(
+        self: &Rc<Self>,
+        request: RequestId,
+        attempt: usize,
+        elapsed: Duration,
+        ending: Ending,
+        report: Option<Report>,
+    ) {
+        if let Some(held) = self.taken.borrow_mut().get_mut(&request) {
+            held.attempts[attempt] = None;
+        }
+        if ending == Ending::Served {
+            self.answer(request, |tally| tally.served += 1);
+        }
+        let complete = self.taken.borrow().get(&request).is_none_or(|held| held.answered);
+        let elapsed_ms = elapsed.as_secs_f64() * 1000.0;
+        self.handle(Event::Outcome(Outcome { request, attempt, elapsed_ms, ending, complete, report }));
+        self.forget_if_over(request);
+    }
+
+    fn probe(self: &Rc<Self>, server: ServerId) {
+        lock(&self.crew.tally).probes += 1;
+        let node = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let (ending, report) = node.crew.call(server, node.region, "/_load").await;
+            node.handle(Event::Probed { server, ending, report });
+        });
+    }
+}
+
+impl Crew {
+    /// The longest that an attempt may take.
+    fn longest(&self) -> Duration {
+        let longest = self.plan.settings.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
+        Duration::try_from_secs_f64(longest / 1000.0).unwrap_or_default()
+    }
+
+    async fn call(&self, server: ServerId, region: usize, path: &str) -> (Ending, Option<Report>) {
+        let call = self.exchange(server, region, path);
+        timeout(self.longest(), call).await.unwrap_or((Ending::TimedOut, None))
+    }
+
+    async fn exchange(&self, server: ServerId, region: usize, path: &str) -> (Ending, Option<Report>) {
+        let Some(address) = self.world.catalogue().address(server.0) else {
+            return (Ending::Unreachable, None);
+        };
+        let Some(mut sender) = self.connection(address).await else { return (Ending::Unreachable, None) };
+        let request = hyper::Request::get(path).header("Host", catalogue::name(server.0));
+        let request = request.header("X-From", region).body(Empty::new()).expect("a sound request");
+        let Ok(response) = sender.send_request(request).await else { return (Ending::Reset, None) };
+        let (head, body) = response.into_parts();
+        let whole = Limited::new(body, ANSWER_MOST).collect().await.is_ok();
+        let mut idle = self.idle.borrow_mut();
+        let idle = idle.entry(address).or_default();
+        if whole && idle.len() < IDLE_MOST {
+            idle.push(sender);
+        }
+        let report = head.headers.get("x-load").and_then(|load| load.to_str().ok()).and_then(load_report);
+        let ending = match head.status {
+            _ if !whole => Ending::Reset,
+            StatusCode::OK => Ending::Served,
+            // Stands for a refused connection.
+            StatusCode::GONE => Ending::Unreachable,
+            _ => Ending::Error,
+        };
+        (ending, report)
+    }
+
+    async fn connection(&self, address: SocketAddr) -> Option<SendRequest<Empty<Bytes>>> {
+        loop {
+            let kept = self.idle.borrow_mut().get_mut(&address).and_then(Vec::pop);
+            let Some(mut kept) = kept else { break };
+            if kept.ready().await.is_ok() {
+                return Some(kept);
+            }
+        }
+        let stream = TcpStream::connect(address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::task::spawn_local(connection);
+        Some(sender)
+    }
+}
+
+/// A list as the decisions take it.
+#[must_use]
+pub fn listing(list: &List, zones: &[String]) -> Listing {
+    let entry = |member: &spurdrum::net::config::Member| {
+        Some(ServerEntry {
+            server: ServerId(catalogue::number(&member.id)?),
+            availability: match member.phase {
+                Phase::Active => Availability::Ready,
+                Phase::Leaving => Availability::Draining,
+                Phase::Left => Availability::Gone,
+            },
+            started_at: Some(member.up_since_ms).filter(|at| *at > 0.0),
+            cell: member.cell,
+            zone: zones.iter().position(|zone| *zone == member.locality).unwrap_or(zones.len()),
+            kind: 0,
+            weight: member.size,
+            key: wire::key(&member.id),
+        })
+    };
+    let entries = list.members.iter().filter_map(entry).collect();
+    if list.complete {
+        Listing::Full(entries)
+    } else {
+        Listing::Changes(entries)
+    }
+}
+
+impl Subscriber for HollowNode {
+    fn wanted(&self) -> &Notify {
+        &self.wanted
+    }
+
+    fn moved(&self) -> &Notify {
+        &self.moved
+    }
+
+    fn discovery(&self) -> SocketAddr {
+        self.crew.plan.agents[self.region]
+    }
+
+    fn revision(&self) -> Option<u64> {
+        self.revision.get()
+    }
+
+    fn drain_grace(&self) -> Duration {
+        Duration::try_from_secs_f64(self.crew.plan.settings.drain_grace_ms / 1000.0).unwrap_or_default()
+    }
+
+    fn listed(self: &Rc<Self>, list: List) {
+        if self.over.get() {
+            return;
+        }
+        let before = self.revision.replace(Some(list.revision));
+        let listing = listing(&list, &self.crew.zones);
+        let (revision, complete) = (list.revision, list.complete);
+        drop(list);
+        let begun = Instant::now();
+        let actions = self.decide(Event::Servers(listing));
+        // Only now do the decisions go by it.
+        let now = Instant::now();
+        let mut tally = lock(&self.crew.tally);
+        tally.listing.add(now - begun);
+        tally.lists += 1;
+        tally.whole_lists += u64::from(complete);
+        match before {
+            None => tally.start.add(now - self.started),
+            Some(before) if before < revision => {
+                let catalogue = self.crew.world.catalogue();
+                tally.advanced(now, before, revision, |version| catalogue.published(version));
+            }
+            Some(_) => {}
+        }
+        drop(tally);
+        self.crew.held.set(self.number, revision);
+        self.carry_out(actions);
+    }
+
+    fn list_failed(self: &Rc<Self>) {
+        lock(&self.crew.tally).failed_calls += 1;
+        self.handle(Event::Servers(Listing::Failed));
+    }
+}
--- /dev/null
+++ b/fleet/src/report.rs
@@ -0,0 +1,79 @@
+//! The report of a run: JSON that is either there whole or not at all.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+use serde::Serialize;
+use tempfile::NamedTempFile;
+
+use crate::traffic::Sums;
+use crate::usage::Memory;
+
+/// A report could not be written; what stood at its place still stands.
+#[derive(Debug, thiserror::Error)]
+#[error("cannot write the report {path}: {source}")]
+pub struct ReportError {
+    path: PathBuf,
+    source: io::Error,
+}
+
+/// What every run tells, whatever it measured.
+#[derive(Debug, Serialize)]
+pub struct Report<S, R> {
+    /// `play` or `slopes`.
+    pub command: &'static str,
+    /// All random numbers follow from it.
+    pub seed: u64,
+    /// The commit that was checked out where the run began, or `unknown`.
+    pub commit: String,
+    /// Whether files differed from that commit.
+    pub modified: bool,
+    /// The settings of the run.
+    pub settings: S,
+    /// Memory of the process, in bytes.
+    pub memory: Memory,
+    /// Processor seconds by role of thread.
+    pub cpu_seconds: BTreeMap<String, f64>,
+    /// Bytes and messages by role.
+    pub traffic: BTreeMap<String, Sums>,
+    /// What was measured.
+    pub results: R,
+}
+
+impl<S: Serialize, R: Serialize> Report<S, R> {
+    /// Writes the report into a file beside `path`, and puts that in its place in one step.
+    ///
+    /// # Errors
+    ///
+    /// Where the folder cannot be made or written to.
+    pub fn write(&self, path: &Path) -> Result<(), ReportError> {
+        write_whole(path, self).map_err(|source| ReportError { path: path.to_owned(), source })
+    }
+}
+
+fn write_whole(path: &Path, report: &impl Serialize) -> io::Result<()> {
+    let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    fs::create_dir_all(folder)?;
+    let mut file = NamedTempFile::new_in(folder)?;
+    serde_json::to_writer_pretty(&mut file, report)?;
+    file.write_all(b"\n")?;
+    file.as_file().sync_all()?;
+    file.persist(path)?;
+    Ok(())
+}
+
+/// The commit that is checked out in the working folder, and whether files differ from it.
+#[must_use]
+pub fn commit() -> (String, bool) {
+    let git = |arguments: &[&str]| {
+        let output = Command::new("git").args(arguments).output().ok()?;
+        let text = String::from_utf8(output.stdout).ok()?;
+        output.status.success().then(|| text.trim().to_owned())
+    };
+    let commit = git(&["rev-parse", "HEAD"]);
+    let modified = commit.is_some() && git(&["status", "--porcelain"]).is_some_and(|text| !text.is_empty());
+    (commit.unwrap_or_else(|| "unknown".into()), modified)
+}
--- a/test.sh
+++ b/test.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 cargo fmt --check
-cargo clippy --locked --all-targets -- -D warnings
-RUSTDOCFLAGS="-D warnings" cargo doc --locked --no-deps --lib
+cargo clippy --locked --workspace --all-targets -- -D warnings
+RUSTDOCFLAGS="-D warnings" cargo doc --locked --workspace --no-deps --lib
 cargo build --locked --release
-cargo test --locked
+cargo test --locked --workspace
