--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -22,7 +22,7 @@
     ServerEntry, ServerId, Settings,
 };
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot, Notify, Semaphore};
+use tokio::sync::{mpsc, oneshot, watch, Notify, Semaphore};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
@@ -33,6 +33,8 @@
 /// Nodes of a thread that may read their first list at once. They share one core, which real nodes do not: all at
 /// once each would miss the client's time limit for it.
 const STARTING_MOST: usize = 2;
+/// How often a thread sees how late it is.
+const BEAT: Duration = Duration::from_millis(50);
 /// An answer of a hollow server is no longer than this.
 const ANSWER_MOST: usize = 1 << 10;
 /// Idle connections kept to the servers of one rack, for all nodes of a thread.
@@ -75,6 +77,8 @@
     zones: Vec<String>,
     tally: SharedTally,
     idle: RefCell<HashMap<SocketAddr, Vec<SendRequest<Empty<Bytes>>>>>,
+    /// Raised for good when clients come.
+    open: watch::Receiver<bool>,
     /// Versions held by the nodes that run, for who waits until all have the newest.
     held: Arc<Held>,
     starting: Semaphore,
@@ -107,6 +111,7 @@
     world: Arc<World>,
     tally: SharedTally,
     held: Arc<Held>,
+    open: watch::Receiver<bool>,
     mut commands: mpsc::UnboundedReceiver<Command>,
 ) {
     let crew = Rc::new(Crew {
@@ -115,9 +120,11 @@
         world,
         tally,
         idle: RefCell::default(),
+        open,
         held,
         starting: Semaphore::new(STARTING_MOST),
     });
+    tokio::task::spawn_local(Rc::clone(&crew).see_lateness());
     let mut running: HashMap<usize, (Rc<HollowNode>, Vec<AbortHandle>)> = HashMap::new();
     while let Some(Command::Start(number)) = commands.recv().await {
         if let Some((old, tasks)) = running.remove(&number) {
@@ -206,6 +213,8 @@
         if rate <= 0.0 {
             return;
         }
+        // It fails where the play has ended before its start.
+        let _ = self.crew.open.clone().wait_for(|open| *open).await;
         let mut random = fastrand::Rng::with_seed(self.crew.plan.seed.rotate_left(32) ^ self.number as u64);
         loop {
             let gap = -(1.0 - random.f64()).ln() / rate;
@@ -338,6 +347,14 @@
 }
 
 impl Crew {
+    async fn see_lateness(self: Rc<Self>) {
+        loop {
+            let due = Instant::now() + BEAT;
+            tokio::time::sleep_until(due.into()).await;
+            lock(&self.tally).late.add(due.elapsed());
+        }
+    }
+
     /// The longest that an attempt may take.
     fn longest(&self) -> Duration {
         let longest = self.plan.settings.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
--- a/fleet/src/slopes.rs
+++ b/fleet/src/slopes.rs
@@ -39,7 +39,9 @@
 /// Requests of a minute: a connection that is not used for as long is closed.
 const REQUESTS_A_MINUTE: u64 = 3_600;
 /// Memory that states are built up to before their size is told, so that pages do not count.
-const MEMORY_SEEN: usize = 96 << 20;
+const MEMORY_SEEN: usize = 64 << 20;
+/// ... and where a rough figure will do.
+const MEMORY_GUESSED: usize = 12 << 20;
 /// No more states than this are built for it.
 const STATES_MOST: usize = 2_000;
 /// A state takes about as many bytes for a server; for how many are built, and for what is refused.
@@ -59,6 +61,8 @@
     NodeMemory,
     /// Time in which a node's settings are read and its decisions made ready, by tenants.
     TenantStart,
+    /// Time in which a node starts from the list that it last knew, read already, by servers.
+    NodeStart,
     /// Time in which the decisions take a whole list, by servers.
     WholeList,
     /// Time in which they take one change, by servers.
@@ -88,6 +92,10 @@
 }
 
 impl Quantity {
+    fn is_memory(self) -> bool {
+        matches!(self, Self::TenantMemory | Self::BalancerMemory | Self::NodeMemory)
+    }
+
     fn unit(self) -> &'static str {
         match self {
             Self::TenantMemory | Self::BalancerMemory | Self::NodeMemory => "bytes",
@@ -212,29 +220,32 @@
         [] => Quantity::value_variants().to_vec(),
         some => some.to_vec(),
     };
-    // Memory comes first: what others have freed would be used again, unseen.
+    // Memory comes first, before others have freed any.
     quantities.sort_unstable();
     quantities.dedup();
     let sizes = |quantity: Quantity| match options.sizes.as_slice() {
         [] => quantity.usual_sizes().to_vec(),
         some => some.to_vec(),
     };
-    for quantity in &quantities {
-        for size in sizes(*quantity) {
-            allowed(*quantity, size, options.memory_mb)?;
-        }
+    // States stay until all memory is measured: what was freed would be used again, unseen.
+    let of_memory = quantities.iter().filter(|quantity| quantity.is_memory());
+    let states = of_memory.map(|quantity| sizes(*quantity).len()).sum::<usize>() * MEMORY_SEEN;
+    for size in quantities.iter().flat_map(|quantity| sizes(*quantity)) {
+        allowed(size, states, options.memory_mb)?;
     }
-    let mut bench = Bench { seed: options.seed, traffic: Sums::default(), states: Vec::new() };
+    let mut bench = Bench::new(options.seed, MEMORY_SEEN);
     let mut measured =
         Measured { slopes: Vec::new(), cpu_seconds: BTreeMap::new(), traffic: BTreeMap::new() };
     for quantity in quantities {
+        if !quantity.is_memory() {
+            bench.states.clear();
+        }
         let before = usage::process_time();
         let mut points = Vec::new();
         for size in sizes(quantity) {
             points.push(bench.point(quantity, size, options.repeats)?);
             tracing::info!(quantity = quantity.name(), size, value = points.last().and_then(|p| p.value));
         }
-        bench.states.clear();
         let sound: Vec<_> = points.iter().filter_map(|p| Some((p.size as f64, p.value?))).collect();
         let (unit, against) = (quantity.unit(), quantity.against());
         measured.slopes.push(Slope { quantity, unit, against, points, fit: fit(&sound) });
@@ -248,10 +259,9 @@
     Ok(measured)
 }
 
-fn allowed(quantity: Quantity, size: usize, most_mb: u64) -> Result<(), SlopesError> {
-    // A catalogue, its list in bytes, read and as entries, and states up to what they are built up to.
-    let states = if quantity.unit() == "bytes" { MEMORY_SEEN * 6 / 5 } else { 0 };
-    let need_mb = ((size.saturating_mul(4 * STATE_BYTES) + states) >> 20) as u64;
+fn allowed(size: usize, states: usize, most_mb: u64) -> Result<(), SlopesError> {
+    // A catalogue, its list in bytes, read and as entries, and the states that memory is told by.
+    let need_mb = (size.saturating_mul(4 * STATE_BYTES).saturating_add(states) >> 20) as u64;
     match size {
         0 => Err(SlopesError::Zero),
         _ if need_mb > most_mb => Err(SlopesError::TooLarge { size, need_mb, most_mb }),
@@ -302,7 +312,44 @@
     Balancer::new(settings(nodes), seed).map_err(|error| SlopesError::Broken(error.to_string()))
 }
 
-/// A state that is kept until its quantity is through.
+/// A real node's configuration, with nothing to talk to.
+fn config(size: Size, seed: u64, known: List) -> Config {
+    let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let names = Names {
+        classes: vec!["all".into()],
+        tenants: Vec::new(),
+        zones: zone_names(size),
+        kinds: vec![KIND.into()],
+    };
+    Config {
+        name: "hollow".into(),
+        listen: nowhere,
+        discovery: nowhere,
+        seed,
+        sockets: 1024,
+        known,
+        settings: settings(size.nodes),
+        names,
+        conn_idle: Duration::from_secs(60),
+        dial_timeout: Duration::from_millis(400),
+        most_held: usize::MAX,
+    }
+}
+
+/// Bytes that the decisions take for each server, a tenth more than measured. What a process measures after it has
+/// freed memory is too low: to be called first.
+///
+/// # Errors
+///
+/// Where the decisions do not take the list.
+pub fn bytes_per_server() -> Result<u64, SlopesError> {
+    const SERVERS: usize = 2_000;
+    let mut bench = Bench::new(1, MEMORY_GUESSED);
+    let bytes = bench.balancer_memory(SERVERS)? / SERVERS as f64;
+    Ok((bytes * 1.1).ceil() as u64)
+}
+
+/// A state that is kept until all memory is measured.
 enum State {
     Balancer(#[allow(dead_code, reason = "held for its memory")] Box<Balancer>),
     Node(#[allow(dead_code, reason = "held for its memory")] Rc<Node>),
@@ -310,17 +357,23 @@
 
 struct Bench {
     seed: u64,
+    memory_seen: usize,
     traffic: Sums,
     states: Vec<State>,
 }
 
 impl Bench {
+    fn new(seed: u64, memory_seen: usize) -> Self {
+        Self { seed, memory_seen, traffic: Sums::default(), states: Vec::new() }
+    }
+
     fn point(&mut self, quantity: Quantity, size: usize, repeats: usize) -> Result<Point, SlopesError> {
         let values = match quantity {
             Quantity::TenantMemory => vec![self.tenant_memory(size)?],
             Quantity::BalancerMemory => vec![self.balancer_memory(size)?],
             Quantity::NodeMemory => vec![self.node_memory(size)?],
             Quantity::TenantStart => tenant_start(size, repeats)?,
+            Quantity::NodeStart => self.node_start(size, repeats)?,
             Quantity::WholeList => self.whole_list(size, repeats)?,
             Quantity::OneChange => self.one_change(size, repeats)?,
             Quantity::Request => self.request(size, repeats)?,
@@ -352,7 +405,7 @@
         bytes_about: usize,
         mut state: impl FnMut(u64) -> Result<State, SlopesError>,
     ) -> Result<f64, SlopesError> {
-        let count = (MEMORY_SEEN / bytes_about.max(1)).clamp(1, STATES_MOST);
+        let count = (self.memory_seen / bytes_about.max(1)).clamp(1, STATES_MOST);
         // What is needed only while a state is made is there from now on.
         self.states.push(state(self.seed)?);
         let before = Memory::now().resident;
@@ -384,31 +437,26 @@
     fn node_memory(&mut self, servers: usize) -> Result<f64, SlopesError> {
         let size = fleet(servers);
         let body = Catalogue::unheard(size).whole().body;
-        let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
         self.memory(servers * STATE_BYTES, |seed| {
-            let names = Names {
-                classes: vec!["all".into()],
-                tenants: Vec::new(),
-                zones: zone_names(size),
-                kinds: vec![KIND.into()],
-            };
-            let config = Config {
-                name: "hollow".into(),
-                listen: nowhere,
-                discovery: nowhere,
-                seed,
-                sockets: 1024,
-                known: read(&body)?,
-                settings: settings(nodes(servers)),
-                names,
-                conn_idle: Duration::from_secs(60),
-                dial_timeout: Duration::from_millis(400),
-                most_held: usize::MAX,
-            };
+            let config = config(size, seed, read(&body)?);
             Node::start(config).map(State::Node).map_err(SlopesError::Broken)
         })
     }
 
+    fn node_start(&self, servers: usize, repeats: usize) -> Result<Vec<f64>, SlopesError> {
+        let size = fleet(servers);
+        let body = Catalogue::unheard(size).whole().body;
+        let measure = |_| {
+            let config = config(size, self.seed, read(&body)?);
+            let begun = Instant::now();
+            let node = Node::start(config).map_err(SlopesError::Broken)?;
+            let time = begun.elapsed();
+            drop(node);
+            Ok(micros(time))
+        };
+        (0..repeats).map(measure).collect()
+    }
+
     // ---- The decisions
 
     fn whole_list(&self, servers: usize, repeats: usize) -> Result<Vec<f64>, SlopesError> {
@@ -642,6 +690,7 @@
 /// The servers of one service and the decisions of a node about them.
 struct Service {
     balancer: Balancer,
+    random: fastrand::Rng,
     actions: Vec<Action>,
 }
 
@@ -650,10 +699,11 @@
         let mut balancer = balancer(nodes, seed)?;
         let entries = entries(&mut Catalogue::unheard(fleet(servers)))?;
         balancer.handle(0.0, Event::Servers(Listing::Full(entries)), &mut Vec::new());
-        Ok(Self { balancer, actions: Vec::new() })
+        Ok(Self { balancer, random: fastrand::Rng::with_seed(!seed), actions: Vec::new() })
     }
 
-    /// A request that comes at `now` and is answered 5 ms later: where it was sent.
+    /// A request that comes at `now` to servers that hold one to three requests each, and take the longer the more:
+    /// where it was sent.
     fn serve(&mut self, id: u64, now: f64) -> Option<usize> {
         let request = RequestId(id);
         self.actions.clear();
@@ -662,10 +712,12 @@
             Action::Send { server, .. } => Some(server.0),
             _ => None,
         })?;
-        let report = Some(Report { in_flight: Some(1.0), queued: None });
+        let held = f64::from(self.random.u8(1..=3));
+        let elapsed_ms = 5.0 * held * (0.5 + self.random.f64());
+        let report = Some(Report { in_flight: Some(held), queued: None });
         let outcome =
-            Outcome { request, attempt: 0, elapsed_ms: 5.0, ending: Ending::Served, complete: true, report };
-        self.balancer.handle(now + 5.0, Event::Outcome(outcome), &mut self.actions);
+            Outcome { request, attempt: 0, elapsed_ms, ending: Ending::Served, complete: true, report };
+        self.balancer.handle(now + elapsed_ms, Event::Outcome(outcome), &mut self.actions);
         Some(sent)
     }
 }
--- a/fleet/src/steps.rs
+++ b/fleet/src/steps.rs
@@ -70,7 +70,7 @@
     let mut plan =
         Plan { scenario, random: fastrand::Rng::with_seed(scenario.seed), batch: 0, steps: Vec::new() };
     for event in &scenario.events {
-        plan.add(event.at.as_secs_f64(), &event.kind);
+        plan.add(event.at_s, &event.kind);
     }
     // What is due at the same time keeps the order of the file.
     plan.steps.sort_by_key(|(at, _)| *at);
--- a/fleet/src/tally.rs
+++ b/fleet/src/tally.rs
@@ -70,6 +70,8 @@
     pub listing: Times,
     /// What they took for a request.
     pub request: Times,
+    /// How much later than asked for the thread's event loop woke up: what it adds to all other times.
+    pub late: Times,
     /// By version, from the first one of the play.
     pub spread: Vec<Spread>,
     /// Seconds, added up over nodes, on a version that was not the newest.
@@ -119,6 +121,7 @@
         self.start.merge(&other.start);
         self.listing.merge(&other.listing);
         self.request.merge(&other.request);
+        self.late.merge(&other.late);
         self.spread.resize(self.spread.len().max(other.spread.len()), Spread::default());
         for (mine, other) in self.spread.iter_mut().zip(&other.spread) {
             mine.nodes += other.nodes;
