--- a/fleet/src/report.rs
+++ b/fleet/src/report.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fs;
-use std::io::{self, Write};
+use std::io::{self, BufWriter, IntoInnerError, Write};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
@@ -57,9 +57,11 @@
 fn write_whole(path: &Path, report: &impl Serialize) -> io::Result<()> {
     let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
     fs::create_dir_all(folder)?;
-    let mut file = NamedTempFile::new_in(folder)?;
+    let mut file = BufWriter::new(NamedTempFile::new_in(folder)?);
     serde_json::to_writer_pretty(&mut file, report)?;
     file.write_all(b"\n")?;
+    // One that is dropped, here or above, takes its file along.
+    let file = file.into_inner().map_err(IntoInnerError::into_error)?;
     file.as_file().sync_all()?;
     file.persist(path)?;
     Ok(())
--- /dev/null
+++ b/fleet/tests/scenario.rs
@@ -0,0 +1,118 @@
+//! Scenario files: the shipped ones are sound, and a bad one is told by key and line.
+
+use std::path::Path;
+use std::time::Duration;
+
+use fleet::scenario::Scenario;
+use fleet::steps::{steps, Step};
+
+const SOUND: &str = r#"name = "test"
+seed = 7
+duration_s = 20
+[size]
+regions = 2
+zones = 4
+racks = 8
+services = 4
+servers = 40
+nodes = 12
+[load]
+requests_per_s = 10
+[[event]]
+kind = "rack-lost"
+at_s = 1
+rack = 5
+noticed_s = 2.0
+for_s = 6.0
+"#;
+
+fn parse(text: &str) -> Result<Scenario, String> {
+    Scenario::parse(Path::new("test.toml"), text).map_err(|error| error.to_string())
+}
+
+#[test]
+fn a_bad_scenario_is_told_by_key_and_line() {
+    assert!(parse(SOUND).is_ok());
+    // What is replaced by what, and the line and key that the error names.
+    let cases = [
+        ("seed = 7", "seed = -7", 2, "seed"),
+        ("seed = 7", "seed = \"7\"", 2, "seed"),
+        ("seed = 7\n", "", 1, "seed"),
+        ("seed = 7", "seed = 7\nseeds = 8", 3, "seeds"),
+        ("seed = 7", "seed = 7\nseed = 8", 3, "seed"),
+        ("seed = 7", "seed = 7 8", 2, "seed"),
+        ("name = \"test\"", "name = \"../test\"", 1, "name"),
+        ("duration_s = 20", "duration_s = 0", 3, "duration_s"),
+        ("duration_s = 20", "duration_s = nan", 3, "duration_s"),
+        ("duration_s = 20", "duration_s = 20\nsettle_s = -1", 4, "settle_s"),
+        ("zones = 4", "zones = 1", 6, "size.zones"),
+        ("servers = 40", "servers = 4", 9, "size.servers"),
+        ("nodes = 12", "nodes = 0", 10, "size.nodes"),
+        ("nodes = 12", "nodes = 1.5", 10, "nodes"),
+        ("nodes = 12\n", "", 4, "nodes"),
+        ("requests_per_s = 10", "requests_per_s = -1", 12, "load.requests_per_s"),
+        ("requests_per_s = 10", "log_entries = 0", 12, "load.log_entries"),
+        ("requests_per_s = 10", "requests = 10", 12, "requests"),
+        ("kind = \"rack-lost\"", "kind = \"rack-found\"", 14, "kind"),
+        ("kind = \"rack-lost\"\n", "", 13, "kind"),
+        ("at_s = 1\n", "", 13, "at_s"),
+        ("at_s = 1", "at_s = 15", 15, "at_s"),
+        ("rack = 5", "rack = 8", 16, "rack"),
+        ("rack = 5", "rack = 5\nzone = 1", 17, "zone"),
+        ("for_s = 6.0\n", "", 13, "for_s"),
+        ("for_s = 6.0", "for_s = \"long\"", 18, "for_s"),
+    ];
+    for (sound, bad, line, key) in cases {
+        let error = parse(&SOUND.replacen(sound, bad, 1)).expect_err(bad);
+        let expected = format!("test.toml:{line}: `{key}`: ");
+        assert!(error.starts_with(&expected), "`{bad}`: {error}, not {expected}");
+    }
+}
+
+#[test]
+fn the_shipped_scenarios_are_sound_and_show_every_event() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios");
+    let mut kinds = Vec::new();
+    for file in std::fs::read_dir(folder).expect("the folder") {
+        let path = file.expect("a file").path();
+        let scenario = Scenario::read(&path).unwrap_or_else(|error| panic!("{error}"));
+        assert_eq!(path.file_stem().and_then(|stem| stem.to_str()), Some(scenario.name.as_str()));
+        kinds.extend(scenario.events.iter().map(|event| std::mem::discriminant(&event.kind)));
+    }
+    kinds.sort_by_key(|kind| format!("{kind:?}"));
+    kinds.dedup();
+    assert_eq!(kinds.len(), 8);
+}
+
+#[test]
+fn steps_come_in_order_and_from_the_seed_alone() {
+    let text = SOUND.to_owned()
+        + "[[event]]\nkind = \"ordinary-day\"\nat_s = 0\nfor_s = 10\nspeed = 500\n"
+        + "[[event]]\nkind = \"rolling-replacement\"\nat_s = 2\npart = 0.5\nbatches = 4\nover_s = 4\ndrain_s = 3\n";
+    let scenario = parse(&text).expect("sound");
+    let drawn = steps(&scenario);
+    assert_eq!(drawn, steps(&scenario));
+    assert!(drawn.is_sorted_by_key(|(at, _)| *at));
+    let other = parse(&text.replacen("seed = 7", "seed = 8", 1)).expect("sound");
+    assert_ne!(drawn, steps(&other));
+
+    let of_rack = drawn.iter().filter(|(_, step)| match step {
+        Step::Silence(slots) | Step::Unlist(slots) | Step::Return(slots) => slots == &[5, 13, 21, 29, 37],
+        _ => false,
+    });
+    let seconds = |at: &Duration| at.as_secs_f64();
+    assert_eq!(of_rack.map(|(at, _)| seconds(at)).collect::<Vec<_>>(), [1.0, 3.0, 7.0]);
+    // Each batch has its own servers, retired once each, as long after as they drain.
+    let mut replaced: Vec<usize> = Vec::new();
+    for (at, step) in &drawn {
+        if let Step::Replace { batch, slots } = step {
+            replaced.extend(slots);
+            let retired = drawn.iter().filter(|(_, step)| *step == Step::Retire { batch: *batch });
+            let after: Vec<_> = retired.map(|(retired, _)| seconds(retired) - seconds(at)).collect();
+            assert!(matches!(after[..], [after] if (after - 3.0).abs() < 1e-6));
+        }
+    }
+    replaced.sort_unstable();
+    replaced.dedup();
+    assert_eq!(replaced.len(), 20);
+}
