--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -408,6 +408,15 @@
     }
 }
 
+/// A list of the protocol, from its JSON.
+///
+/// # Errors
+///
+/// Where it is none.
+pub fn read_list(body: &[u8]) -> Result<List, String> {
+    serde_json::from_slice(body).map_err(|error| format!("a list: {error}"))
+}
+
 /// A list as the decisions take it.
 #[must_use]
 pub fn listing(list: &List, zones: &[String]) -> Listing {
--- a/fleet/src/slopes.rs
+++ b/fleet/src/slopes.rs
@@ -25,7 +25,7 @@
 use crate::catalogue::{zone_names, Catalogue, Size, KIND};
 use crate::discovery;
 use crate::fit::{fit, Fit};
-use crate::node::listing;
+use crate::node::{listing, read_list};
 use crate::traffic::Sums;
 use crate::usage::{self, thread_time, Memory, TooFewDescriptors};
 use crate::world::{listen, World};
@@ -293,7 +293,7 @@
 }
 
 fn read(body: &[u8]) -> Result<List, SlopesError> {
-    serde_json::from_slice(body).map_err(|error| SlopesError::Broken(format!("a list: {error}")))
+    read_list(body).map_err(SlopesError::Broken)
 }
 
 fn entries(catalogue: &mut Catalogue) -> Result<Vec<ServerEntry>, SlopesError> {
--- a/fleet/tests/catalogue.rs
+++ b/fleet/tests/catalogue.rs
@@ -22,7 +22,7 @@
 }
 
 fn read(body: &[u8]) -> List {
-    serde_json::from_slice(body).expect("a list of the protocol")
+    fleet::node::read_list(body).expect("a list of the protocol")
 }
 
 #[test]
