--- a/fleet/src/slopes.rs
+++ b/fleet/src/slopes.rs
@@ -336,7 +336,7 @@
     }
 }
 
-/// Bytes that the decisions take for each server, a tenth more than measured. What a process measures after it has
+/// Bytes that the decisions take for each server, and a margin for what comes and goes. What a process measures after it has
 /// freed memory is too low: to be called first.
 ///
 /// # Errors
@@ -344,9 +344,10 @@
 /// Where the decisions do not take the list.
 pub fn bytes_per_server() -> Result<u64, SlopesError> {
     const SERVERS: usize = 2_000;
+    const MARGIN: f64 = 1.15;
     let mut bench = Bench::new(1, MEMORY_GUESSED);
     let bytes = bench.balancer_memory(SERVERS)? / SERVERS as f64;
-    Ok((bytes * 1.1).ceil() as u64)
+    Ok((bytes * MARGIN).ceil() as u64)
 }
 
 /// A state that is kept until all memory is measured.
