--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -17,6 +17,7 @@
 use hyper_util::rt::TokioIo;
 use spurdrum::net::config::{load_report, List, Phase};
 use spurdrum::net::discovery::{self, Subscriber};
+use spurdrum::net::list::Decoder;
 use spurdrum::{
     wire, Action, Availability, Balancer, Ending, Event, Listing, Outcome, Report, Request, RequestId,
     ServerEntry, ServerId, Settings,
@@ -414,7 +415,8 @@
 ///
 /// Where it is none.
 pub fn read_list(body: &[u8]) -> Result<List, String> {
-    serde_json::from_slice(body).map_err(|error| format!("a list: {error}"))
+    let mut decoder = Decoder::new(usize::MAX);
+    decoder.feed(body).and_then(|()| decoder.finish()).map_err(|error| format!("a list: {error}"))
 }
 
 /// A list as the decisions take it.
--- a/fleet/src/slopes.rs
+++ b/fleet/src/slopes.rs
@@ -327,6 +327,7 @@
         discovery: nowhere,
         seed,
         sockets: 1024,
+        list_most: 48 << 20,
         known,
         settings: settings(size.nodes),
         names,
