Make another dial beside one that is late, and keep what comes up after the first

Upstream::connect waited a quarter of a request's time for its one dial, then the attempt was over, and what came up later was thrown away: three attempts met one late dial in most requests. Ruled out: servers were not full (3 of 3596). Change: a dial that takes four times the usual gets another beside it, three at most for an attempt, and only while half of the places are free; the first to come up carries the attempt, the others are kept for requests to come. The usual is the median, learned dial by dial. Given-up attempts give up their dials.

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
+use std::future::Future;
 use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,8 +18,9 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 use super::config::{load_report, Config};
 use super::node::Node;
@@ -36,6 +38,16 @@
 const REST_PART: f64 = 1.0 / 64.0;
 /// Part of a request's time that a connection to a server may take to come up: another may be had after it.
 const DIAL_PART: f64 = 0.25;
+/// A dial that takes so many times the usual is late, and another is made beside it, ...
+const LATE: f64 = 4.0;
+/// ... up to so many for one attempt. What comes up after the first is kept for requests to come.
+const DIALS_MOST: usize = 3;
+/// What half of the dials take at the most, in seconds: at the start, at the least and at the most, and how far
+/// one dial moves it.
+const DIAL_FIRST: f64 = 0.005;
+const DIAL_LEAST: f64 = 0.000_5;
+const DIAL_MOST: f64 = 0.25;
+const DIAL_STEP: f64 = 1.1;
 /// The head of an answer may be this long.
 const HEAD_MOST: usize = 16 * 1024;
 
@@ -168,6 +180,10 @@
     open: Rc<Cell<usize>>,
     most: usize,
     keep: Duration,
+    /// How long a connection may take to come up, wanted or not.
+    dial_timeout: Duration,
+    /// What half of the dials take at the most, in seconds.
+    usual_dial: Rc<Cell<f64>>,
 }
 
 impl Upstream {
@@ -178,6 +194,8 @@
             open: Rc::default(),
             most: (config.sockets * 2 / 5).max(1),
             keep: config.conn_idle.mul_f64(IDLE_PART),
+            dial_timeout: config.dial_timeout,
+            usual_dial: Rc::new(Cell::new(DIAL_FIRST)),
         }
     }
 
@@ -224,27 +242,75 @@
         Some(Slot(Rc::clone(&self.open)))
     }
 
-    async fn connect(&self, server: &Server, dial_timeout: Duration) -> Result<Connection, Ending> {
-        // Without a place the attempt ends unsent, and that is not the server's fault.
-        let slot = self.slot().ok_or(Ending::NotSent)?;
-        let address = server.address;
-        let stream = match timeout(dial_timeout, TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(_)) | Err(_) => return Err(Ending::Unreachable),
-        };
-        stream.set_nodelay(true).map_err(|_| Ending::Unreachable)?;
-        let socket = Rc::new(Socket { stream, _slot: slot });
-        let handshake = http1::Builder::new()
-            .max_buf_size(2 * BODY_MOST)
-            .max_header_size(HEAD_MOST)
-            .handshake(TokioIo::new(Io(Rc::clone(&socket))))
-            .await;
-        let (sender, connection) = handshake.map_err(|_| Ending::Unreachable)?;
-        tokio::task::spawn_local(connection);
-        Ok(Connection { sender, socket, address, idle_since: Instant::now() })
+    /// A new connection to a server, where one comes up within this time. Some dials take many times the usual,
+    /// for a packet that was lost or a queue that was full: a late one gets another beside it.
+    async fn connect(
+        &self,
+        server: &Rc<Server>,
+        within: Duration,
+        most: usize,
+    ) -> Result<Connection, Ending> {
+        let until = Instant::now() + within;
+        let (made, mut comes) = mpsc::unbounded_channel();
+        // Where nothing is waited for any more, because its client has left, all are given up.
+        let mut dials = JoinSet::new();
+        let mut result = Err(Ending::Unreachable);
+        for dial in 1..=most {
+            // Another is for places to spare.
+            match (dial == 1 || self.open.get() < self.most / 2).then(|| self.slot()).flatten() {
+                Some(slot) => drop(dials.spawn_local(self.dial(Rc::clone(server), slot, made.clone()))),
+                // Without a place the attempt ends unsent, and that is not the server's fault.
+                None if dial == 1 => return Err(Ending::NotSent),
+                None => {}
+            }
+            let late = Instant::now() + Duration::from_secs_f64(self.usual_dial.get() * LATE);
+            let wait_until = if dial == most { until } else { late.min(until) };
+            if let Ok(Some(first)) = timeout_at(wait_until, comes.recv()).await {
+                result = first;
+                break;
+            }
+        }
+        // What comes up later is kept.
+        dials.detach_all();
+        result
+    }
+
+    /// Makes a connection, and keeps it for other requests where this one waits for it no longer.
+    fn dial(
+        &self,
+        server: Rc<Server>,
+        slot: Slot,
+        made: mpsc::UnboundedSender<Result<Connection, Ending>>,
+    ) -> impl Future<Output = ()> {
+        let (within, usual) = (self.dial_timeout, Rc::clone(&self.usual_dial));
+        async move {
+            let begun = Instant::now();
+            let dialled = timeout(within, dial(server.address, slot)).await;
+            let slower = begun.elapsed().as_secs_f64() > usual.get();
+            let step = if slower { DIAL_STEP } else { 1.0 / DIAL_STEP };
+            usual.set((usual.get() * step).clamp(DIAL_LEAST, DIAL_MOST));
+            let connection = dialled.unwrap_or(Err(Ending::Unreachable));
+            if let Err(mpsc::error::SendError(Ok(connection))) = made.send(connection) {
+                server.keep(connection);
+            }
+        }
     }
 }
 
+async fn dial(address: SocketAddr, slot: Slot) -> Result<Connection, Ending> {
+    let stream = TcpStream::connect(address).await.map_err(|_| Ending::Unreachable)?;
+    stream.set_nodelay(true).map_err(|_| Ending::Unreachable)?;
+    let socket = Rc::new(Socket { stream, _slot: slot });
+    let handshake = http1::Builder::new()
+        .max_buf_size(2 * BODY_MOST)
+        .max_header_size(HEAD_MOST)
+        .handshake(TokioIo::new(Io(Rc::clone(&socket))))
+        .await;
+    let (sender, connection) = handshake.map_err(|_| Ending::Unreachable)?;
+    tokio::task::spawn_local(connection);
+    Ok(Connection { sender, socket, address, idle_since: Instant::now() })
+}
+
 /// One attempt of a request, from choosing a connection to the whole answer. `stage` tells how far it has come.
 /// Where it has not been sent by `send_by`, it is not sent at all. When it returns, nothing of it is out any more.
 pub async fn attempt(
@@ -289,12 +355,13 @@
     let Some(server) = upstream.servers.borrow().get(&server).cloned() else {
         return Reply::none(Ending::NotSent);
     };
+    let dials = forward.map_or(1, |_| DIALS_MOST);
     let left = |forward: &Forward| forward.gives_up_at.saturating_duration_since(Instant::now());
     loop {
         let patience = forward.map_or(REST, |forward| left(forward).mul_f64(REST_PART));
         let (mut connection, kept) = match server.idle(upstream.keep, patience) {
             Some(connection) => (connection, true),
-            None => match upstream.connect(&server, dial_most(node, forward, send_by)).await {
+            None => match upstream.connect(&server, dial_most(node, forward, send_by), dials).await {
                 Ok(connection) => (connection, false),
                 Err(ending) => return Reply::none(ending),
             },
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -4,6 +4,7 @@
 mod net;
 use net::*;
 
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -225,6 +226,57 @@
     }
 }
 
+/// Zone days: a third of the dials came up late, up to 1.5 s, and each used up a quarter of a request's time. One
+/// that is late gets others beside it, and what comes up after the first serves the next request.
+#[test]
+fn a_late_dial_gets_another_beside_it() {
+    let (slow, address, filler) = full_listener();
+    let node = Node::start(&config(&[member("slow", address, "active")]));
+    let mut client = node.client();
+    client.send(&request("pay", 60.0));
+    until_dialled_by(address, 2);
+    drop(slow.accept().expect("the filler"));
+    drop(filler);
+    slow.set_nonblocking(true).expect("set");
+    let mut streams = Vec::new();
+    let accept = |streams: &mut Vec<TcpStream>| {
+        while let Ok((stream, _)) = slow.accept() {
+            stream.set_nonblocking(true).expect("set");
+            streams.push(stream);
+        }
+    };
+    // All that are under way come up before anything is answered.
+    let since = Instant::now();
+    while dials_to(address) > 0 || streams.len() < 2 {
+        assert!(since.elapsed() < LONG, "the dials do not come up");
+        accept(&mut streams);
+    }
+    accept(&mut streams);
+    let dialled = streams.len();
+    for served in 1..=2 {
+        let since = Instant::now();
+        let asked = loop {
+            assert!(since.elapsed() < LONG, "no request comes");
+            if let Some(at) = streams.iter().position(|stream| matches!(stream.peek(&mut [0; 1]), Ok(1))) {
+                break at;
+            }
+        };
+        let mut stream = streams.remove(asked);
+        std::io::Write::write_all(
+            &mut stream,
+            b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n",
+        )
+        .expect("answered");
+        drop(stream);
+        assert_eq!(client.answer().status(), 200);
+        accept(&mut streams);
+        assert_eq!(streams.len(), dialled - served, "dialled anew");
+        if served == 1 {
+            client.send(&request("pay", 60.0));
+        }
+    }
+}
+
 /// An answer that is cut off proves nothing, though its head says that nothing ran.
 #[test]
 fn a_spoilt_answer_is_no_proof_that_nothing_ran() {
--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -455,6 +455,21 @@
     until_listed(&format!("{} 02", listed(address)), true);
 }
 
+/// How many connects to this address are under way.
+pub fn dials_to(address: SocketAddr) -> usize {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("Linux");
+    table.matches(&format!("{} 02", listed(address))).count()
+}
+
+/// Waits until at least so many are.
+pub fn until_dialled_by(address: SocketAddr, dials: usize) {
+    let since = Instant::now();
+    while dials_to(address) < dials {
+        assert!(since.elapsed() < LONG, "{} dials are under way", dials_to(address));
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
 /// Waits until no connect to this address is under way.
 pub fn until_not_dialled(address: SocketAddr) {
     until_listed(&format!("{} 02", listed(address)), false);
