--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! ([`spurdrum::net::discovery`]). What is hollow: clients, the work of the servers, and the node's own sockets to
 //! clients. All figures are those of the machine that the emulator runs on.
 
+pub mod build;
 pub mod catalogue;
 pub mod discovery;
 pub mod fit;
--- a/fleet/src/main.rs
+++ b/fleet/src/main.rs
@@ -58,6 +58,9 @@
     /// All random numbers follow from it.
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// An earlier build of this program: each point is measured with both, in turns.
+    #[arg(long)]
+    baseline: Option<PathBuf>,
     /// Where the JSON report goes.
     #[arg(long, default_value = "logs/slopes.json")]
     report: PathBuf,
@@ -131,6 +134,7 @@
         repeats: arguments.repeats.into(),
         seed: arguments.seed,
         memory_mb,
+        baseline: arguments.baseline,
     };
     let (commit, modified) = report::commit();
     let measured = slopes::measure(&options)?;
--- a/fleet/src/slopes.rs
+++ b/fleet/src/slopes.rs
@@ -5,6 +5,7 @@
 use std::hint::black_box;
 use std::io::{self, BufRead, BufReader, Read, Write as _};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -22,6 +23,7 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::task::LocalSet;
 
+use crate::build::{Build, BuildError};
 use crate::catalogue::{zone_names, Catalogue, Size, KIND};
 use crate::discovery;
 use crate::fit::{fit, Fit};
@@ -96,7 +98,9 @@
         matches!(self, Self::TenantMemory | Self::BalancerMemory | Self::NodeMemory)
     }
 
-    fn unit(self) -> &'static str {
+    /// What it is a measure of; `us` is what differs from run to run.
+    #[must_use]
+    pub fn unit(self) -> &'static str {
         match self {
             Self::TenantMemory | Self::BalancerMemory | Self::NodeMemory => "bytes",
             Self::ListBytes | Self::ChangeBytes | Self::ServeChangeBytes => "bytes",
@@ -105,7 +109,9 @@
         }
     }
 
-    fn against(self) -> &'static str {
+    /// What its size counts.
+    #[must_use]
+    pub fn against(self) -> &'static str {
         match self {
             Self::TenantMemory | Self::TenantStart => "tenants",
             Self::ServeChange | Self::ServeChangeBytes => "watches",
@@ -119,11 +125,13 @@
             "tenants" => &[100, 1_000, 10_000, 53_000],
             "watches" => &[100, 500, 1_000, 2_000],
             "services" => &[1, 10, 100, 660],
-            _ => &[200, 1_000, 5_000, 10_000, 21_000],
+            _ => &[200, 1_000, 2_000, 8_000, 21_000],
         }
     }
 
-    fn name(self) -> String {
+    /// As the command line names it.
+    #[must_use]
+    pub fn name(self) -> String {
         self.to_possible_value().map_or_else(String::new, |value| value.get_name().to_owned())
     }
 }
@@ -141,6 +149,8 @@
     pub seed: u64,
     /// Memory that may be needed, in MiB.
     pub memory_mb: u64,
+    /// An earlier build of this program, measured side by side.
+    pub baseline: Option<PathBuf>,
 }
 
 /// A quantity could not be measured.
@@ -168,6 +178,9 @@
     /// What was to be measured did not work.
     #[error("{0}")]
     Broken(String),
+    /// A build that is measured side by side could not be.
+    #[error(transparent)]
+    Build(#[from] BuildError),
 }
 
 /// A quantity at one size.
@@ -198,6 +211,22 @@
     pub points: Vec<Point>,
     /// `None` for fewer than two points.
     pub fit: Option<Fit>,
+    /// The same of an earlier build.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub baseline: Option<Baseline>,
+}
+
+/// A quantity as an earlier build has it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Baseline {
+    /// The commit that its report tells: the one that is checked out where the binary lies.
+    pub commit: String,
+    /// Whether files differed from that commit.
+    pub modified: bool,
+    /// At the same sizes.
+    pub points: Vec<Point>,
+    /// `None` for fewer than two points.
+    pub fit: Option<Fit>,
 }
 
 /// All that a report of slopes tells.
@@ -233,9 +262,16 @@
     for size in quantities.iter().flat_map(|quantity| sizes(*quantity)) {
         allowed(size, states, options.memory_mb)?;
     }
-    let mut bench = Bench::new(options.seed, MEMORY_SEEN);
     let mut measured =
         Measured { slopes: Vec::new(), cpu_seconds: BTreeMap::new(), traffic: BTreeMap::new() };
+    if let Some(baseline) = &options.baseline {
+        let builds = [Build::this()?, Build::at(baseline)?];
+        for quantity in quantities {
+            measured.slopes.push(compare(&builds, quantity, &sizes(quantity), options)?);
+        }
+        return Ok(measured);
+    }
+    let mut bench = Bench::new(options.seed, MEMORY_SEEN);
     for quantity in quantities {
         if !quantity.is_memory() {
             bench.states.clear();
@@ -246,9 +282,7 @@
             points.push(bench.point(quantity, size, options.repeats)?);
             tracing::info!(quantity = quantity.name(), size, value = points.last().and_then(|p| p.value));
         }
-        let sound: Vec<_> = points.iter().filter_map(|p| Some((p.size as f64, p.value?))).collect();
-        let (unit, against) = (quantity.unit(), quantity.against());
-        measured.slopes.push(Slope { quantity, unit, against, points, fit: fit(&sound) });
+        measured.slopes.push(slope(quantity, points, None));
         let cpu = usage::process_time().saturating_sub(before).as_secs_f64();
         measured.cpu_seconds.insert(quantity.name(), cpu);
         let traffic = std::mem::take(&mut bench.traffic);
@@ -259,6 +293,50 @@
     Ok(measured)
 }
 
+fn slope(quantity: Quantity, points: Vec<Point>, baseline: Option<Baseline>) -> Slope {
+    let (unit, against) = (quantity.unit(), quantity.against());
+    Slope { quantity, unit, against, fit: fit_points(&points), points, baseline }
+}
+
+fn fit_points(points: &[Point]) -> Option<Fit> {
+    let sound: Vec<_> = points.iter().filter_map(|p| Some((p.size as f64, p.value?))).collect();
+    fit(&sound)
+}
+
+/// Measures a quantity with this build and an earlier one: one process for each measure, in turns, so that what else
+/// the machine does falls on both alike.
+fn compare(
+    builds: &[Build; 2],
+    quantity: Quantity,
+    sizes: &[usize],
+    options: &Options,
+) -> Result<Slope, SlopesError> {
+    let repeats = if quantity.unit() == "us" { options.repeats } else { 1 };
+    let mut points = [Vec::new(), Vec::new()];
+    let (mut commit, mut modified) = (String::new(), false);
+    for &size in sizes {
+        let mut values = [Vec::new(), Vec::new()];
+        for round in 0..repeats {
+            // Neither is always the first.
+            for side in [round % 2, 1 - round % 2] {
+                let told = builds[side].measure(quantity, size, options.seed, options.memory_mb)?;
+                values[side].extend(told.value);
+                if side == 1 {
+                    (commit, modified) = (told.commit, told.modified);
+                }
+            }
+        }
+        for (points, values) in points.iter_mut().zip(values) {
+            points.push(point(size, values));
+        }
+        let [own, earlier] = points.each_ref().map(|points| points.last().and_then(|p| p.value));
+        tracing::info!(quantity = quantity.name(), size, value = own, baseline = earlier);
+    }
+    let [own, points] = points;
+    let baseline = Baseline { commit, modified, fit: fit_points(&points), points };
+    Ok(slope(quantity, own, Some(baseline)))
+}
+
 fn allowed(size: usize, states: usize, most_mb: u64) -> Result<(), SlopesError> {
     // A catalogue, its list in bytes, read and as entries, and the states that memory is told by.
     let need_mb = (size.saturating_mul(4 * STATE_BYTES).saturating_add(states) >> 20) as u64;
@@ -815,25 +893,34 @@
     for slope in slopes {
         // Writing to a string does not fail.
         let _ = write!(text, "{} ({} by {}):", slope.quantity.name(), slope.unit, slope.against);
-        for point in &slope.points {
-            let value = point.value.map_or_else(|| "not read".into(), figure);
-            let _ = write!(text, "  {}: {value}", point.size);
+        lines(&mut text, &slope.points, slope.fit);
+        if let Some(baseline) = &slope.baseline {
+            let files = if baseline.modified { " and changes" } else { "" };
+            let _ = write!(text, "  baseline {:.7}{files}:", baseline.commit);
+            lines(&mut text, &baseline.points, baseline.fit);
         }
-        let _ = match slope.fit {
-            Some(fit) => writeln!(
-                text,
-                "\n    slope {} for one, intercept {}, r2 {:.3}, exponent {}",
-                figure(fit.slope),
-                figure(fit.intercept),
-                fit.r2,
-                fit.exponent.map_or_else(|| "-".into(), |exponent| format!("{exponent:.2}")),
-            ),
-            None => writeln!(text, "\n    too few points for a line"),
-        };
     }
     text
 }
 
+fn lines(text: &mut String, points: &[Point], fit: Option<Fit>) {
+    for point in points {
+        let value = point.value.map_or_else(|| "not read".into(), figure);
+        let _ = write!(text, "  {}: {value}", point.size);
+    }
+    let _ = match fit {
+        Some(fit) => writeln!(
+            text,
+            "\n    slope {} for one, intercept {}, r2 {:.3}, exponent {}",
+            figure(fit.slope),
+            figure(fit.intercept),
+            fit.r2,
+            fit.exponent.map_or_else(|| "-".into(), |exponent| format!("{exponent:.2}")),
+        ),
+        None => writeln!(text, "\n    too few points for a line"),
+    };
+}
+
 /// Four digits that count.
 fn figure(value: f64) -> String {
     let digits = if value == 0.0 { 0 } else { value.abs().log10().floor() as i32 };
--- a/fleet/tests/commands.rs
+++ b/fleet/tests/commands.rs
@@ -156,6 +156,42 @@
     assert!(report["traffic"]["discovery, read-list"]["sent_bytes"].as_u64() > Some(0));
 }
 
+#[test]
+fn a_baseline_is_measured_at_the_same_sizes_as_often() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let slopes = ["slopes", "--quantity", "request", "--quantity", "list-bytes", "--sizes", "40,80"];
+    let baseline = |binary| [&slopes[..], &["--repeats", "3", "--baseline", binary]].concat();
+    let run = fleet(folder.path(), &baseline(env!("CARGO_BIN_EXE_fleet")));
+    assert!(run.status.success(), "{}", text(&run.stderr));
+    let report = report(&folder.path().join("logs/slopes.json"));
+    let told = report["results"].as_array().expect("slopes");
+    assert_eq!(told.iter().map(|slope| &slope["quantity"]).collect::<Vec<_>>(), ["request", "list-bytes"]);
+    for (slope, count) in told.iter().zip([3, 1]) {
+        for side in [slope, &slope["baseline"]] {
+            let points = side["points"].as_array().expect("points");
+            let counts: Vec<_> = points.iter().map(|point| (&point["size"], &point["count"])).collect();
+            assert_eq!(counts, [(&40.into(), &count.into()), (&80.into(), &count.into())]);
+            assert!(side["fit"]["slope"].is_number(), "{slope}");
+        }
+        assert!(slope["baseline"]["commit"].is_string() && slope["baseline"]["modified"].is_boolean());
+    }
+    assert_eq!(told[1]["points"], told[1]["baseline"]["points"], "bytes are the same from the same binary");
+    let lines: Vec<_> = text(&run.stdout).lines().collect();
+    assert!(lines[0].starts_with("request (us by servers):") && lines[2].starts_with("  baseline "));
+    // What cannot be run, or tells nothing, is named; the report that stands there stays.
+    let kept = std::fs::read(folder.path().join("logs/slopes.json")).expect("a report");
+    for (binary, why) in
+        [("none", "cannot run the build none"), ("/bin/false", "request at 40: exit status: 1")]
+    {
+        let run = fleet(folder.path(), &baseline(binary));
+        assert_eq!(run.status.code(), Some(1));
+        assert!(text(&run.stderr).contains(why), "{}", text(&run.stderr));
+    }
+    let run = fleet(folder.path(), &baseline("/bin/true"));
+    assert!(text(&run.stderr).contains("request at 40: no report"), "{}", text(&run.stderr));
+    assert_eq!(std::fs::read(folder.path().join("logs/slopes.json")).expect("a report"), kept);
+}
+
 #[test]
 fn what_cannot_be_run_is_told_and_writes_nothing() {
     let folder = tempfile::tempdir().expect("a folder");
