--- a/fleet/src/main.rs
+++ b/fleet/src/main.rs
@@ -73,6 +73,9 @@
     /// Threads that the hollow nodes are spread over.
     #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(1..=64))]
     node_threads: u16,
+    /// All nodes have their first list within so many seconds, or the play does not begin.
+    #[arg(long, default_value_t = 300)]
+    start_most_s: u64,
     /// Takes the place of the scenario's seed.
     #[arg(long)]
     seed: Option<u64>,
@@ -106,7 +109,8 @@
 fn run_play(arguments: PlayArguments, memory_mb: u64) -> Done {
     let mut scenario = Scenario::read(&arguments.scenario)?;
     scenario.seed = arguments.seed.unwrap_or(scenario.seed);
-    let options = play::Options { node_threads: arguments.node_threads.into(), memory_mb };
+    let (node_threads, start_most_s) = (arguments.node_threads.into(), arguments.start_most_s);
+    let options = play::Options { node_threads, memory_mb, start_most_s };
     let (commit, modified) = report::commit();
     let played = play::play(&scenario, options)?;
     print!("{}", play::table(&scenario, &played));
--- a/fleet/src/play.rs
+++ b/fleet/src/play.rs
@@ -32,8 +32,6 @@
 const LISTS_AT_ONCE: u64 = 4;
 /// Descriptors besides connections: listeners' event loops, files, the standard ones.
 const DESCRIPTORS: u64 = 200;
-/// All nodes have their first list within this time, or the play does not begin.
-const START_MOST: Duration = Duration::from_secs(300);
 /// Progress is told this often.
 const PROGRESS: Duration = Duration::from_secs(5);
 
@@ -44,6 +42,8 @@
     pub node_threads: usize,
     /// Memory that the play may need, in MiB.
     pub memory_mb: u64,
+    /// All nodes have their first list within so many seconds, or the play does not begin.
+    pub start_most_s: u64,
 }
 
 /// A play could not be run to its end.
@@ -74,12 +74,18 @@
     #[error("the nodes' settings: {0}")]
     Settings(#[from] spurdrum::SettingsError),
     /// Nodes got no list.
-    #[error("{without} of {nodes} nodes had no list within {} s: a list over the client's limit (1 MiB holds about 7,000 servers) is never read", START_MOST.as_secs())]
+    #[error("{without} of {nodes} nodes had no list within {within_s} s, in which discovery sent {whole_lists} whole lists, {sent_bytes} bytes: is the list over the client's limit?")]
     NeverListed {
         /// Nodes without one.
         without: usize,
         /// All nodes.
         nodes: usize,
+        /// How long they had, in seconds.
+        within_s: u64,
+        /// Whole lists that were sent meanwhile.
+        whole_lists: u64,
+        /// Bytes that discovery sent meanwhile.
+        sent_bytes: u64,
     },
     /// A thread panicked.
     #[error("a thread of the play panicked")]
@@ -205,7 +211,7 @@
     settings.validate()?;
     let stage = Stage::set(scenario, settings, options)?;
     let runtime = runtime()?;
-    let played = LocalSet::new().block_on(&runtime, stage.run(scenario));
+    let played = LocalSet::new().block_on(&runtime, stage.run(scenario, options));
     let joined = stage.end();
     let played = played?;
     joined?;
@@ -333,17 +339,20 @@
         self.held.versions().filter(|version| *version < newest).count()
     }
 
-    async fn run(&self, scenario: &Scenario) -> Result<Played, PlayError> {
+    async fn run(&self, scenario: &Scenario, options: Options) -> Result<Played, PlayError> {
         let set = Instant::now();
         let mut told = set;
         loop {
             let (without, nodes) = (self.without_list(), scenario.size.nodes);
+            let within_s = options.start_most_s;
+            if set.elapsed() >= Duration::from_secs(within_s) {
+                let whole_lists = self.world.counts.sums().whole_lists;
+                let sent_bytes = self.world.discovery.sums().sent_bytes;
+                return Err(PlayError::NeverListed { without, nodes, within_s, whole_lists, sent_bytes });
+            }
             if without == 0 {
                 break;
             }
-            if set.elapsed() > START_MOST {
-                return Err(PlayError::NeverListed { without, nodes });
-            }
             if told.elapsed() > PROGRESS {
                 told = Instant::now();
                 tracing::info!(without, nodes, "waiting for the first lists");
--- a/fleet/tests/commands.rs
+++ b/fleet/tests/commands.rs
@@ -201,10 +201,14 @@
     write("bad.toml", "rack = 1", "rack = 4");
     write("large.toml", "servers = 40\nnodes = 12", "servers = 1000000\nnodes = 1000000");
     write("sound.toml", "", "");
-    let cases: [(&[&str], &str); 6] = [
+    let cases: [(&[&str], &str); 7] = [
         (&["play", "bad.toml"], "fleet: bad.toml:24: `rack`: there are 4, numbered from 0"),
         (&["play", "none.toml"], "cannot read the scenario none.toml"),
         (&["play", "large.toml"], "and 12288 are allowed (--memory-mb)"),
+        (
+            &["play", "sound.toml", "--start-most-s", "0"],
+            "of 12 nodes had no list within 0 s, in which discovery sent",
+        ),
         (&["--memory-mb", "1", "play", "sound.toml"], "and 1 are allowed (--memory-mb)"),
         (&["slopes", "--quantity", "list-bytes", "--sizes", "4,0"], "a size must be above 0"),
         (&["slopes", "--quantity", "list-bytes", "--sizes", "4,1000000000"], "and 12288 are allowed"),
