--- a/src/rules.rs
+++ b/src/rules.rs
@@ -73,7 +73,7 @@
 const MOVED_MOST: usize = 300;
 /// Servers of each part of the ring, near and far, that one request is offered at the most.
 /// Guards against weighing tens of thousands for it; up to so many are offered all.
-const OFFERED_MOST: usize = 256;
+const OFFERED_MOST: usize = 64;
 /// The golden ratio's fraction: its multiples spread node numbers evenly over a ring.
 const GOLDEN: f64 = 0.618_033_988_749_895;
 /// The longest wait for a new subscription, in parts of what may pass without; the shortest is a sixteenth.
