--- a/fleet/tests/commands.rs
+++ b/fleet/tests/commands.rs
@@ -156,6 +156,42 @@
     assert!(report["traffic"]["discovery, read-list"]["sent_bytes"].as_u64() > Some(0));
 }
 
+#[test]
+fn a_baseline_is_measured_at_the_same_sizes_as_often() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let slopes = ["slopes", "--quantity", "request", "--quantity", "list-bytes", "--sizes", "40,80"];
+    let baseline = |binary| [&slopes[..], &["--repeats", "3", "--baseline", binary]].concat();
+    let run = fleet(folder.path(), &baseline(env!("CARGO_BIN_EXE_fleet")));
+    assert!(run.status.success(), "{}", text(&run.stderr));
+    let report = report(&folder.path().join("logs/slopes.json"));
+    let told = report["results"].as_array().expect("slopes");
+    assert_eq!(told.iter().map(|slope| &slope["quantity"]).collect::<Vec<_>>(), ["request", "list-bytes"]);
+    for (slope, count) in told.iter().zip([3, 1]) {
+        for side in [slope, &slope["baseline"]] {
+            let points = side["points"].as_array().expect("points");
+            let counts: Vec<_> = points.iter().map(|point| (&point["size"], &point["count"])).collect();
+            assert_eq!(counts, [(&40.into(), &count.into()), (&80.into(), &count.into())]);
+            assert!(side["fit"]["slope"].is_number(), "{slope}");
+        }
+        assert!(slope["baseline"]["commit"].is_string() && slope["baseline"]["modified"].is_boolean());
+    }
+    assert_eq!(told[1]["points"], told[1]["baseline"]["points"], "bytes are the same from the same binary");
+    let lines: Vec<_> = text(&run.stdout).lines().collect();
+    assert!(lines[0].starts_with("request (us by servers):") && lines[2].starts_with("  baseline "));
+    // What cannot be run, or tells nothing, is named; the report that stands there stays.
+    let kept = std::fs::read(folder.path().join("logs/slopes.json")).expect("a report");
+    for (binary, why) in
+        [("none", "cannot run the build none"), ("/bin/false", "request at 40: exit status: 1")]
+    {
+        let run = fleet(folder.path(), &baseline(binary));
+        assert_eq!(run.status.code(), Some(1));
+        assert!(text(&run.stderr).contains(why), "{}", text(&run.stderr));
+    }
+    let run = fleet(folder.path(), &baseline("/bin/true"));
+    assert!(text(&run.stderr).contains("request at 40: no report"), "{}", text(&run.stderr));
+    assert_eq!(std::fs::read(folder.path().join("logs/slopes.json")).expect("a report"), kept);
+}
+
 #[test]
 fn what_cannot_be_run_is_told_and_writes_nothing() {
     let folder = tempfile::tempdir().expect("a folder");
@@ -165,10 +201,14 @@
     write("bad.toml", "rack = 1", "rack = 4");
     write("large.toml", "servers = 40\nnodes = 12", "servers = 1000000\nnodes = 1000000");
     write("sound.toml", "", "");
-    let cases: [(&[&str], &str); 6] = [
+    let cases: [(&[&str], &str); 7] = [
         (&["play", "bad.toml"], "fleet: bad.toml:24: `rack`: there are 4, numbered from 0"),
         (&["play", "none.toml"], "cannot read the scenario none.toml"),
         (&["play", "large.toml"], "and 12288 are allowed (--memory-mb)"),
+        (
+            &["play", "sound.toml", "--start-most-s", "0"],
+            "of 12 nodes had no list within 0 s, in which discovery sent",
+        ),
         (&["--memory-mb", "1", "play", "sound.toml"], "and 1 are allowed (--memory-mb)"),
         (&["slopes", "--quantity", "list-bytes", "--sizes", "4,0"], "a size must be above 0"),
         (&["slopes", "--quantity", "list-bytes", "--sizes", "4,1000000000"], "and 12288 are allowed"),
