--- /dev/null
+++ b/crates/batch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Batch jobs: replicated logs, fenced owners, the order of items.
--- /dev/null
+++ b/crates/control-plane/src/lib.rs
@@ -0,0 +1,1 @@
+//! Control of a node: register, lease, operator's interface, list of servers, distribution.
--- /dev/null
+++ b/crates/data-plane/src/lib.rs
@@ -0,0 +1,1 @@
+//! The traffic of a node: front, sender, streams.
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of a server for a request: pools, versions, health.
--- /dev/null
+++ b/crates/lease/src/lib.rs
@@ -0,0 +1,1 @@
+//! A leader lease granted by a majority.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Who exists, and who monitors whom, by rendezvous hashing.
--- /dev/null
+++ b/crates/register/src/types.rs
@@ -0,0 +1,86 @@
+//! Messages and identities of the register.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// A random number drawn when a disk is initialised. A machine that lost its disk comes back with another.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Incarnation(pub u64);
+
+/// A machine with a disk.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Member {
+    /// The machine's name.
+    pub station: String,
+    /// The incarnation of its disk.
+    pub incarnation: Incarnation,
+    /// Its address for internal calls.
+    pub address: String,
+}
+
+/// Orders proposals. Unique: a proposer never uses one twice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Ballot {
+    /// The higher round wins.
+    pub round: u64,
+    /// Random number of the proposing process, drawn at its start; breaks ties.
+    pub proposer: u64,
+}
+
+/// A value that names the acceptors responsible for it.
+pub trait RegisterValue: Clone {
+    /// The acceptors.
+    fn members(&self) -> &[Member];
+}
+
+/// A value with the ballot under which it was accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Versioned<V> {
+    /// The ballot.
+    pub ballot: Ballot,
+    /// The value.
+    pub value: Arc<V>,
+}
+
+/// What a proposer asks of an acceptor.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum AcceptorRequest<V> {
+    /// Promise to accept nothing below this ballot.
+    Prepare(Ballot),
+    /// Accept this value.
+    Accept(Versioned<V>),
+    /// This value is committed.
+    Learn(Versioned<V>),
+    /// Tell what was accepted and what is known to be committed.
+    Read,
+}
+
+/// What an acceptor answers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct AcceptorReply<V> {
+    /// The incarnation of the disk that answers; a reply counts only for that member.
+    pub incarnation: Incarnation,
+    /// The answer.
+    pub outcome: Outcome<V>,
+}
+
+/// The answer of an acceptor.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Outcome<V> {
+    /// The promise is given; the value with the highest ballot accepted so far.
+    Promised(Option<Versioned<V>>),
+    /// The value is accepted.
+    Accepted,
+    /// A higher ballot was promised.
+    Rejected(Ballot),
+    /// The committed value was noted.
+    Learned,
+    /// The newest accepted value and the newest value known to be committed.
+    Current {
+        /// Accepted last.
+        accepted: Option<Versioned<V>>,
+        /// Known to be committed.
+        committed: Option<Versioned<V>>,
+    },
+}
--- /dev/null
+++ b/crates/rollout/src/lib.rs
@@ -0,0 +1,1 @@
+//! Weight versions: which server loads which version, when and how.
--- /dev/null
+++ b/crates/rushrudder/src/main.rs
@@ -0,0 +1,2 @@
+//! The program: roles of the system and commands for operators.
+fn main() {}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! The settings file of a process.
--- /dev/null
+++ b/crates/state/src/control.rs
@@ -0,0 +1,78 @@
+//! The value of the replicated register.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use register::{Member, RegisterValue};
+use serde::{Deserialize, Serialize};
+
+/// Changes of the configuration that are remembered, so that a repeated order is acknowledged and not refused.
+pub const TAKEN_KEPT: usize = 256;
+
+/// A change of the configuration that was taken, known by its content.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TakenChange {
+    /// Digest of method, expected version and body.
+    pub digest: u128,
+    /// The version of the configuration that it made.
+    pub edition: u64,
+}
+
+/// A machine that keeps batch jobs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreMember {
+    /// Its identity: station, incarnation of its disk and internal address.
+    pub member: Member,
+    /// Its zone, so that copies are spread.
+    pub zone: String,
+}
+
+/// The machines that keep batch jobs, as of one epoch.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreSet {
+    /// Rises with each change of the members.
+    pub epoch: u64,
+    /// Its members.
+    pub members: Vec<StoreMember>,
+    /// How many machines each batch job is kept on (at most; fewer where there are fewer).
+    pub copies: usize,
+}
+
+/// How far the emptying of a store machine is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DrainState {
+    /// Its batch jobs are being moved.
+    Rolling,
+    /// Everything that it held is whole elsewhere.
+    Delivered,
+}
+
+/// All that the machines with a disk agree on. Changed as a whole, by compare and swap.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlState {
+    /// Rises by one with each change.
+    pub revision: u64,
+    /// The acceptors of the register.
+    pub acceptors: Vec<Member>,
+    /// The operator's configuration in force, as JSON; empty before the first.
+    pub configuration: String,
+    /// Its version; 0 before the first.
+    pub edition: u64,
+    /// The newest changes that were taken, oldest first.
+    pub taken: VecDeque<TakenChange>,
+    /// The newest version that a trainer has named, by model. A model that is absent has version 1.
+    pub named_versions: BTreeMap<String, u64>,
+    /// The last fencing token that was handed out.
+    pub fence: u64,
+    /// The machines that keep batch jobs.
+    pub stores: StoreSet,
+    /// The set before, until all that it kept is whole in the present one.
+    pub previous_stores: Option<StoreSet>,
+    /// Store machines that the operator wants emptied, by station.
+    pub draining: BTreeMap<String, DrainState>,
+}
+
+impl RegisterValue for ControlState {
+    fn members(&self) -> &[Member] {
+        &self.acceptors
+    }
+}
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,12 @@
+//! The state that the planes exchange.
+//!
+//! [`ControlState`] is the value of the replicated register. [`ServerList`] is what the holder of the leader
+//! lease read from the platform. [`View`] joins both into the immutable snapshot that a process acts on.
+
+mod control;
+mod servers;
+mod view;
+
+pub use control::{ControlState, DrainState, StoreMember, StoreSet, TakenChange, TAKEN_KEPT};
+pub use servers::{Condition, ServerEntry, ServerId, ServerList, ServerListVersion};
+pub use view::View;
--- /dev/null
+++ b/crates/state/src/servers.rs
@@ -0,0 +1,59 @@
+//! The list of servers, as the platform shows it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// Identity of one incarnation of a server.
+pub type ServerId = Arc<str>;
+
+/// Whether a server takes new requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Condition {
+    /// It does.
+    Open,
+    /// It is about to end.
+    Closing,
+}
+
+/// One server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerEntry {
+    /// Its incarnation.
+    pub id: ServerId,
+    /// The service that it belongs to.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: Arc<str>,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub condition: Condition,
+    /// How much longer it is slow from its start, when the list was read.
+    pub cold_ms: u64,
+    /// The version of each model that it runs; empty where it runs none.
+    pub models: BTreeMap<Arc<str>, u64>,
+}
+
+/// Orders the lists of all readers: first by the fencing token of the lease, then by number.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ServerListVersion {
+    /// The fencing token of the reader's lease; a reader without a lease keeps that of the list it replaces.
+    pub fence: u64,
+    /// Rises with each list of one reader.
+    pub sequence: u64,
+}
+
+/// All servers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerList {
+    /// Its version.
+    pub version: ServerListVersion,
+    /// The servers, ordered by id.
+    pub servers: Vec<ServerEntry>,
+}
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable state in a ring of preallocated files.
--- /dev/null
+++ b/crates/store-plane/src/lib.rs
@@ -0,0 +1,1 @@
+//! Batch jobs on the store machines: replication, running items, results.
