--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -1,1 +1,5 @@
-//! Batch jobs: replicated logs, fenced owners, the order of items.
+//! Batch jobs of trainers: their types, the replicated log that keeps them, and the order of their items.
+
+mod job;
+
+pub use job::{Condition, Item, ItemId, ItemResult, Job, JobError, JobId, RewardRequest};
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -5,4 +5,6 @@
 
 mod types;
 
-pub use types::{AcceptorReply, AcceptorRequest, Ballot, Incarnation, Member, Outcome, RegisterValue, Versioned};
+pub use types::{
+    AcceptorReply, AcceptorRequest, Ballot, Incarnation, Member, Outcome, RegisterValue, Versioned,
+};
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -26,7 +26,6 @@
     .map_to_response()
 }
 
-
 async fn answer<Request, Reply, Function, Answer>(
     mut request: poem::Request,
     function: &Function,
