--- /dev/null
+++ b/crates/control-plane/src/distribution.rs
@@ -0,0 +1,74 @@
+//! Answers the long polls of other processes from what this process knows.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use register::Ballot;
+use state::View;
+
+use crate::messages::{PingReply, PollReply, PollRequest};
+use crate::ViewCell;
+
+/// The longest that a poll is held.
+const HOLD_MOST: Duration = Duration::from_millis(1000);
+
+/// Distributes the control state and the list of servers.
+pub struct Distribution {
+    view: Arc<ViewCell>,
+    settled_epoch: AtomicU64,
+}
+
+impl Distribution {
+    /// A distribution of what `view` knows.
+    #[must_use]
+    pub fn new(view: Arc<ViewCell>) -> Arc<Self> {
+        Arc::new(Self { view, settled_epoch: AtomicU64::new(u64::MAX) })
+    }
+
+    /// Tells how far this process has moved its batch jobs; one that keeps none need not call this.
+    pub fn set_settled_epoch(&self, epoch: u64) {
+        self.settled_epoch.store(epoch, Ordering::Relaxed);
+    }
+
+    /// Answers whether this process is there.
+    #[must_use]
+    pub fn ping(&self) -> PingReply {
+        PingReply { settled_epoch: self.settled_epoch.load(Ordering::Relaxed) }
+    }
+
+    /// Answers a long poll as soon as something is newer, or after the time it may be held.
+    pub async fn poll(&self, request: PollRequest) -> PollReply {
+        let hold = Duration::from_millis(request.hold_ms.into()).min(HOLD_MOST);
+        let until = Instant::now() + hold;
+        let mut views = self.view.subscribe();
+        loop {
+            let reply = self.newer(&views.borrow_and_update(), &request);
+            let left = until.saturating_duration_since(Instant::now());
+            if reply.control.is_some() || reply.servers.is_some() || left.is_zero() {
+                return reply;
+            }
+            if tokio::time::timeout(left, views.changed()).await.is_err() {
+                return self.newer(&views.borrow_and_update(), &request);
+            }
+        }
+    }
+
+    fn newer(&self, view: &View, request: &PollRequest) -> PollReply {
+        let control = self.view.committed().filter(|value| value.ballot > request.ballot);
+        let servers = (view.servers.version > request.servers).then(|| (*view.servers).clone());
+        PollReply {
+            control,
+            servers,
+            confirmed_age_ms: self.view.confirmed_age().map(milliseconds),
+            servers_age_ms: self.view.servers_age().map(milliseconds),
+        }
+    }
+}
+
+/// The ballot that a process without any value polls with.
+pub(crate) const NO_BALLOT: Ballot = Ballot { round: 0, proposer: 0 };
+
+fn milliseconds(age: Duration) -> u32 {
+    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/control-plane/src/leader.rs
@@ -0,0 +1,158 @@
+//! The leader lease of this process and the duties that go with it.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use lease::{Candidate, LeaseReply, LeaseRequest};
+use register::Member;
+use state::ControlState;
+
+use crate::messages::paths;
+use crate::{Proposer, ViewCell};
+
+/// How long a grant lasts.
+pub const LEASE_TTL: Duration = Duration::from_millis(1500);
+/// How long a grantor may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long raising the fencing token may take.
+const FENCE_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Whether this process leads, told to all its parts.
+#[derive(Default)]
+pub struct Leadership {
+    held: Mutex<Option<Held>>,
+}
+
+#[derive(Clone, Copy)]
+struct Held {
+    fence: u64,
+    until: Instant,
+    orders_from: Instant,
+}
+
+impl Leadership {
+    /// The fencing token, while the lease is held.
+    #[must_use]
+    pub fn fence(&self) -> Option<u64> {
+        self.held().filter(|held| Instant::now() < held.until).map(|held| held.fence)
+    }
+
+    /// The fencing token, once no order of another holder can have been sent within the time that must lie between.
+    #[must_use]
+    pub fn fence_for_orders(&self) -> Option<u64> {
+        let now = Instant::now();
+        self.held().filter(|held| now < held.until && now >= held.orders_from).map(|held| held.fence)
+    }
+
+    fn held(&self) -> Option<Held> {
+        *self.lock()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Held>> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Seeks the lease and renews it, for as long as the process runs.
+///
+/// `between_holders` is the time that must lie between the orders of two holders.
+pub async fn run_leader(
+    station: String,
+    between_holders: Duration,
+    leadership: Arc<Leadership>,
+    view: Arc<ViewCell>,
+    proposer: Arc<Proposer>,
+    client: rpc::Client,
+) {
+    let began = Instant::now();
+    let mut candidate = Candidate::new(station.clone(), LEASE_TTL, fastrand::u64(..));
+    loop {
+        let now = began.elapsed();
+        let wait = candidate.next_round(now).saturating_sub(now);
+        tokio::time::sleep(wait).await;
+        let control = Arc::clone(&view.view().control);
+        if control.acceptors.is_empty() || !control.acceptors.iter().any(|member| member.station == station) {
+            tokio::time::sleep(LEASE_TTL / 4).await;
+            continue;
+        }
+        let members: Vec<_> = control.acceptors.iter().map(|member| member.incarnation).collect();
+        let request = candidate.begin(began.elapsed(), &members);
+        let mut calls: FuturesUnordered<_> =
+            control.acceptors.iter().map(|member| ask(&client, member.clone(), request.clone())).collect();
+        while let Some((member, reply)) = calls.next().await {
+            if let Some(reply) = reply {
+                candidate.on_reply(began.elapsed(), member.incarnation, &request, reply);
+            }
+            if candidate.is_decided() {
+                break;
+            }
+        }
+        drop(calls);
+        match candidate.held_until(began.elapsed()) {
+            Some(until) => hold(&leadership, began + until, between_holders, &view, &proposer, &station).await,
+            None => *leadership.lock() = None,
+        }
+    }
+}
+
+/// Notes that the lease is held; at the first time raises the fencing token.
+async fn hold(
+    leadership: &Leadership,
+    until: Instant,
+    between_holders: Duration,
+    view: &ViewCell,
+    proposer: &Proposer,
+    station: &str,
+) {
+    let lapsed = leadership.held().filter(|held| Instant::now() < held.until);
+    if let Some(held) = lapsed {
+        *leadership.lock() = Some(Held { until, ..held });
+        return;
+    }
+    let won_at = Instant::now();
+    let raised = proposer.change(won_at + FENCE_TIMEOUT, |state| Ok::<_, ()>(with_fence(state, station))).await;
+    let Ok(value) = raised else { return };
+    let previous = view.committed().and_then(|_| value.value.fence_holder_before.clone());
+    let is_first = previous.is_none_or(|before| before == station);
+    let orders_from = if is_first { won_at } else { won_at + between_holders };
+    log::info!("leads with fencing token {}", value.value.fence);
+    *leadership.lock() = Some(Held { fence: value.value.fence, until, orders_from });
+}
+
+fn with_fence(state: &ControlState, station: &str) -> ControlState {
+    let mut next = state.clone();
+    next.revision += 1;
+    next.fence += 1;
+    next.fence_holder_before = next.fence_holder.replace(station.to_owned());
+    next
+}
+
+async fn ask(client: &rpc::Client, member: Member, request: LeaseRequest) -> (Member, Option<LeaseReply>) {
+    let reply = client.call(&member.address, paths::LEASE, &request, CALL_TIMEOUT).await;
+    (member, reply.ok())
+}
+
+/// When each member was last heard of, by the leader's pings.
+#[derive(Default)]
+pub(crate) struct Reachability {
+    heard_at: HashMap<Member, Instant>,
+}
+
+impl Reachability {
+    /// Notes an answer, or that a member was first missed.
+    pub(crate) fn note(&mut self, member: &Member, answered: bool) {
+        let now = Instant::now();
+        if answered {
+            self.heard_at.insert(member.clone(), now);
+        } else {
+            self.heard_at.entry(member.clone()).or_insert(now);
+        }
+    }
+
+    /// How long a member has not been heard of.
+    pub(crate) fn silent_for(&self, member: &Member) -> Duration {
+        self.heard_at.get(member).map_or(Duration::ZERO, Instant::elapsed)
+    }
+}
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -1,1 +1,28 @@
-//! Control of a node: register, lease, operator's interface, list of servers, distribution.
+//! Control of a process: the register, the leader lease, the operator's interface, the list of servers and
+//! their distribution.
+
+mod acceptor;
+mod bootstrap;
+mod distribution;
+mod leader;
+mod list_reader;
+mod messages;
+mod operator;
+mod platform;
+mod poll;
+mod proposer;
+mod upkeep;
+mod view;
+
+pub use acceptor::{run_scrub, AcceptorService};
+pub use bootstrap::{join_register, join_stores, start_first, FirstStart, Identity};
+pub use distribution::Distribution;
+pub use leader::{run_leader, Leadership, LEASE_TTL};
+pub use list_reader::run_list_reader;
+pub use upkeep::run_upkeep;
+pub use messages::{paths, Announcement, Capability, PingReply, PollReply, PollRequest};
+pub use operator::operator_routes;
+pub use platform::{Platform, PlatformError};
+pub use poll::run_poller;
+pub use proposer::{ChangeFailure, Proposer};
+pub use view::ViewCell;
--- /dev/null
+++ b/crates/control-plane/src/messages.rs
@@ -0,0 +1,72 @@
+//! Internal messages of the control plane and the paths that they are posted to.
+
+use register::{Ballot, Member, Versioned};
+use serde::{Deserialize, Serialize};
+use state::{ControlState, ServerList, ServerListVersion};
+
+/// Paths of internal calls.
+pub mod paths {
+    /// A request to the acceptor of the register.
+    pub const REGISTER: &str = "/control/register";
+    /// A request for the leader lease.
+    pub const LEASE: &str = "/control/lease";
+    /// The long poll of the control state and the list of servers.
+    pub const POLL: &str = "/control/poll";
+    /// A machine with a disk tells that it exists, at the first start.
+    pub const ANNOUNCE: &str = "/control/announce";
+    /// The first value of the register.
+    pub const FIRST: &str = "/control/first";
+    /// Whether a process is there.
+    pub const PING: &str = "/control/ping";
+}
+
+/// What a machine with a disk can do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Capability {
+    /// It accepts values of the register.
+    Acceptor,
+    /// It keeps batch jobs.
+    Store,
+}
+
+/// A machine with a disk tells that it exists.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// Who it is.
+    pub member: Member,
+    /// Its zone.
+    pub zone: String,
+    /// What it can do.
+    pub capability: Capability,
+}
+
+/// The long poll of a process.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PollRequest {
+    /// The committed value that it knows.
+    pub ballot: Ballot,
+    /// The list of servers that it knows.
+    pub servers: ServerListVersion,
+    /// How long the answer may be held where nothing is newer.
+    pub hold_ms: u32,
+}
+
+/// What is newer than the poller's knowledge.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PollReply {
+    /// A newer committed value.
+    pub control: Option<Versioned<ControlState>>,
+    /// A newer list of servers.
+    pub servers: Option<ServerList>,
+    /// Time since a majority confirmed that the value is the newest; `None` if none has.
+    pub confirmed_age_ms: Option<u32>,
+    /// Time since the list was read from the platform; `None` if none was.
+    pub servers_age_ms: Option<u32>,
+}
+
+/// The state of a process that was asked whether it is there.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PingReply {
+    /// The epoch of the store set to which all its batch jobs have moved; a process that keeps none says the highest.
+    pub settled_epoch: u64,
+}
--- /dev/null
+++ b/crates/control-plane/src/proposer.rs
@@ -0,0 +1,173 @@
+//! Changes of the register: two quorum rounds by any process.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use register::{AcceptorReply, AcceptorRequest, Ballot, Member, Proposal, Step, Versioned};
+use state::ControlState;
+
+use crate::messages::paths;
+use crate::ViewCell;
+
+/// How long one acceptor may take for one request.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// The longest pause before a proposal that lost to another is tried again; grows with each try.
+const RETRY_PAUSE_MS: u64 = 25;
+/// How long settling an undecided value may take.
+const SETTLE_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Why a change was not made.
+#[derive(Debug)]
+pub enum ChangeFailure<E> {
+    /// The committed state does not allow it.
+    Declined(E),
+    /// It may or may not have been made, or may still be.
+    Unclear,
+}
+
+/// Proposes changes.
+pub struct Proposer {
+    view: Arc<ViewCell>,
+    client: rpc::Client,
+    /// Random number of this process, so that ballots are unique.
+    identity: u64,
+    round: AtomicU64,
+}
+
+enum Attempt {
+    Committed(Versioned<ControlState>),
+    Preempted,
+    NoQuorum,
+}
+
+impl Proposer {
+    /// A proposer that starts from what the view knows.
+    #[must_use]
+    pub fn new(view: Arc<ViewCell>, client: rpc::Client) -> Arc<Self> {
+        Arc::new(Self { view, client, identity: fastrand::u64(1..), round: AtomicU64::new(1) })
+    }
+
+    /// Changes the committed state to what `decide` makes of it. `decide` may be called several times.
+    ///
+    /// # Errors
+    ///
+    /// Tells a change that `decide` declined, by a state that is certainly committed, from one that is unclear.
+    pub async fn change<E>(
+        &self,
+        deadline: Instant,
+        decide: impl Fn(&ControlState) -> Result<ControlState, E>,
+    ) -> Result<Versioned<ControlState>, ChangeFailure<E>> {
+        let mut tries = 0_u64;
+        while Instant::now() < deadline {
+            let mut declined = None;
+            let attempt = self.attempt(deadline, &decide, &mut declined).await;
+            match (attempt, declined) {
+                (Attempt::Committed(_), Some(reason)) => return Err(ChangeFailure::Declined(reason)),
+                (Attempt::Committed(value), None) => return Ok(value),
+                (Attempt::Preempted | Attempt::NoQuorum, _) => tries += 1,
+            }
+            let pause = Duration::from_millis(fastrand::u64(1..=RETRY_PAUSE_MS * tries.min(8)));
+            tokio::time::sleep(pause).await;
+        }
+        Err(ChangeFailure::Unclear)
+    }
+
+    /// The newest state, read at a majority.
+    pub async fn read(&self, deadline: Instant) -> Option<Versioned<ControlState>> {
+        let identity = |_: &ControlState| Err::<ControlState, ()>(());
+        match self.change(deadline, identity).await {
+            Err(ChangeFailure::Declined(())) => self.view.committed(),
+            _ => None,
+        }
+    }
+
+    /// Commits a value that is accepted somewhere, or what is newer.
+    pub async fn settle(&self) -> bool {
+        self.read(Instant::now() + SETTLE_TIMEOUT).await.is_some()
+    }
+
+    async fn attempt<E>(
+        &self,
+        deadline: Instant,
+        decide: &impl Fn(&ControlState) -> Result<ControlState, E>,
+        declined: &mut Option<E>,
+    ) -> Attempt {
+        let Some(base) = self.view.committed() else { return Attempt::NoQuorum };
+        let committed_ballot = base.ballot;
+        let ballot = self.next_ballot(base.ballot.round);
+        let (mut proposal, requests) = Proposal::start(ballot, base);
+        let began = Instant::now();
+        let mut calls = FuturesUnordered::new();
+        calls.extend(requests.into_iter().map(|(member, request)| self.ask(member, request)));
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            let Ok(Some((member, reply))) = tokio::time::timeout(left, calls.next()).await else {
+                return Attempt::NoQuorum;
+            };
+            let Some(reply) = reply else { continue };
+            match proposal.on_reply(&member, reply) {
+                Step::Wait => {}
+                Step::Send(more) => calls.extend(more.into_iter().map(|(m, r)| self.ask(m, r))),
+                Step::Read(current) => {
+                    let value = match decide(&current.value) {
+                        Ok(value) => value,
+                        Err(reason) => {
+                            *declined = Some(reason);
+                            if current.ballot <= committed_ballot {
+                                self.view.confirm(began);
+                                return Attempt::Committed(current);
+                            }
+                            // Only what is committed may be answered for: the value that was read is written again.
+                            ControlState::clone(&current.value)
+                        }
+                    };
+                    let accept = proposal.propose(value);
+                    calls.extend(accept.into_iter().map(|(m, r)| self.ask(m, r)));
+                }
+                Step::Committed(value) => {
+                    self.view.adopt_control(&value);
+                    self.view.confirm(began);
+                    self.spread(&value);
+                    return Attempt::Committed(value);
+                }
+                Step::Preempted(higher) => {
+                    self.round.fetch_max(higher.round, Ordering::Relaxed);
+                    *declined = None;
+                    return Attempt::Preempted;
+                }
+            }
+        }
+    }
+
+    fn next_ballot(&self, known: u64) -> Ballot {
+        let round = self.round.fetch_max(known, Ordering::Relaxed).max(known) + 1;
+        self.round.fetch_max(round, Ordering::Relaxed);
+        Ballot { round, proposer: self.identity }
+    }
+
+    /// Tells all acceptors of a committed value. Those that miss it read it when they confirm.
+    fn spread(&self, value: &Versioned<ControlState>) {
+        for member in value.value.acceptors.clone() {
+            let (client, request) = (self.client.clone(), AcceptorRequest::Learn(value.clone()));
+            tokio::spawn(async move {
+                let path = paths::REGISTER;
+                let told: Result<AcceptorReply<ControlState>, _> =
+                    client.call(&member.address, path, &request, CALL_TIMEOUT).await;
+                if let Err(error) = told {
+                    log::debug!("{} was not told of a committed value: {error}", member.station);
+                }
+            });
+        }
+    }
+
+    async fn ask(
+        &self,
+        member: Member,
+        request: AcceptorRequest<ControlState>,
+    ) -> (Member, Option<AcceptorReply<ControlState>>) {
+        let reply = self.client.call(&member.address, paths::REGISTER, &request, CALL_TIMEOUT).await;
+        (member, reply.ok())
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/view.rs
@@ -0,0 +1,126 @@
+//! The snapshot that a process acts on, and how it is replaced.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use configuration::Configuration;
+use register::Versioned;
+use state::{ControlState, ServerList, View};
+use tokio::sync::watch;
+
+/// Holds the newest known [`View`]. Only goes forward.
+pub struct ViewCell {
+    sender: watch::Sender<Arc<View>>,
+    known: Mutex<Known>,
+}
+
+struct Known {
+    committed: Option<Versioned<ControlState>>,
+    confirmed_at: Option<Instant>,
+    servers_read_at: Option<Instant>,
+}
+
+impl Default for ViewCell {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl ViewCell {
+    /// A cell that knows nothing yet.
+    #[must_use]
+    pub fn new() -> Self {
+        let known = Known { committed: None, confirmed_at: None, servers_read_at: None };
+        Self { sender: watch::Sender::new(Arc::new(View::default())), known: Mutex::new(known) }
+    }
+
+    /// Follows the snapshots.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<Arc<View>> {
+        self.sender.subscribe()
+    }
+
+    /// The present snapshot.
+    #[must_use]
+    pub fn view(&self) -> Arc<View> {
+        Arc::clone(&self.sender.borrow())
+    }
+
+    /// The newest committed value that is known.
+    #[must_use]
+    pub fn committed(&self) -> Option<Versioned<ControlState>> {
+        self.lock().committed.clone()
+    }
+
+    /// Time since a majority confirmed the committed value as the newest.
+    #[must_use]
+    pub fn confirmed_age(&self) -> Option<Duration> {
+        self.lock().confirmed_at.map(|at| at.elapsed())
+    }
+
+    /// Time since the list of servers was read from the platform.
+    #[must_use]
+    pub fn servers_age(&self) -> Option<Duration> {
+        self.lock().servers_read_at.map(|at| at.elapsed())
+    }
+
+    /// Takes a committed value over, if it is newer.
+    pub fn adopt_control(&self, newer: &Versioned<ControlState>) {
+        let mut known = self.lock();
+        if known.committed.as_ref().is_some_and(|old| old.ballot >= newer.ballot) {
+            return;
+        }
+        known.committed = Some(newer.clone());
+        let control = Arc::clone(&newer.value);
+        self.sender.send_modify(|view| {
+            let configuration = compile(view, &control);
+            *view = Arc::new(View { control, configuration, servers: Arc::clone(&view.servers) });
+        });
+    }
+
+    /// Notes that a majority confirmed the value of this ballot as the newest, as of `at`.
+    pub fn confirm(&self, at: Instant) {
+        let mut known = self.lock();
+        known.confirmed_at = known.confirmed_at.max(Some(at));
+    }
+
+    /// Takes a list of servers over, if it is newer.
+    pub fn adopt_servers(&self, newer: ServerList) {
+        self.sender.send_if_modified(|view| {
+            if view.servers.version >= newer.version {
+                return false;
+            }
+            let (control, configuration) = (Arc::clone(&view.control), view.configuration.clone());
+            *view = Arc::new(View { control, configuration, servers: Arc::new(newer) });
+            true
+        });
+    }
+
+    /// Notes that the list of servers held is what the platform showed at `at`.
+    pub fn servers_read(&self, at: Instant) {
+        let mut known = self.lock();
+        known.servers_read_at = known.servers_read_at.max(Some(at));
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+/// The configuration of a control state, compiled anew only where it changed.
+fn compile(view: &View, control: &ControlState) -> Option<Arc<Configuration>> {
+    if control.edition == 0 {
+        return None;
+    }
+    let unchanged = view.control.edition == control.edition && view.control.configuration == control.configuration;
+    if unchanged {
+        return view.configuration.clone();
+    }
+    match Configuration::parse(control.configuration.as_bytes()) {
+        Ok(configuration) => Some(Arc::new(configuration)),
+        Err(error) => {
+            log::error!("configuration {} cannot be compiled, the one before stays: {error}", control.edition);
+            view.configuration.clone()
+        }
+    }
+}
--- a/crates/state/src/control.rs
+++ b/crates/state/src/control.rs
@@ -35,6 +35,8 @@
     pub members: Vec<StoreMember>,
     /// How many machines each batch job is kept on (at most; fewer where there are fewer).
     pub copies: usize,
+    /// How many members there should be; beyond these, one that cannot be reached is removed.
+    pub wanted: usize,
 }
 
 /// How far the emptying of a store machine is.
@@ -53,6 +55,8 @@
     pub revision: u64,
     /// The acceptors of the register.
     pub acceptors: Vec<Member>,
+    /// How many acceptors there should be; beyond these, one that cannot be reached is removed.
+    pub acceptors_wanted: usize,
     /// The operator's configuration in force, as JSON; empty before the first.
     pub configuration: String,
     /// Its version; 0 before the first.
@@ -63,6 +67,10 @@
     pub named_versions: BTreeMap<String, u64>,
     /// The last fencing token that was handed out.
     pub fence: u64,
+    /// The station to which it was handed out.
+    pub fence_holder: Option<String>,
+    /// The station that held the one before.
+    pub fence_holder_before: Option<String>,
     /// The machines that keep batch jobs.
     pub stores: StoreSet,
     /// The set before, until all that it kept is whole in the present one.
--- a/crates/state/src/servers.rs
+++ b/crates/state/src/servers.rs
@@ -43,10 +43,12 @@
 /// Orders the lists of all readers: first by the fencing token of the lease, then by number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServerListVersion {
-    /// The fencing token of the reader's lease; a reader without a lease keeps that of the list it replaces.
+    /// The fencing token of the reader's lease.
     pub fence: u64,
-    /// Rises with each list of one reader.
+    /// Rises with each list of that reader.
     pub sequence: u64,
+    /// Rises with each list that a process without the lease read for itself, when it heard of no newer one.
+    pub local: u64,
 }
 
 /// All servers.
