--- a/crates/control-plane/src/acceptor.rs
+++ b/crates/control-plane/src/acceptor.rs
@@ -12,6 +12,7 @@
 use state::ControlState;
 use storage::{Journal, Position};
 
+use crate::bootstrap::FIRST_BALLOT;
 use crate::messages::paths;
 use crate::{Proposer, ViewCell};
 
@@ -58,10 +59,13 @@
         Arc::new(Self { inner: Mutex::new(inner), journal, incarnation })
     }
 
-    /// The newest value known here to be committed, and durable.
+    /// The newest value known here to be committed, and durable. The first value is never proposed twice with
+    /// another content, so that changes may start from it as soon as it is accepted.
     #[must_use]
     pub fn committed(&self) -> Option<Versioned<ControlState>> {
-        self.lock().durable.committed.clone()
+        let inner = self.lock();
+        let first = inner.durable.accepted.clone().filter(|value| value.ballot == FIRST_BALLOT);
+        inner.durable.committed.clone().or(first)
     }
 
     /// Whether any value was ever accepted here.
--- a/crates/control-plane/src/bootstrap.rs
+++ b/crates/control-plane/src/bootstrap.rs
@@ -21,7 +21,7 @@
 /// How long joining is tried at a stretch.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(2000);
 /// The ballot of the first value; every proposal is above it.
-const FIRST_BALLOT: Ballot = Ballot { round: 1, proposer: 0 };
+pub(crate) const FIRST_BALLOT: Ballot = Ballot { round: 1, proposer: 0 };
 
 /// Who this process is, where it has a disk.
 #[derive(Clone, Debug)]
--- a/crates/control-plane/src/poll.rs
+++ b/crates/control-plane/src/poll.rs
@@ -5,7 +5,7 @@
 
 use crate::distribution::NO_BALLOT;
 use crate::messages::{paths, PollReply, PollRequest};
-use crate::ViewCell;
+use crate::{Leadership, ViewCell};
 
 /// How long a peer may hold a poll.
 const HOLD: Duration = Duration::from_millis(450);
@@ -13,27 +13,37 @@
 const GRACE: Duration = Duration::from_millis(300);
 /// A peer whose last confirmation by a majority is older is left for another.
 const CONFIRMED_AGE_MOST: Duration = Duration::from_millis(900);
+/// A peer whose list of servers is older is left for another.
+const SERVERS_AGE_MOST: Duration = Duration::from_millis(2000);
 /// Pause after a failed poll.
 const PAUSE: Duration = Duration::from_millis(60);
 
-/// Polls one peer after the other, and stays with one that is confirmed by a majority.
+/// Polls one peer after the other, and stays with one that is confirmed by a majority and has a fresh list.
 ///
-/// `seeds` are asked until the acceptors are known; `this_address` is this process, which is not asked.
-pub async fn run_poller(view: Arc<ViewCell>, client: rpc::Client, seeds: Vec<String>, this_address: String) {
-    let mut next: usize = fastrand::usize(..1024);
+/// `seeds` are asked until the acceptors are known; `this_address` is this process, which is not asked. A process
+/// that may lead gives its `leadership`: it polls the leader first, and nobody while it leads itself.
+pub async fn run_poller(
+    view: Arc<ViewCell>,
+    client: rpc::Client,
+    seeds: Vec<String>,
+    this_address: String,
+    leadership: Option<Arc<Leadership>>,
+) {
+    let mut next: usize = if leadership.is_some() { 0 } else { fastrand::usize(..1024) };
     loop {
-        let peers = peers(&view, &seeds, &this_address);
+        if leadership.as_ref().is_some_and(|leadership| leadership.fence().is_some()) {
+            next = 0;
+            tokio::time::sleep(HOLD).await;
+            continue;
+        }
+        let peers = peers(&view, &seeds, &this_address, leadership.is_some());
         let Some(peer) = peers.get(next % peers.len().max(1)) else {
             tokio::time::sleep(HOLD).await;
             continue;
         };
         match poll_once(&view, &client, peer).await {
-            Some(reply) if is_confirmed(&reply) => {}
-            Some(_) => {
-                next += 1;
-                tokio::time::sleep(PAUSE).await;
-            }
-            None => {
+            Some(reply) if is_fresh(&reply) => {}
+            Some(_) | None => {
                 next += 1;
                 tokio::time::sleep(PAUSE).await;
             }
@@ -41,14 +51,19 @@
     }
 }
 
-fn is_confirmed(reply: &PollReply) -> bool {
-    reply.confirmed_age_ms.is_some_and(|age| u128::from(age) <= CONFIRMED_AGE_MOST.as_millis())
+fn is_fresh(reply: &PollReply) -> bool {
+    let within = |age: Option<u32>, most: Duration| age.is_some_and(|age| u128::from(age) <= most.as_millis());
+    within(reply.confirmed_age_ms, CONFIRMED_AGE_MOST) && within(reply.servers_age_ms, SERVERS_AGE_MOST)
 }
 
-/// The acceptors, or the seeds where none is known; every fourth turn of a lost process goes to a seed.
-fn peers(view: &ViewCell, seeds: &[String], this_address: &str) -> Vec<String> {
+/// The acceptors, the leader first where wanted; the seeds too where none is known or nothing was confirmed of late.
+fn peers(view: &ViewCell, seeds: &[String], this_address: &str, leader_first: bool) -> Vec<String> {
     let control = &view.view().control;
-    let known = control.acceptors.iter().map(|member| member.address.clone());
+    let mut known: Vec<_> = control.acceptors.iter().collect();
+    if leader_first {
+        known.sort_by_key(|member| control.fence_holder.as_deref() != Some(&*member.station));
+    }
+    let known = known.into_iter().map(|member| member.address.clone());
     let mut peers: Vec<String> = known.filter(|address| address != this_address).collect();
     let lost = view.confirmed_age().is_none_or(|age| age > 4 * CONFIRMED_AGE_MOST);
     if peers.is_empty() || lost {
--- /dev/null
+++ b/crates/local-fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! A small fleet on loopback: stand-ins of platform, servers, operator and trainers.
--- /dev/null
+++ b/crates/rushrudder/src/control.rs
@@ -0,0 +1,232 @@
+//! Assembly of the control plane, the same for all roles.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use control_plane::{
+    paths, AcceptorService, Announcement, Capability, Distribution, FirstStart, Identity, Leadership, Platform,
+    PollRequest, Proposer, ViewCell, LEASE_TTL,
+};
+use error_stack::{Report, ResultExt};
+use lease::{Grantor, LeaseRequest};
+use poem::Route;
+use register::{AcceptorRequest, Incarnation, Member, Versioned};
+use settings::Settings;
+use state::{ControlState, StoreMember};
+use tokio::net::TcpListener;
+
+use crate::command::RoleError;
+
+/// A process with an acceptor reads the platform's list itself after this silence ...
+const OWN_READ_ACCEPTOR: Duration = Duration::from_millis(1700);
+/// ... and any other after this.
+const OWN_READ_OTHER: Duration = Duration::from_millis(2300);
+
+/// The disk of a process.
+pub struct Disk {
+    /// Its journal.
+    pub journal: storage::Journal,
+    /// What it held.
+    pub records: Vec<(storage::Position, Vec<u8>)>,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+}
+
+/// The control plane of a process.
+pub struct Control {
+    /// What the process knows.
+    pub view: Arc<ViewCell>,
+    /// Internal calls.
+    pub client: rpc::Client,
+    /// Changes of the register.
+    pub proposer: Arc<Proposer>,
+    /// Answers to other processes.
+    pub distribution: Arc<Distribution>,
+    /// Whether this process leads.
+    pub leadership: Arc<Leadership>,
+    /// Its internal address.
+    pub address: String,
+    first_start: Arc<FirstStart>,
+    acceptor: Option<Arc<AcceptorService>>,
+    grantor: Arc<Mutex<Grantor>>,
+    started: std::time::Instant,
+}
+
+/// The internal address of a process: its machine's and the first internal port.
+pub fn internal_address(settings: &Settings) -> String {
+    format!("{}:{}", settings.ip, settings.inner_ports.0)
+}
+
+/// The internal addresses of the seeds, which are told by the operator's addresses on the same machines.
+pub fn seed_addresses(settings: &Settings) -> Vec<String> {
+    let of = |seed: &String| seed.parse::<SocketAddr>().ok().map(|at| format!("{}:{}", at.ip(), settings.inner_ports.0));
+    settings.seeds.iter().filter_map(of).collect()
+}
+
+/// Opens the disk of a process, if it has one.
+pub fn open_disk(settings: &Settings, options: storage::Options) -> Result<Option<Disk>, Report<RoleError>> {
+    let Some(directory) = &settings.data_dir else { return Ok(None) };
+    let (journal, recovered) = storage::Journal::open(directory, options).change_context(RoleError)?;
+    let incarnation = Incarnation(recovered.incarnation);
+    log::info!("disk: incarnation {incarnation:?}, {} records, fresh {}", recovered.records.len(), recovered.fresh);
+    Ok(Some(Disk { journal, records: recovered.records, incarnation }))
+}
+
+impl Control {
+    /// The control plane of a process; one with a `disk` for it has an acceptor.
+    pub fn new(settings: &Settings, disk: Option<Disk>) -> Self {
+        let view = Arc::new(ViewCell::new());
+        let client = rpc::Client::new();
+        let proposer = Proposer::new(Arc::clone(&view), client.clone());
+        let acceptor = disk.map(|disk| AcceptorService::new(disk.journal, disk.incarnation, &disk.records));
+        if let Some(known) = acceptor.as_ref().and_then(|acceptor| acceptor.committed()) {
+            view.adopt_control(&known);
+        }
+        Self {
+            distribution: Distribution::new(Arc::clone(&view)),
+            view,
+            client,
+            proposer,
+            leadership: Arc::new(Leadership::default()),
+            address: internal_address(settings),
+            first_start: Arc::new(FirstStart::default()),
+            acceptor,
+            grantor: Arc::new(Mutex::new(Grantor::new(Duration::ZERO, LEASE_TTL))),
+            started: std::time::Instant::now(),
+        }
+    }
+
+    /// The endpoints for other processes; a role may add its own.
+    pub fn internal_routes(&self) -> Route {
+        let (distribution, pinged) = (Arc::clone(&self.distribution), Arc::clone(&self.distribution));
+        let first_start = Arc::clone(&self.first_start);
+        let mut routes = Route::new()
+            .at(
+                paths::POLL,
+                poem::post(rpc::handler(move |request: PollRequest| {
+                    let distribution = Arc::clone(&distribution);
+                    async move { Some(distribution.poll(request).await) }
+                })),
+            )
+            .at(
+                paths::PING,
+                poem::post(rpc::handler(move |(): ()| {
+                    let reply = pinged.ping();
+                    async move { Some(reply) }
+                })),
+            )
+            .at(
+                paths::ANNOUNCE,
+                poem::post(rpc::handler(move |announcement: Announcement| {
+                    first_start.announce(announcement);
+                    async move { Some(()) }
+                })),
+            );
+        if let Some(acceptor) = &self.acceptor {
+            routes = self.acceptor_routes(routes, acceptor);
+        }
+        routes
+    }
+
+    fn acceptor_routes(&self, routes: Route, acceptor: &Arc<AcceptorService>) -> Route {
+        let (register, first) = (Arc::clone(acceptor), Arc::clone(acceptor));
+        let (view, grantor, started) = (Arc::clone(&self.view), Arc::clone(&self.grantor), self.started);
+        let learn = move |request: AcceptorRequest<ControlState>| {
+            let (register, view) = (Arc::clone(&register), Arc::clone(&view));
+            async move {
+                if let AcceptorRequest::Learn(committed) = &request {
+                    view.adopt_control(committed);
+                }
+                register.handle(request).await
+            }
+        };
+        let initialise = move |value: Versioned<ControlState>| {
+            let first = Arc::clone(&first);
+            async move { first.initialise(value).await }
+        };
+        let grant = move |request: LeaseRequest| {
+            let reply = grantor.lock().unwrap_or_else(PoisonError::into_inner).handle(started.elapsed(), &request);
+            async move { Some(reply) }
+        };
+        routes
+            .at(paths::REGISTER, poem::post(rpc::handler(learn)))
+            .at(paths::FIRST, poem::post(rpc::handler(initialise)))
+            .at(paths::LEASE, poem::post(rpc::handler(grant)))
+    }
+
+    /// Listens at the internal address.
+    pub async fn listen(&self) -> Result<TcpListener, Report<RoleError>> {
+        TcpListener::bind(&self.address).await.change_context(RoleError).attach_with(|| self.address.clone())
+    }
+
+    /// Starts the tasks of the control plane.
+    pub fn start(&self, settings: &Settings, member: Option<Member>, capability: Capability) {
+        let seeds = seed_addresses(settings);
+        let leads = self.acceptor.is_some().then(|| Arc::clone(&self.leadership));
+        tokio::spawn(control_plane::run_poller(
+            Arc::clone(&self.view),
+            self.client.clone(),
+            seeds.clone(),
+            self.address.clone(),
+            leads,
+        ));
+        if let Some(cloud) = &settings.cloud {
+            let own_after = if self.acceptor.is_some() { OWN_READ_ACCEPTOR } else { OWN_READ_OTHER };
+            tokio::spawn(control_plane::run_list_reader(
+                Platform::new(cloud.address.clone()),
+                Arc::clone(&self.leadership),
+                Arc::clone(&self.view),
+                own_after,
+            ));
+        }
+        if settings.first_start {
+            self.start_first(settings, seeds, member.clone(), capability);
+        }
+        if let Some(member) = member {
+            self.start_member(settings, member, capability);
+        }
+    }
+
+    fn start_first(
+        &self,
+        settings: &Settings,
+        seeds: Vec<String>,
+        member: Option<Member>,
+        capability: Capability,
+    ) {
+        let zone = settings.zone.clone();
+        let identity = member.map(|member| Identity { member, zone, capability });
+        let (view, client, first_start) =
+            (Arc::clone(&self.view), self.client.clone(), Arc::clone(&self.first_start));
+        let (address, machines_lost) = (self.address.clone(), settings.withstand.machines);
+        tokio::spawn(async move {
+            control_plane::start_first(identity, &seeds, &address, machines_lost, &first_start, &view, &client).await;
+        });
+    }
+
+    fn start_member(&self, settings: &Settings, member: Member, capability: Capability) {
+        let (view, proposer) = (Arc::clone(&self.view), Arc::clone(&self.proposer));
+        if capability == Capability::Store {
+            let member = StoreMember { member, zone: settings.zone.clone() };
+            tokio::spawn(async move { control_plane::join_stores(&member, &view, &proposer).await });
+            return;
+        }
+        tokio::spawn(control_plane::run_scrub(Arc::clone(&view), self.client.clone(), Arc::clone(&proposer)));
+        tokio::spawn(control_plane::run_leader(
+            settings.station.clone(),
+            settings.timetable.lease() + settings.timetable.thaw(),
+            Arc::clone(&self.leadership),
+            Arc::clone(&view),
+            Arc::clone(&proposer),
+            self.client.clone(),
+        ));
+        tokio::spawn(control_plane::run_upkeep(
+            Arc::clone(&self.leadership),
+            Arc::clone(&view),
+            Arc::clone(&proposer),
+            self.client.clone(),
+        ));
+        tokio::spawn(async move { control_plane::join_register(&member, &view, &proposer).await });
+    }
+}
--- a/crates/rushrudder/src/main.rs
+++ b/crates/rushrudder/src/main.rs
@@ -1,2 +1,28 @@
-//! The program: roles of the system and commands for operators.
-fn main() {}
+//! rushrudder: the roles of the system and commands for operators.
+
+mod command;
+mod control;
+mod jobs;
+mod logging;
+mod node;
+mod signals;
+mod store;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+use command::{Command, Program};
+
+fn main() -> ExitCode {
+    let program = Program::parse_args_default_or_exit();
+    match program.command {
+        None => {
+            eprintln!("{}", Program::usage());
+            ExitCode::from(2)
+        }
+        Some(Command::Node(options)) => command::run_role(options, node::run),
+        Some(Command::Store(options)) => command::run_role(options, store::run),
+        Some(Command::Check(options)) => command::check(&options),
+    }
+}
--- /dev/null
+++ b/crates/rushrudder/src/signals.rs
@@ -0,0 +1,38 @@
+//! Signals of the platform.
+
+use error_stack::{Report, ResultExt};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+
+use crate::command::RoleError;
+
+/// What the platform tells by signals.
+pub struct Signals {
+    terminate: Signal,
+    reload: Signal,
+}
+
+/// A signal that arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// End in good order.
+    Terminate,
+    /// Read the settings file again.
+    Reload,
+}
+
+impl Signals {
+    /// Listens for signals.
+    pub fn listen() -> Result<Self, Report<RoleError>> {
+        let terminate = signal(SignalKind::terminate()).change_context(RoleError)?;
+        let reload = signal(SignalKind::hangup()).change_context(RoleError)?;
+        Ok(Self { terminate, reload })
+    }
+
+    /// Waits for the next signal.
+    pub async fn next(&mut self) -> Told {
+        tokio::select! {
+            _ = self.terminate.recv() => Told::Terminate,
+            _ = self.reload.recv() => Told::Reload,
+        }
+    }
+}
