--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -1,10 +1,28 @@
 //! A replicated compare-and-swap register without log or leader (CASPaxos).
 //!
 //! Pure state machines: an [`Acceptor`] answers requests and says when its state must be durable before the
-//! reply leaves; a [`Proposal`] drives one change in two quorum rounds. Neither has I/O, clock or threads.
+//! reply leaves; a [`Proposal`] drives one change in two quorum rounds; a [`Confirmation`] checks that a known
+//! committed value is the newest. None of them has I/O, clock or threads.
+//!
+//! # Why a change of the acceptors is safe
+//!
+//! A value is committed when a majority of the acceptors of the value that it was made from *and* a majority of
+//! its own acceptors have accepted it. The acceptors change one at a time, and only on top of a value that is
+//! known to be committed, so majorities of a value and of its successor always meet. A proposer that starts from
+//! any committed value therefore sees the successor, or something newer, and follows the chain to its end.
 
+mod acceptor;
+mod ballots;
+mod confirmation;
+mod members;
+mod proposal;
 mod types;
 
+pub use acceptor::{Acceptor, AcceptorState, Handled};
+pub use ballots::BallotSource;
+pub use confirmation::{Confirmation, Verdict};
+pub use members::{can_change, next_members, same_members, with_member, without_member};
+pub use proposal::{Proposal, Step};
 pub use types::{
     AcceptorReply, AcceptorRequest, Ballot, Incarnation, Member, Outcome, RegisterValue, Versioned,
 };
--- /dev/null
+++ b/crates/register/src/proposal.rs
@@ -0,0 +1,214 @@
+//! One change of the register, in two quorum rounds.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use crate::members::{can_change, has_majority, is_blocked, same_members};
+use crate::{AcceptorReply, AcceptorRequest, Ballot, Incarnation, Member, Outcome, RegisterValue, Versioned};
+
+/// Requests with the acceptors that they go to.
+type Requests<V> = Vec<(Member, AcceptorRequest<V>)>;
+
+/// What to do after a reply.
+#[derive(Clone, Debug)]
+pub enum Step<V> {
+    /// Nothing: more replies are needed, or this one came late.
+    Wait,
+    /// Send these requests too.
+    Send(Vec<(Member, AcceptorRequest<V>)>),
+    /// The promises are given; this is the current value. Go on with [`Proposal::propose`].
+    Read(Versioned<V>),
+    /// The value is committed. It is not the proposed one if [`Proposal::propose`] had to settle the value that
+    /// was read.
+    Committed(Versioned<V>),
+    /// Another proposer has this higher ballot. The value may yet be committed by a later proposal that reads it.
+    Preempted(Ballot),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Preparing,
+    Read,
+    Accepting,
+    Done,
+}
+
+/// A proposal under one ballot.
+///
+/// Only replies to this proposal's own requests may be handed in: a reply does not name its ballot.
+#[derive(Clone, Debug)]
+pub struct Proposal<V> {
+    ballot: Ballot,
+    base: Versioned<V>,
+    current: Versioned<V>,
+    proposed: Option<Versioned<V>>,
+    phase: Phase,
+    asked: Vec<Member>,
+    promises: HashSet<Incarnation>,
+    acceptances: HashSet<Incarnation>,
+    refusals: HashSet<Incarnation>,
+}
+
+impl<V: RegisterValue> Proposal<V> {
+    /// Starts from `base`, which must be committed, under a ballot that was never used.
+    pub fn start(ballot: Ballot, base: Versioned<V>) -> (Self, Vec<(Member, AcceptorRequest<V>)>) {
+        let mut proposal = Self {
+            ballot,
+            current: base.clone(),
+            base,
+            proposed: None,
+            phase: Phase::Preparing,
+            asked: Vec::new(),
+            promises: HashSet::new(),
+            acceptances: HashSet::new(),
+            refusals: HashSet::new(),
+        };
+        let requests = proposal.prepare_current();
+        (proposal, requests)
+    }
+
+    /// The ballot of this proposal.
+    pub fn ballot(&self) -> Ballot {
+        self.ballot
+    }
+
+    /// Whether the value that was read is known to be committed. If not, the acceptors can't be changed by this
+    /// proposal; propose the value unchanged first, and start again from the outcome.
+    pub fn is_settled(&self) -> bool {
+        self.current.ballot == self.base.ballot
+    }
+
+    /// Takes a reply to one of this proposal's requests.
+    pub fn on_reply(&mut self, from: &Member, reply: AcceptorReply<V>) -> Step<V> {
+        if from.incarnation != reply.incarnation {
+            return Step::Wait;
+        }
+        match reply.outcome {
+            Outcome::Promised(accepted) => self.on_promise(reply.incarnation, accepted),
+            Outcome::Accepted => self.on_acceptance(reply.incarnation),
+            Outcome::Rejected(ballot) => self.on_refusal(reply.incarnation, ballot),
+            Outcome::Learned | Outcome::Current { .. } => Step::Wait,
+        }
+    }
+
+    /// Proposes a value in place of the one that was read. Nothing is sent unless the promises are given.
+    ///
+    /// A value with other acceptors is only proposed if the value that was read [is settled](Self::is_settled)
+    /// and [one acceptor](can_change) differs; otherwise the value that was read is proposed again unchanged.
+    pub fn propose(&mut self, value: V) -> Vec<(Member, AcceptorRequest<V>)> {
+        if self.phase != Phase::Read {
+            return Vec::new();
+        }
+        let value = if self.may_follow(&value) { Arc::new(value) } else { Arc::clone(&self.current.value) };
+        let proposed = Versioned { ballot: self.ballot, value };
+        self.phase = Phase::Accepting;
+        self.proposed = Some(proposed.clone());
+        let members = union(self.current.value.members(), proposed.value.members());
+        members.into_iter().map(|member| (member, AcceptorRequest::Accept(proposed.clone()))).collect()
+    }
+
+    /// After [`Step::Committed`]: tells the old and the new acceptors.
+    pub fn announcements(&self) -> Vec<(Member, AcceptorRequest<V>)> {
+        let Some(committed) = self.proposed.as_ref().filter(|_| self.phase == Phase::Done) else {
+            return Vec::new();
+        };
+        let members = union(self.current.value.members(), committed.value.members());
+        members.into_iter().map(|member| (member, AcceptorRequest::Learn(committed.clone()))).collect()
+    }
+
+    fn may_follow(&self, value: &V) -> bool {
+        let current = self.current.value.members();
+        same_members(current, value.members()) || (self.is_settled() && can_change(current, value.members()))
+    }
+
+    fn on_promise(&mut self, from: Incarnation, accepted: Option<Versioned<V>>) -> Step<V> {
+        if self.phase != Phase::Preparing {
+            return Step::Wait;
+        }
+        self.promises.insert(from);
+        let newer = accepted.filter(|accepted| accepted.ballot > self.current.ballot);
+        let requests = newer.map(|newer| self.follow(newer)).unwrap_or_default();
+        if self.is_promised() {
+            self.phase = Phase::Read;
+            return Step::Read(self.current.clone());
+        }
+        if requests.is_empty() {
+            Step::Wait
+        } else {
+            Step::Send(requests)
+        }
+    }
+
+    fn is_promised(&self) -> bool {
+        has_majority(self.base.value.members(), &self.promises)
+            && has_majority(self.current.value.members(), &self.promises)
+    }
+
+    fn follow(&mut self, newer: Versioned<V>) -> Requests<V> {
+        self.current = newer;
+        self.prepare_current()
+    }
+
+    fn prepare_current(&mut self) -> Requests<V> {
+        let mut requests = Vec::new();
+        for member in self.current.value.members() {
+            let is_asked = self.asked.iter().any(|asked| asked.incarnation == member.incarnation);
+            if !is_asked {
+                self.asked.push(member.clone());
+                requests.push((member.clone(), AcceptorRequest::Prepare(self.ballot)));
+            }
+        }
+        requests
+    }
+
+    fn on_acceptance(&mut self, from: Incarnation) -> Step<V> {
+        if self.phase != Phase::Accepting {
+            return Step::Wait;
+        }
+        self.acceptances.insert(from);
+        match &self.proposed {
+            Some(proposed) if self.is_accepted(proposed) => {
+                self.phase = Phase::Done;
+                Step::Committed(proposed.clone())
+            }
+            _ => Step::Wait,
+        }
+    }
+
+    fn is_accepted(&self, proposed: &Versioned<V>) -> bool {
+        has_majority(self.current.value.members(), &self.acceptances)
+            && has_majority(proposed.value.members(), &self.acceptances)
+    }
+
+    fn on_refusal(&mut self, from: Incarnation, ballot: Ballot) -> Step<V> {
+        if ballot <= self.ballot {
+            return Step::Wait;
+        }
+        self.refusals.insert(from);
+        let is_lost = match (&self.phase, &self.proposed) {
+            (Phase::Preparing, _) => true,
+            (Phase::Accepting, Some(proposed)) => {
+                is_blocked(self.current.value.members(), &self.refusals)
+                    || is_blocked(proposed.value.members(), &self.refusals)
+            }
+            _ => false,
+        };
+        if !is_lost {
+            return Step::Wait;
+        }
+        self.phase = Phase::Done;
+        self.proposed = None;
+        Step::Preempted(ballot)
+    }
+}
+
+/// The members of both sets, each disk once.
+fn union(left: &[Member], right: &[Member]) -> Vec<Member> {
+    let mut members = left.to_vec();
+    for member in right {
+        if !members.iter().any(|known| known.incarnation == member.incarnation) {
+            members.push(member.clone());
+        }
+    }
+    members
+}
