--- /dev/null
+++ b/crates/storage/src/format.rs
@@ -0,0 +1,156 @@
+//! The bytes of a segment: a header, then records one after the other.
+//!
+//! Each record names its sequence number, the *generation* of its writer (a random number, drawn at each start
+//! and after each failure) and the generation of the record before it. Bytes that an earlier use of the place
+//! left behind never continue the chain.
+
+/// Bytes of a segment before its first record.
+pub(crate) const SEGMENT_HEADER_BYTES: usize = 64;
+/// Bytes of a record before its content.
+pub(crate) const RECORD_HEADER_BYTES: usize = 32;
+
+const MAGIC: u64 = u64::from_le_bytes(*b"ringseg1");
+const CHECKSUM_BYTES: usize = 4;
+const SEGMENT_CHECKSUM_AT: usize = SEGMENT_HEADER_BYTES - CHECKSUM_BYTES;
+
+/// How far the chain of records goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ChainEnd {
+    /// The sequence number of the next record.
+    pub next_sequence: u64,
+    /// The generation of the last record.
+    pub generation: u64,
+}
+
+/// What stands at the start of a segment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SegmentHeader {
+    /// The incarnation of the ring.
+    pub incarnation: u64,
+    /// Counts the segments ever written.
+    pub index: u64,
+    /// Where the chain ends before this segment.
+    pub chain: ChainEnd,
+    /// Records below this sequence number were released before this segment was begun.
+    pub released: u64,
+    /// The size of a segment.
+    pub segment_bytes: u64,
+    /// The number of segments.
+    pub segments: u32,
+}
+
+impl SegmentHeader {
+    pub(crate) fn encode(&self) -> [u8; SEGMENT_HEADER_BYTES] {
+        let mut bytes = [0; SEGMENT_HEADER_BYTES];
+        let words = [
+            MAGIC,
+            self.incarnation,
+            self.index,
+            self.chain.next_sequence,
+            self.chain.generation,
+            self.released,
+            self.segment_bytes,
+        ];
+        for (place, word) in bytes.chunks_exact_mut(8).zip(words) {
+            place.copy_from_slice(&word.to_le_bytes());
+        }
+        bytes[56..60].copy_from_slice(&self.segments.to_le_bytes());
+        let checksum = crc32fast::hash(&bytes[..SEGMENT_CHECKSUM_AT]);
+        bytes[SEGMENT_CHECKSUM_AT..].copy_from_slice(&checksum.to_le_bytes());
+        bytes
+    }
+
+    pub(crate) fn decode(bytes: &[u8; SEGMENT_HEADER_BYTES]) -> Option<Self> {
+        let checksum = crc32fast::hash(&bytes[..SEGMENT_CHECKSUM_AT]);
+        let is_valid = read_u32(bytes, SEGMENT_CHECKSUM_AT) == checksum && read_u64(bytes, 0) == MAGIC;
+        is_valid.then(|| Self {
+            incarnation: read_u64(bytes, 8),
+            index: read_u64(bytes, 16),
+            chain: ChainEnd { next_sequence: read_u64(bytes, 24), generation: read_u64(bytes, 32) },
+            released: read_u64(bytes, 40),
+            segment_bytes: read_u64(bytes, 48),
+            segments: read_u32(bytes, 56),
+        })
+    }
+}
+
+/// What stands before the content of a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RecordHeader {
+    /// Checksum of the rest of this header and of the content.
+    checksum: u32,
+    /// Length of the content.
+    pub length: u32,
+    sequence: u64,
+    pub generation: u64,
+    previous_generation: u64,
+}
+
+impl RecordHeader {
+    pub(crate) fn decode(bytes: &[u8; RECORD_HEADER_BYTES]) -> Self {
+        Self {
+            checksum: read_u32(bytes, 0),
+            length: read_u32(bytes, 4),
+            sequence: read_u64(bytes, 8),
+            generation: read_u64(bytes, 16),
+            previous_generation: read_u64(bytes, 24),
+        }
+    }
+
+    /// Whether this is the header of the next record of the chain; its checksum is still to be verified.
+    pub(crate) fn continues(&self, chain: ChainEnd) -> bool {
+        self.sequence == chain.next_sequence && self.previous_generation == chain.generation
+    }
+
+    /// Whether the record is whole.
+    pub(crate) fn verifies(&self, content: &[u8]) -> bool {
+        let mut hasher = crc32fast::Hasher::new();
+        hasher.update(&self.encode()[CHECKSUM_BYTES..]);
+        hasher.update(content);
+        hasher.finalize() == self.checksum
+    }
+
+    fn encode(&self) -> [u8; RECORD_HEADER_BYTES] {
+        let mut bytes = [0; RECORD_HEADER_BYTES];
+        bytes[0..4].copy_from_slice(&self.checksum.to_le_bytes());
+        bytes[4..8].copy_from_slice(&self.length.to_le_bytes());
+        bytes[8..16].copy_from_slice(&self.sequence.to_le_bytes());
+        bytes[16..24].copy_from_slice(&self.generation.to_le_bytes());
+        bytes[24..32].copy_from_slice(&self.previous_generation.to_le_bytes());
+        bytes
+    }
+}
+
+/// Adds a record to `buffer`; returns the new end of the chain.
+pub(crate) fn append_record(
+    buffer: &mut Vec<u8>,
+    chain: ChainEnd,
+    generation: u64,
+    content: &[u8],
+) -> ChainEnd {
+    let header = RecordHeader {
+        checksum: 0,
+        length: content.len() as u32,
+        sequence: chain.next_sequence,
+        generation,
+        previous_generation: chain.generation,
+    };
+    let start = buffer.len();
+    buffer.extend_from_slice(&header.encode());
+    buffer.extend_from_slice(content);
+    let checksum = crc32fast::hash(&buffer[start + CHECKSUM_BYTES..]);
+    buffer[start..start + CHECKSUM_BYTES].copy_from_slice(&checksum.to_le_bytes());
+    ChainEnd { next_sequence: chain.next_sequence + 1, generation }
+}
+
+fn read_u32(bytes: &[u8], at: usize) -> u32 {
+    let mut word = [0; 4];
+    word.copy_from_slice(&bytes[at..at + 4]);
+    u32::from_le_bytes(word)
+}
+
+fn read_u64(bytes: &[u8], at: usize) -> u64 {
+    let mut word = [0; 8];
+    word.copy_from_slice(&bytes[at..at + 8]);
+    u64::from_le_bytes(word)
+}
