--- /dev/null
+++ b/crates/store-plane/src/runner_ports.rs
@@ -0,0 +1,179 @@
+//! What the runner needs of the parts around it: something that carries out requests, and the log of a batch job.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use batch::{Item, ItemResult, Job, JobId, RewardRequest};
+use bytes::Bytes;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// What the route of a batch job demands of its items.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RouteTerms {
+    /// Answers of 500 after which an item may be given up.
+    pub tries: u32,
+    /// Whether one version of the weights must make a whole text.
+    pub single_version: bool,
+    /// All results are due this long after the hand-in.
+    pub delivery_due: Duration,
+    /// An item may be given up this long after the hand-in.
+    pub shelf_life: Duration,
+}
+
+/// The events of a text that were made so far.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ItemProgress {
+    /// The data of each event, in order.
+    pub events: Vec<Bytes>,
+    /// The id of the last event.
+    pub last_event_id: Option<u64>,
+    /// The versions of the weights that made them.
+    pub versions: BTreeSet<u64>,
+}
+
+/// Identifies the batch job of a request, and with it the route that the request takes.
+#[derive(Clone, Debug)]
+pub struct JobAddress {
+    /// The host that the batch job was handed in for.
+    pub host: Arc<str>,
+    /// The path that it was handed in at.
+    pub path: Arc<str>,
+    /// The model that makes the texts.
+    pub model: Option<Arc<str>>,
+    /// The oldest version of the weights that may make an event.
+    pub oldest_version: u64,
+}
+
+/// One run of an item at a server.
+#[derive(Clone, Debug)]
+pub struct ItemAttempt {
+    /// Where it belongs.
+    pub address: JobAddress,
+    /// The batch job that holds the item.
+    pub job: Arc<Job>,
+    /// The item's place in the batch job.
+    pub index: usize,
+    /// The decoded body.
+    pub body: Bytes,
+    /// The events to go on from; empty to start anew.
+    pub progress: ItemProgress,
+    /// The run is interrupted at this time.
+    pub deadline: Instant,
+}
+
+impl ItemAttempt {
+    /// The item.
+    #[must_use]
+    pub fn item(&self) -> &Item {
+        &self.job.items[self.index]
+    }
+}
+
+/// How a run of an item ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ItemEnd {
+    /// The text is whole.
+    Whole(ItemProgress),
+    /// The server itself answered 500.
+    Failed,
+    /// The server answered 422: it can never be done.
+    Impossible,
+    /// The stream ended early; these events are kept.
+    Interrupted(ItemProgress),
+    /// No server ran it.
+    NotRun {
+        /// When to try again.
+        retry_after: Duration,
+    },
+}
+
+/// How a reward call ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RewardEnd {
+    /// A 2xx; its stamp.
+    Graded(String),
+    /// The server itself answered 500.
+    Failed,
+    /// Nothing is known or it did not run; it may be repeated.
+    Again,
+    /// No route leads there.
+    NoRoute,
+}
+
+/// Carries out requests at servers.
+pub trait ItemExecutor: Send + Sync + 'static {
+    /// The terms of the route in force; `None` where no route matches.
+    fn terms(&self, host: &str, path: &str) -> Option<RouteTerms>;
+
+    /// Items that could start at once.
+    fn room(&self, address: &JobAddress) -> usize;
+
+    /// Whether a server can go on with a text whose events were made by `versions`.
+    fn can_continue(&self, address: &JobAddress, versions: &BTreeSet<u64>) -> bool;
+
+    /// Runs an item at one server. Dropping the future closes the connection, which stops the server.
+    fn run_item(&self, attempt: ItemAttempt) -> impl Future<Output = ItemEnd> + Send;
+
+    /// Makes a reward call.
+    fn reward(
+        &self,
+        request: RewardRequest,
+        body: Bytes,
+        deadline: Duration,
+    ) -> impl Future<Output = RewardEnd> + Send;
+}
+
+/// Whether a batch job may be run by its holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobState {
+    /// It may.
+    Open,
+    /// The trainer has ended it.
+    Ended,
+    /// Another store owns it now.
+    Deposed,
+}
+
+/// Another store owns the batch job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Deposed;
+
+impl fmt::Display for Deposed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("another store owns the batch job")
+    }
+}
+
+impl std::error::Error for Deposed {}
+
+/// The replicated log of a batch job, as its owner uses it.
+pub trait JobLog: Send + Sync + 'static {
+    /// Lists results; returns when they are committed.
+    fn append(&self, results: Vec<ItemResult>) -> impl Future<Output = Result<(), Deposed>> + Send;
+
+    /// Whether the batch job may still be run.
+    fn state(&self) -> watch::Receiver<JobState>;
+}
+
+/// A batch job to run.
+#[derive(Debug)]
+pub struct RunnableJob<Log> {
+    /// Its identity.
+    pub id: JobId,
+    /// The batch job.
+    pub job: Arc<Job>,
+    /// The host that it was handed in for.
+    pub host: Arc<str>,
+    /// The path that it was handed in at.
+    pub path: Arc<str>,
+    /// How long ago it was handed in.
+    pub age: Duration,
+    /// Results that earlier owners have listed.
+    pub listed: Vec<ItemResult>,
+    /// Its log.
+    pub log: Log,
+}
