--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -1,9 +1,11 @@
 //! A batch job as trainers hand it in, and its results as they read them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::fmt;
 use std::sync::Arc;
 
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
 use serde::{Deserialize, Serialize};
 
 /// Identity of a batch job: the `Attempt-Id` that it was handed in with.
@@ -28,6 +30,56 @@
     pub items: Vec<Item>,
 }
 
+impl Job {
+    /// Reads a batch job as it was handed in.
+    ///
+    /// # Errors
+    ///
+    /// When it cannot be taken.
+    pub fn parse(body: &[u8]) -> Result<Self, JobError> {
+        let job: Self = serde_json::from_slice(body).map_err(|e| JobError::Unreadable(e.to_string()))?;
+        job.check()?;
+        Ok(job)
+    }
+
+    fn check(&self) -> Result<(), JobError> {
+        if self.items.is_empty() {
+            return Err(JobError::Empty);
+        }
+        let mut seen = HashSet::with_capacity(self.items.len());
+        for item in &self.items {
+            if !seen.insert(&item.id) {
+                return Err(JobError::Repeated(Arc::clone(&item.id)));
+            }
+            let reward = item.reward.as_ref().map_or("", |reward| &reward.body);
+            if decode(&item.body).is_none() || decode(reward).is_none() {
+                return Err(JobError::BadBody(Arc::clone(&item.id)));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Item {
+    /// The decoded body.
+    #[must_use]
+    pub fn decoded_body(&self) -> Vec<u8> {
+        decode(&self.body).unwrap_or_default()
+    }
+}
+
+impl RewardRequest {
+    /// The decoded body.
+    #[must_use]
+    pub fn decoded_body(&self) -> Vec<u8> {
+        decode(&self.body).unwrap_or_default()
+    }
+}
+
+fn decode(body: &str) -> Option<Vec<u8>> {
+    STANDARD.decode(body).ok()
+}
+
 /// One request for tokens of a batch job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
@@ -96,7 +148,7 @@
 }
 
 /// A batch job that cannot be taken.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobError {
     /// The body is no batch job.
     Unreadable(String),
