--- a/crates/control-plane/src/acceptor.rs
+++ b/crates/control-plane/src/acceptor.rs
@@ -5,14 +5,13 @@
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use register::{
-    Acceptor, AcceptorReply, AcceptorRequest, AcceptorState, Ballot, Confirmation, ConfirmationStep, Incarnation,
-    Member, Outcome, Versioned,
+    Acceptor, AcceptorReply, AcceptorRequest, AcceptorState, Ballot, Confirmation, Incarnation, Member, Outcome,
+    Verdict, Versioned,
 };
 use serde::{Deserialize, Serialize};
 use state::ControlState;
 use storage::{Journal, Position};
 
-use crate::bootstrap::FIRST_BALLOT;
 use crate::messages::paths;
 use crate::{Proposer, ViewCell};
 
@@ -59,13 +58,10 @@
         Arc::new(Self { inner: Mutex::new(inner), journal, incarnation })
     }
 
-    /// The newest value known here to be committed, and durable. The first value is never proposed twice with
-    /// another content, so that changes may start from it as soon as it is accepted.
+    /// The newest value known here to be committed, and durable.
     #[must_use]
     pub fn committed(&self) -> Option<Versioned<ControlState>> {
-        let inner = self.lock();
-        let first = inner.durable.accepted.clone().filter(|value| value.ballot == FIRST_BALLOT);
-        inner.durable.committed.clone().or(first)
+        self.lock().durable.committed.clone()
     }
 
     /// Whether any value was ever accepted here.
@@ -190,14 +186,16 @@
     while let Some((member, reply)) = calls.next().await {
         let Some(reply) = reply else { continue };
         match confirmation.on_reply(&member, reply) {
-            ConfirmationStep::Wait => {}
-            ConfirmationStep::Confirmed(value) => {
-                view.adopt_control(&value);
+            Verdict::Wait => {}
+            Verdict::Confirmed => {
                 view.confirm(began);
                 return true;
             }
-            ConfirmationStep::Newer(value) => view.adopt_control(&value),
-            ConfirmationStep::Undecided => return proposer.settle().await,
+            Verdict::Newer(value) => {
+                view.adopt_control(&value);
+                return false;
+            }
+            Verdict::Undecided(_) => return proposer.settle().await,
         }
     }
     false
--- a/crates/control-plane/src/proposer.rs
+++ b/crates/control-plane/src/proposer.rs
@@ -99,6 +99,7 @@
         let ballot = self.next_ballot(base.ballot.round);
         let (mut proposal, requests) = Proposal::start(ballot, base);
         let began = Instant::now();
+        let mut wanted = None;
         let mut calls = FuturesUnordered::new();
         calls.extend(requests.into_iter().map(|(member, request)| self.ask(member, request)));
         loop {
@@ -112,7 +113,10 @@
                 Step::Send(more) => calls.extend(more.into_iter().map(|(m, r)| self.ask(m, r))),
                 Step::Read(current) => {
                     let value = match decide(&current.value) {
-                        Ok(value) => value,
+                        Ok(value) => {
+                            wanted = Some(value.clone());
+                            value
+                        }
                         Err(reason) => {
                             *declined = Some(reason);
                             if current.ballot <= committed_ballot {
@@ -129,8 +133,10 @@
                 Step::Committed(value) => {
                     self.view.adopt_control(&value);
                     self.view.confirm(began);
-                    self.spread(&value);
-                    return Attempt::Committed(value);
+                    self.spread(proposal.announcements());
+                    // The register settles a value that was read in doubt before it takes another.
+                    let is_settled_only = wanted.is_some_and(|wanted| wanted != *value.value);
+                    return if is_settled_only { Attempt::Preempted } else { Attempt::Committed(value) };
                 }
                 Step::Preempted(higher) => {
                     self.round.fetch_max(higher.round, Ordering::Relaxed);
@@ -148,9 +154,9 @@
     }
 
     /// Tells all acceptors of a committed value. Those that miss it read it when they confirm.
-    fn spread(&self, value: &Versioned<ControlState>) {
-        for member in value.value.acceptors.clone() {
-            let (client, request) = (self.client.clone(), AcceptorRequest::Learn(value.clone()));
+    fn spread(&self, announcements: Vec<(Member, AcceptorRequest<ControlState>)>) {
+        for (member, request) in announcements {
+            let client = self.client.clone();
             tokio::spawn(async move {
                 let path = paths::REGISTER;
                 let told: Result<AcceptorReply<ControlState>, _> =
