--- /dev/null
+++ b/crates/data-plane/src/event_stream.rs
@@ -0,0 +1,107 @@
+//! Incremental parsing of `text/event-stream`.
+
+use bytes::{Bytes, BytesMut};
+
+/// The field that names the version of the weights from an event on.
+const VERSION_FIELD: &str = "weight-editions";
+
+/// One whole event.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Event {
+    /// Its bytes as they came, with the blank line that ends it.
+    pub raw: Bytes,
+    /// Its `id`, where that is a number.
+    pub id: Option<u64>,
+    /// Its data lines, joined by line feeds.
+    pub data: Bytes,
+    /// The version of the weights, where the event tells of a change.
+    pub version: Option<u64>,
+}
+
+impl Event {
+    /// Whether it is only a comment or empty.
+    #[must_use]
+    pub fn is_comment(&self) -> bool {
+        self.id.is_none() && self.data.is_empty() && self.version.is_none()
+    }
+}
+
+/// Cuts a stream into events.
+#[derive(Debug, Default)]
+pub struct EventParser {
+    buffer: BytesMut,
+    /// Up to here the buffer holds no end of an event.
+    searched: usize,
+}
+
+impl EventParser {
+    /// Takes in what came next.
+    pub fn push(&mut self, chunk: &[u8]) {
+        self.buffer.extend_from_slice(chunk);
+    }
+
+    /// The next whole event.
+    pub fn next_event(&mut self) -> Option<Event> {
+        let end = self.find_end()?;
+        self.searched = 0;
+        let raw = self.buffer.split_to(end).freeze();
+        Some(parse(raw))
+    }
+
+    /// Whether part of an event is left.
+    #[must_use]
+    pub fn has_partial(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// The end of the first blank line.
+    fn find_end(&mut self) -> Option<usize> {
+        let mut line_start = self.searched;
+        while let Some(length) = self.buffer[line_start..].iter().position(|byte| *byte == b'\n') {
+            let line = &self.buffer[line_start..line_start + length];
+            line_start += length + 1;
+            if line.is_empty() || line == b"\r" {
+                return Some(line_start);
+            }
+            self.searched = line_start;
+        }
+        None
+    }
+}
+
+fn parse(raw: Bytes) -> Event {
+    let mut event = Event::default();
+    let mut data: Option<Vec<u8>> = None;
+    for line in raw.split(|byte| *byte == b'\n') {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let (field, value) = split_field(line);
+        match field {
+            b"data" => match &mut data {
+                Some(joined) => {
+                    joined.push(b'\n');
+                    joined.extend_from_slice(value);
+                }
+                None => data = Some(value.to_vec()),
+            },
+            b"id" => event.id = number(value),
+            field if field.eq_ignore_ascii_case(VERSION_FIELD.as_bytes()) => event.version = number(value),
+            _ => {}
+        }
+    }
+    event.data = data.unwrap_or_default().into();
+    event.raw = raw;
+    event
+}
+
+/// Splits a line at its first colon; one space behind it belongs to neither side.
+fn split_field(line: &[u8]) -> (&[u8], &[u8]) {
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+        return (line, b"");
+    };
+    let value = &line[colon + 1..];
+    (&line[..colon], value.strip_prefix(b" ").unwrap_or(value))
+}
+
+fn number(value: &[u8]) -> Option<u64> {
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -1,1 +1,24 @@
 //! The traffic of a node: front, sender, streams.
+//!
+//! The [`Sender`] brings requests to servers: plain requests and streams of clients, items of batch jobs and
+//! reward calls. The [`Front`] takes requests from clients.
+
+mod answer;
+mod attempt;
+mod call;
+mod event_stream;
+mod front;
+mod item;
+mod links;
+mod plain;
+mod reward;
+mod sender;
+mod stream;
+
+pub use answer::{Answer, AnswerBody, Verdict};
+pub use call::Call;
+pub use event_stream::{Event, EventParser};
+pub use front::{Condition, Front, FrontSettings, JobEndpoint};
+pub use item::{ItemCall, ItemEnd, ItemProgress};
+pub use reward::RewardEnd;
+pub use sender::Sender;
--- /dev/null
+++ b/crates/data-plane/src/plain.rs
@@ -0,0 +1,224 @@
+//! Plain requests: the answer is known to be whole before the client sees any of it, unless it is long.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use configuration::{Kind, Route};
+use dispatch::{Need, VersionNeed};
+use futures_util::future::BoxFuture;
+use futures_util::stream::{self, FuturesUnordered, StreamExt};
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::StatusCode;
+use state::ServerId;
+use tokio::time::{sleep_until, Instant};
+
+use crate::answer::{Answer, AnswerBody, Verdict};
+use crate::attempt::{open, Extra, Failure, Opened};
+use crate::call::{end_to_end, Call};
+use crate::sender::Sender;
+
+/// Answers up to this length are held until they are whole.
+const HELD_MOST: usize = 512 * 1024;
+/// When a client is asked to come back if the servers name no time.
+pub(crate) const COME_BACK: Duration = Duration::from_millis(100);
+/// Attempts beyond the tries of the route that may end without having run.
+const REFUSALS_MOST: u32 = 6;
+/// A second attempt goes out when this part of the aim has passed.
+const HEDGE_AT: f64 = 0.6;
+
+type Attempt = BoxFuture<'static, Result<Answer, Failure>>;
+
+/// What all attempts for one try of a client came to.
+pub(crate) struct PlainEnd {
+    /// The answer for the client.
+    pub(crate) answer: Answer,
+    /// Whether it is a server's.
+    pub(crate) is_servers: bool,
+    /// How many servers answered with status 500.
+    pub(crate) errors: u32,
+}
+
+/// The attempts of one try.
+struct Tries<'a> {
+    sender: &'a Sender,
+    route: &'a Arc<Route>,
+    call: &'a Arc<Call>,
+    model: Option<Arc<str>>,
+    may_repeat: bool,
+    deadline: Instant,
+    tried: Vec<ServerId>,
+    /// Servers that may have run the request, those at work included.
+    spent: u32,
+    refused: u32,
+    errors: u32,
+    retry_after: Option<Duration>,
+    timed_out: bool,
+    /// A server's error, which is the answer if nothing better comes.
+    fallback: Option<Answer>,
+}
+
+impl Sender {
+    /// Brings a plain request to a server and retries as its route allows.
+    pub(crate) async fn plain(&self, route: &Arc<Route>, call: Arc<Call>, deadline: Instant) -> PlainEnd {
+        let mut tries = Tries {
+            sender: self,
+            route,
+            model: call.model(),
+            call: &call,
+            may_repeat: route.kind == Kind::Safe,
+            deadline,
+            tried: Vec::new(),
+            spent: 0,
+            refused: 0,
+            errors: 0,
+            retry_after: None,
+            timed_out: false,
+            fallback: None,
+        };
+        tries.run().await
+    }
+}
+
+impl Tries<'_> {
+    async fn run(&mut self) -> PlainEnd {
+        let mut running = FuturesUnordered::new();
+        running.extend(self.start());
+        let hedge_at = Instant::now() + self.route.aim.mul_f64(HEDGE_AT);
+        let mut may_hedge = self.may_repeat && self.route.tries > 1 && hedge_at < self.deadline;
+        while !running.is_empty() {
+            tokio::select! {
+                Some(end) = running.next() => {
+                    if let Some(answer) = self.take(end) {
+                        let_finish(running);
+                        return PlainEnd { answer, is_servers: true, errors: self.errors };
+                    }
+                    if running.is_empty() {
+                        running.extend(self.start());
+                    }
+                }
+                () = sleep_until(hedge_at), if may_hedge => {
+                    may_hedge = false;
+                    if self.sender.may_hedge() {
+                        running.extend(self.start());
+                    }
+                }
+            }
+        }
+        self.give_up()
+    }
+
+    /// Starts an attempt at one more server, if one may be tried.
+    fn start(&mut self) -> Option<Attempt> {
+        let is_first = self.spent == 0;
+        let may_run = is_first || (self.may_repeat && self.spent < self.route.tries.max(1));
+        let has_time = Instant::now() < self.deadline;
+        if !may_run || !has_time || self.refused > REFUSALS_MOST {
+            return None;
+        }
+        let need = Need {
+            targets: &self.route.targets,
+            model: self.model.as_deref(),
+            version: VersionNeed::Any,
+            tried: &self.tried,
+            with_room: false,
+        };
+        let ticket = self.sender.choose(&need)?;
+        if self.tried.contains(&ticket.choice.id) {
+            // Every server has had it once already.
+            return None;
+        }
+        self.tried.push(Arc::clone(&ticket.choice.id));
+        self.spent += 1;
+        let (call, extra) = (Arc::clone(self.call), Extra::until(self.deadline));
+        Some(Box::pin(async move { hold(open(ticket, &call, extra).await?).await }))
+    }
+
+    /// Takes in the end of an attempt; gives the answer if it is final.
+    fn take(&mut self, end: Result<Answer, Failure>) -> Option<Answer> {
+        match end {
+            Ok(answer) if answer.status.is_server_error() => {
+                if answer.status == StatusCode::INTERNAL_SERVER_ERROR {
+                    self.errors += 1;
+                }
+                if !self.may_repeat {
+                    return Some(answer);
+                }
+                self.fallback = Some(answer);
+                None
+            }
+            Ok(answer) => Some(answer),
+            Err(failure) => {
+                if failure.verdict == Verdict::NotRun {
+                    self.spent -= 1;
+                    self.refused += 1;
+                }
+                self.timed_out |= failure.timed_out;
+                let earlier = self.retry_after.into_iter().chain(failure.retry_after).min();
+                self.retry_after = earlier;
+                None
+            }
+        }
+    }
+
+    fn give_up(&mut self) -> PlainEnd {
+        if let Some(answer) = self.fallback.take() {
+            return PlainEnd { answer, is_servers: true, errors: self.errors };
+        }
+        let answer = if self.spent == 0 {
+            Answer::not_run(self.retry_after.unwrap_or(COME_BACK))
+        } else if self.timed_out {
+            Answer::own(StatusCode::GATEWAY_TIMEOUT)
+        } else {
+            Answer::own(StatusCode::BAD_GATEWAY)
+        };
+        PlainEnd { answer, is_servers: false, errors: self.errors }
+    }
+}
+
+/// Lets attempts that lost against another one run to their end: breaking off work at a server costs more.
+fn let_finish(running: FuturesUnordered<Attempt>) {
+    if !running.is_empty() {
+        tokio::spawn(running.for_each(|_| async {}));
+    }
+}
+
+/// Reads the body to its end, or up to the length from which it is passed on as it comes.
+async fn hold(mut opened: Opened) -> Result<Answer, Failure> {
+    let (status, mut headers) = (opened.status(), opened.headers().clone());
+    let length = headers.remove(CONTENT_LENGTH);
+    headers.remove(TRANSFER_ENCODING);
+    let mut headers = end_to_end(&headers);
+    let mut first = Bytes::new();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = opened.chunk().await? {
+        if first.is_empty() {
+            first = chunk;
+            continue;
+        }
+        if body.is_empty() {
+            body.extend_from_slice(&first);
+        }
+        body.extend_from_slice(&chunk);
+        if body.len() > HELD_MOST {
+            headers.extend(length.map(|length| (CONTENT_LENGTH, length)));
+            let body = AnswerBody::Pieces(rest(body.freeze(), opened));
+            return Ok(Answer { status, headers, body });
+        }
+    }
+    let body = if body.is_empty() { first } else { body.freeze() };
+    Ok(Answer { status, headers, body: AnswerBody::Whole(body) })
+}
+
+/// What has come of a long answer, then the rest of it as it comes.
+fn rest(begin: Bytes, opened: Opened) -> stream::BoxStream<'static, std::io::Result<Bytes>> {
+    let rest = stream::unfold(Some(opened), |opened| async {
+        let mut opened = opened?;
+        match opened.chunk().await {
+            Ok(Some(chunk)) => Some((Ok(chunk), Some(opened))),
+            Ok(None) => None,
+            Err(_) => Some((Err(std::io::Error::other("the server broke off")), None)),
+        }
+    });
+    stream::once(async { Ok(begin) }).chain(rest).boxed()
+}
--- /dev/null
+++ b/crates/data-plane/src/stream.rs
@@ -0,0 +1,177 @@
+//! Streams: each event goes on as it comes.
+
+use std::collections::VecDeque;
+use std::io;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use configuration::Route;
+use dispatch::{Need, VersionNeed};
+use futures_util::stream::{self, BoxStream, StreamExt};
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::StatusCode;
+use state::ServerId;
+use tokio::time::Instant;
+
+use crate::answer::{Answer, AnswerBody, Verdict};
+use crate::attempt::{open, Extra, Failure, Opened};
+use crate::call::{end_to_end, Call, LAST_EVENT_ID};
+use crate::event_stream::EventParser;
+use crate::sender::Sender;
+
+/// Attempts at servers that did not run the request.
+const REFUSALS_MOST: u32 = 6;
+
+/// Where the events of one answer come from: one server after the other.
+struct Source {
+    sender: Sender,
+    route: Arc<Route>,
+    call: Arc<Call>,
+    deadline: Instant,
+    tried: Vec<ServerId>,
+    /// Servers that may have run the request.
+    spent: u32,
+    refused: u32,
+    last_failure: Option<Failure>,
+    last_event_id: Option<u64>,
+    opened: Option<Opened>,
+    parser: EventParser,
+    ready: VecDeque<Bytes>,
+}
+
+impl Sender {
+    /// Brings a request for a stream to a server.
+    pub(crate) async fn stream(&self, route: &Arc<Route>, call: Arc<Call>, deadline: Instant) -> Answer {
+        let asked = call.headers.get(LAST_EVENT_ID).and_then(|id| id.to_str().ok()?.parse().ok());
+        let mut source = Source {
+            sender: self.clone(),
+            route: Arc::clone(route),
+            call,
+            deadline,
+            tried: Vec::new(),
+            spent: 0,
+            refused: 0,
+            last_failure: None,
+            last_event_id: asked,
+            opened: None,
+            parser: EventParser::default(),
+            ready: VecDeque::new(),
+        };
+        let Some(opened) = source.connect().await else {
+            return source.refusal();
+        };
+        let (status, mut headers) = (opened.status(), end_to_end(opened.headers()));
+        headers.remove(CONTENT_LENGTH);
+        headers.remove(TRANSFER_ENCODING);
+        source.opened = Some(opened);
+        Answer { status, headers, body: AnswerBody::Pieces(source.into_pieces()) }
+    }
+}
+
+impl Source {
+    /// Opens the stream at the next server that may be tried.
+    async fn connect(&mut self) -> Option<Opened> {
+        while self.may_try() {
+            let need = Need {
+                targets: &self.route.targets,
+                model: None,
+                version: VersionNeed::Any,
+                tried: &self.tried,
+                with_room: false,
+            };
+            let ticket = self.sender.choose(&need)?;
+            if self.tried.contains(&ticket.choice.id) {
+                return None;
+            }
+            self.tried.push(Arc::clone(&ticket.choice.id));
+            self.spent += 1;
+            let extra = Extra { last_event_id: self.last_event_id, ..Extra::until(self.deadline) };
+            match open(ticket, &self.call, extra).await {
+                Ok(opened) => return Some(opened),
+                Err(failure) => self.note(failure),
+            }
+        }
+        None
+    }
+
+    fn may_try(&self) -> bool {
+        let may_run = self.spent == 0 || (self.route.resume && self.spent < self.route.tries.max(1));
+        may_run && self.refused <= REFUSALS_MOST && Instant::now() < self.deadline
+    }
+
+    fn note(&mut self, failure: Failure) {
+        if failure.verdict == Verdict::NotRun {
+            self.spent -= 1;
+            self.refused += 1;
+        }
+        self.last_failure = Some(failure);
+    }
+
+    /// The answer when no server has begun to answer.
+    fn refusal(&self) -> Answer {
+        let failure = self.last_failure;
+        if self.spent == 0 {
+            let retry_after = failure.and_then(|failure| failure.retry_after);
+            return Answer::not_run(retry_after.unwrap_or(crate::plain::COME_BACK));
+        }
+        let timed_out = failure.is_some_and(|failure| failure.timed_out);
+        Answer::own(if timed_out { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY })
+    }
+
+    fn into_pieces(self) -> BoxStream<'static, io::Result<Bytes>> {
+        let pieces = stream::unfold(Some(self), |source| async {
+            let mut source = source?;
+            match source.next_piece().await {
+                Ok(Some(piece)) => Some((Ok(piece), Some(source))),
+                Ok(None) => None,
+                Err(error) => Some((Err(error), None)),
+            }
+        });
+        pieces.boxed()
+    }
+
+    /// The next whole event; `None` at the proper end.
+    async fn next_piece(&mut self) -> io::Result<Option<Bytes>> {
+        loop {
+            if let Some(piece) = self.ready.pop_front() {
+                return Ok(Some(piece));
+            }
+            let Some(opened) = &mut self.opened else {
+                return Err(broken_off());
+            };
+            match opened.chunk().await {
+                Ok(Some(chunk)) => self.take(&chunk)?,
+                Ok(None) if self.parser.has_partial() => return Err(broken_off()),
+                Ok(None) => return Ok(None),
+                Err(_) => self.resume().await?,
+            }
+        }
+    }
+
+    fn take(&mut self, chunk: &[u8]) -> io::Result<()> {
+        self.parser.push(chunk);
+        while let Some(event) = self.parser.next_event() {
+            if let (Some(id), Some(last)) = (event.id, self.last_event_id) {
+                if id != last + 1 {
+                    return Err(broken_off());
+                }
+            }
+            self.last_event_id = event.id.or(self.last_event_id);
+            self.ready.push_back(event.raw);
+        }
+        Ok(())
+    }
+
+    /// Goes on at another server behind the last whole event.
+    async fn resume(&mut self) -> io::Result<()> {
+        self.opened = None;
+        self.parser = EventParser::default();
+        let opened = self.connect().await.filter(|opened| opened.status().is_success());
+        self.opened = Some(opened.ok_or_else(broken_off)?);
+        Ok(())
+    }
+}
+
+fn broken_off() -> io::Error {
+    io::Error::other("the stream was broken off")
+}
--- a/crates/dispatch/src/versions.rs
+++ b/crates/dispatch/src/versions.rs
@@ -65,7 +65,7 @@
         };
         let known = self.of(Some(model));
         let version_fits = match need {
-            VersionNeed::Any => return true,
+            VersionNeed::Any => return self.known.is_empty() || known.is_some(),
             VersionNeed::AtLeast(oldest) => known.is_some_and(|version| version >= oldest),
             VersionNeed::Exactly(wanted) => known == Some(wanted),
         };
--- a/crates/hsq/src/lib.rs
+++ b/crates/hsq/src/lib.rs
@@ -89,7 +89,8 @@
     }
 
     fn mean(&self) -> u64 {
-        let (sum, servers) = self.counts.iter().flatten().fold((0, 0), |(sum, n), count| (sum + count, n + 1));
+        let (sum, servers) =
+            self.counts.iter().flatten().fold((0, 0), |(sum, n), count| (sum + count, n + 1));
         if servers == 0 {
             return 0;
         }
