--- a/crates/data-plane/src/front.rs
+++ b/crates/data-plane/src/front.rs
@@ -128,10 +128,10 @@
             return self.no_route().into();
         };
         match route.kind {
-            Kind::Rollout if request.method() == Method::POST => {
+            Kind::Rollout | Kind::Batch if request.method() == Method::POST => {
                 self.shared.settings.jobs.handle(request).await
             }
-            Kind::Rollout => Answer::own(StatusCode::METHOD_NOT_ALLOWED).into(),
+            Kind::Rollout | Kind::Batch => Answer::own(StatusCode::METHOD_NOT_ALLOWED).into(),
             _ => self.forward(route, configuration.limits(), request).await.into(),
         }
     }
@@ -144,7 +144,7 @@
         }
     }
 
-    async fn forward(&self, route: &Arc<Route>, limits: Limits, request: Request) -> Answer {
+    async fn forward(&self, route: &Arc<Route>, limits: &Limits, request: Request) -> Answer {
         let deadline = Instant::now() + time_left(route, request.headers());
         let call = match read(request, limits, deadline).await {
             Ok(call) => Arc::new(call),
@@ -159,7 +159,6 @@
 
 fn find_route<'a>(configuration: &'a Configuration, request: &Request) -> Option<&'a Arc<Route>> {
     let host = request.headers().get(HOST)?.to_str().ok()?;
-    let host = host.split(':').next().unwrap_or(host);
     configuration.route(host, request.uri().path())
 }
 
@@ -170,7 +169,7 @@
 }
 
 /// Reads a whole request; otherwise gives the status to refuse it with.
-async fn read(mut request: Request, limits: Limits, deadline: Instant) -> Result<Call, StatusCode> {
+async fn read(mut request: Request, limits: &Limits, deadline: Instant) -> Result<Call, StatusCode> {
     if head_bytes(&request) > limits.head_bytes {
         return Err(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
     }
@@ -183,15 +182,16 @@
     Ok(Call { method: request.method().clone(), target, headers, body })
 }
 
-fn head_bytes(request: &Request) -> usize {
+fn head_bytes(request: &Request) -> u64 {
     let line = |(name, value): (&http::HeaderName, &HeaderValue)| {
-        name.as_str().len() + value.len() + HEADER_OVERHEAD
+        (name.as_str().len() + value.len() + HEADER_OVERHEAD) as u64
     };
     request.headers().iter().map(line).sum()
 }
 
-async fn read_body(request: &mut Request, limits: Limits, deadline: Instant) -> Result<Bytes, StatusCode> {
-    let body = request.take_body().into_bytes_limit(limits.body_bytes);
+async fn read_body(request: &mut Request, limits: &Limits, deadline: Instant) -> Result<Bytes, StatusCode> {
+    let most = usize::try_from(limits.body_bytes).unwrap_or(usize::MAX);
+    let body = request.take_body().into_bytes_limit(most);
     match timeout_at(deadline, body).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(ReadBodyError::PayloadTooLarge)) => Err(StatusCode::PAYLOAD_TOO_LARGE),
