--- /dev/null
+++ b/crates/rollout/tests/wire.rs
@@ -0,0 +1,39 @@
+//! The bodies of calls to a server.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rollout::{Answer, Method, Order, Report};
+use yare::parameterized;
+
+#[test]
+fn given_an_order_when_written_then_it_is_as_servers_read_it() {
+    let order = Order {
+        server: "i-1".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        model: "daka510000".into(),
+        version: 2,
+        method: Method::Hold,
+    };
+    let body = serde_json::to_string(&order.body("node-7", 41)).expect("it can be written");
+    let expected = r#"{"order":"edition","model":"daka510000","edition":2,"method":"hold","holder":"node-7","fence":41}"#;
+    assert_eq!(body, expected);
+}
+
+#[test]
+fn given_a_report_when_read_then_its_figures_are_there() {
+    let text = r#"{"leg":"both","models":[{"name":"daka510000","edition":1,"adapters":[]}],"occupied":true,"callCount":2,"queuedCount":1,"inTransit":12,"cacheUsed":41000,"cacheTotal":90000,"handles":0}"#;
+    let report: Report = serde_json::from_str(text).expect("it can be read");
+    assert_eq!(report.versions(), BTreeMap::from([(Arc::from("daka510000"), 1)]));
+    assert!(report.occupied);
+    assert_eq!((report.orders_taken, report.queued, report.running), (2, 1, 12));
+}
+
+#[parameterized(
+    taken = { 202, Answer::Taken }, holds = { 200, Answer::Holds }, busy = { 409, Answer::Busy },
+    fenced = { 412, Answer::Fenced }, unknown = { 400, Answer::Unknown }, other = { 421, Answer::OtherServer },
+    failure = { 500, Answer::Unclear },
+)]
+fn given_a_status_when_read_then_it_is_the_outcome(status: u16, expected: Answer) {
+    assert_eq!(Answer::from_status(status), expected);
+}
