--- a/crates/rushrudder/src/control.rs
+++ b/crates/rushrudder/src/control.rs
@@ -9,7 +9,7 @@
     PollRequest, Proposer, ViewCell, LEASE_TTL,
 };
 use error_stack::{Report, ResultExt};
-use lease::{Grantor, LeaseRequest};
+use lease::{Grantor, LeaseRelease, LeaseRequest};
 use poem::Route;
 use register::{AcceptorRequest, Incarnation, Member, Versioned};
 use settings::Settings;
@@ -145,6 +145,11 @@
             let first = Arc::clone(&first);
             async move { first.initialise(value).await }
         };
+        let released = Arc::clone(&grantor);
+        let release = move |release: LeaseRelease| {
+            released.lock().unwrap_or_else(PoisonError::into_inner).release(&release);
+            async move { Some(()) }
+        };
         let grant = move |request: LeaseRequest| {
             let reply = grantor.lock().unwrap_or_else(PoisonError::into_inner).handle(started.elapsed(), &request);
             async move { Some(reply) }
@@ -152,6 +157,7 @@
         routes
             .at(paths::REGISTER, poem::post(rpc::handler(learn)))
             .at(paths::FIRST, poem::post(rpc::handler(initialise)))
+            .at(paths::RELEASE, poem::post(rpc::handler(release)))
             .at(paths::LEASE, poem::post(rpc::handler(grant)))
     }
 
@@ -199,7 +205,7 @@
         let identity = member.map(|member| Identity { member, zone, capability });
         let (view, client, first_start) =
             (Arc::clone(&self.view), self.client.clone(), Arc::clone(&self.first_start));
-        let (address, machines_lost) = (self.address.clone(), settings.withstand.machines);
+        let (address, machines_lost) = (self.address.clone(), settings.withstand.machines as usize);
         tokio::spawn(async move {
             control_plane::start_first(identity, &seeds, &address, machines_lost, &first_start, &view, &client).await;
         });
@@ -221,6 +227,11 @@
             Arc::clone(&proposer),
             self.client.clone(),
         ));
+        tokio::spawn(control_plane::run_orders(
+            settings.station.clone(),
+            Arc::clone(&self.leadership),
+            Arc::clone(&view),
+        ));
         tokio::spawn(control_plane::run_upkeep(
             Arc::clone(&self.leadership),
             Arc::clone(&view),
--- /dev/null
+++ b/crates/rushrudder/src/node.rs
@@ -0,0 +1,105 @@
+//! The role of a traffic node.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use control_plane::{operator_routes, Capability};
+use data_plane::{Front, FrontSettings, Sender};
+use error_stack::{Report, ResultExt};
+use register::Member;
+use settings::Settings;
+use tokio::net::TcpListener;
+
+use crate::command::RoleError;
+use crate::control::{open_disk, Control};
+use crate::jobs::Jobs;
+use crate::signals::{Signals, Told};
+
+/// The journal of an acceptor: few records, each the whole state.
+const JOURNAL: storage::Options = storage::Options { segment_bytes: 2 * 1024 * 1024, segments: 8 };
+/// A path without route is answered 404 while the configuration was confirmed within this time.
+const CONFIRMED_AGE_MOST: Duration = Duration::from_millis(1900);
+/// How much of the platform's grace is kept back for the end of the process.
+const GRACE_KEPT: Duration = Duration::from_millis(400);
+
+/// Serves as a traffic node until the platform ends it.
+pub async fn run(settings: Settings) -> Result<(), Report<RoleError>> {
+    let mut signals = Signals::listen()?;
+    let disk = open_disk(&settings, JOURNAL)?;
+    let member = disk.as_ref().map(|disk| Member {
+        station: settings.station.clone(),
+        incarnation: disk.incarnation,
+        address: crate::control::internal_address(&settings),
+    });
+    let control = Control::new(&settings, disk);
+    let internal = control.listen().await?;
+    tokio::spawn(rpc::serve(internal, control.internal_routes()));
+    control.start(&settings, member, Capability::Acceptor);
+    serve_operator(&settings, &control).await?;
+    let front = serve_clients(&settings, &control).await?;
+    log::info!("{} serves", settings.station);
+    loop {
+        match signals.next().await {
+            Told::Reload => log::info!("settings are read again"),
+            Told::Terminate => break,
+        }
+    }
+    log::info!("{} ends", settings.station);
+    front.drain().await;
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Report<RoleError>> {
+    TcpListener::bind(address).await.change_context(RoleError).attach_with(|| address.to_string())
+}
+
+async fn serve_operator(settings: &Settings, control: &Control) -> Result<(), Report<RoleError>> {
+    let Some(address) = settings.posts.control else { return Ok(()) };
+    let listener = bind(address).await?;
+    let routes = operator_routes(Arc::clone(&control.view), Arc::clone(&control.proposer));
+    tokio::spawn(rpc::serve(listener, routes));
+    Ok(())
+}
+
+/// The front while it serves.
+struct Serving {
+    front: Front,
+    task: Option<tokio::task::JoinHandle<std::io::Result<()>>>,
+}
+
+impl Serving {
+    /// Finishes what is held.
+    async fn drain(self) {
+        self.front.drain();
+        if let Some(task) = self.task {
+            let _ = task.await;
+        }
+    }
+}
+
+async fn serve_clients(settings: &Settings, control: &Control) -> Result<Serving, Report<RoleError>> {
+    let sender = Sender::new(control.view.subscribe(), settings.zone.as_str().into());
+    let (ready, confirmed) = (Arc::clone(&control.view), Arc::clone(&control.view));
+    let front = Front::new(
+        sender,
+        FrontSettings {
+            jobs: Arc::new(Jobs::new(control, settings)),
+            is_ready: Box::new(move || {
+                ready.confirmed_age().is_some() && ready.servers_age().is_some() && ready.view().configuration.is_some()
+            }),
+            is_confirmed: Box::new(move || confirmed.confirmed_age().is_some_and(|age| age < CONFIRMED_AGE_MOST)),
+            grace: settings.timetable.grace().saturating_sub(GRACE_KEPT),
+        },
+    );
+    if let Some(address) = settings.posts.ready {
+        let (listener, front) = (bind(address).await?, front.clone());
+        tokio::spawn(async move { front.serve_ready(listener).await });
+    }
+    let mut task = None;
+    if let Some(address) = settings.posts.front {
+        let (listener, serving) = (bind(address).await?, front.clone());
+        task = Some(tokio::spawn(async move { serving.serve(listener).await }));
+    }
+    Ok(Serving { front, task })
+}
