Test the ring through torn writes, losses of power, full and stalled disks

A random history checks that nothing durable is lost and nothing dropped comes back; seeded faults (no sync, equal generations) are noticed.

--- /dev/null
+++ b/crates/storage/tests/common/mod.rs
@@ -0,0 +1,45 @@
+//! Helpers of the storage tests.
+#![allow(dead_code, reason = "each test program uses some of the helpers")]
+
+use std::path::Path;
+use std::sync::Arc;
+
+use storage::simulated::SimulatedDisk;
+use storage::{FileSystem, Identity, Options, Position, Ring, StorageError};
+
+/// Folder of the ring.
+pub const DIRECTORY: &str = "ring";
+/// A small ring, so that it wraps around often.
+pub const OPTIONS: Options = Options { segment_bytes: 512, segments: 4 };
+
+/// Records with their positions.
+pub type Records = Vec<(Position, Vec<u8>)>;
+
+/// Opens the ring and collects its records.
+pub fn try_open(file_system: Arc<dyn FileSystem>) -> Result<(Ring, Records, Identity), StorageError> {
+    let mut records = Vec::new();
+    let mut visitor = |position, record| records.push((position, record));
+    let (ring, identity) = Ring::open(file_system, Path::new(DIRECTORY), OPTIONS, &mut visitor)?;
+    Ok((ring, records, identity))
+}
+
+/// Opens the ring of a disk that works.
+pub fn open(disk: &SimulatedDisk) -> (Ring, Records, Identity) {
+    try_open(disk.file_system()).expect("the ring opens")
+}
+
+/// The contents of the records of a disk that works.
+pub fn contents(disk: &SimulatedDisk) -> Vec<Vec<u8>> {
+    let (_, records, _) = open(disk);
+    records.into_iter().map(|(_, record)| record).collect()
+}
+
+/// Appends one record.
+pub fn append(ring: &mut Ring, record: &[u8]) -> Result<Position, StorageError> {
+    ring.append(&[record]).pop().expect("one outcome")
+}
+
+/// Appends a record of `length` equal bytes that must become durable.
+pub fn append_filled(ring: &mut Ring, byte: u8, length: usize) -> Position {
+    append(ring, &vec![byte; length]).expect("the record is durable")
+}
--- /dev/null
+++ b/crates/storage/tests/power_loss.rs
@@ -0,0 +1,116 @@
+//! Losses of power in the middle of a write.
+
+mod common;
+
+use std::ops::Range;
+use std::path::Path;
+
+use common::{append, append_filled, contents, open};
+use storage::simulated::{Fates, PendingWrite, SimulatedDisk, WriteFate};
+use yare::parameterized;
+
+/// The same part of each write, and each name.
+struct KeepPart(Range<usize>);
+
+impl Fates for KeepPart {
+    fn write(&mut self, write: &PendingWrite<'_>) -> WriteFate {
+        WriteFate::torn(self.0.start.min(write.length)..self.0.end.min(write.length))
+    }
+
+    fn keeps_name(&mut self, _path: &Path) -> bool {
+        true
+    }
+}
+
+/// What of a torn write is on the disk.
+#[derive(Clone, Copy)]
+enum Part {
+    Before,
+    After,
+}
+
+impl Part {
+    fn range(self, split: usize, length: usize) -> Range<usize> {
+        match self {
+            Self::Before => 0..split,
+            Self::After => split..length,
+        }
+    }
+}
+
+/// A disk with acknowledged records, and a write of `length` bytes that no sync covers.
+fn disk_with_unsynced(record: &[u8], filled: usize) -> (SimulatedDisk, usize) {
+    let disk = SimulatedDisk::new(11);
+    let (mut ring, _, _) = open(&disk);
+    append_filled(&mut ring, 1, filled);
+    append_filled(&mut ring, 2, 10);
+    disk.fail_syncs(1);
+    append(&mut ring, record).expect_err("the sync fails");
+    let mut length = 0;
+    disk.for_each_pending(|write| length = length.max(write.length));
+    (disk, length)
+}
+
+#[parameterized(
+    record_head = { 50, Part::Before },
+    record_tail = { 50, Part::After },
+    segment_header_head = { 380, Part::Before },
+    segment_header_tail = { 380, Part::After },
+)]
+fn given_a_torn_write_when_power_is_lost_then_only_whole_records_are_found(filled: usize, part: Part) {
+    let record: Vec<u8> = (1..=90).collect();
+    let (disk, length) = disk_with_unsynced(&record, filled);
+    assert!(length > 0);
+    for split in 0..=length {
+        let copy = disk.duplicate();
+        copy.lose_power(&mut KeepPart(part.range(split, length)));
+        let (mut ring, mut records, _) = open(&copy);
+        let acknowledged: Vec<_> = records.drain(..2).map(|(_, record)| record).collect();
+        assert_eq!(acknowledged, [vec![1; filled], vec![2; 10]], "split {split}");
+        let torn: Vec<_> = records.into_iter().map(|(_, record)| record).collect();
+        assert!(torn.is_empty() || torn == std::slice::from_ref(&record), "split {split}");
+        append(&mut ring, b"next").expect("appends go on");
+        copy.kill();
+        assert_eq!(contents(&copy).last(), Some(&b"next".to_vec()), "split {split}");
+    }
+}
+
+#[test]
+fn given_a_failed_batch_when_its_place_is_used_again_then_its_rest_does_not_come_back() {
+    let disk = SimulatedDisk::new(12);
+    let (mut ring, _, _) = open(&disk);
+    disk.fail_syncs(1);
+    let failed = ring.append(&[b"old-1", b"old-2"]);
+    assert!(failed.iter().all(Result::is_err));
+    append(&mut ring, b"new-1").expect("durable");
+    disk.kill();
+    assert_eq!(contents(&disk), [b"new-1"]);
+}
+
+#[test]
+fn given_a_dropped_write_before_a_kept_one_when_records_go_on_then_the_kept_one_stays_dropped() {
+    let disk = SimulatedDisk::new(13);
+    let (mut ring, _, _) = open(&disk);
+    append(&mut ring, b"first").expect("durable");
+    disk.fail_syncs(1);
+    ring.append(&[b"lost", b"kept"]);
+    let lost_bytes = 32 + b"lost".len();
+    disk.lose_power(&mut KeepPart(lost_bytes..usize::MAX));
+    let (mut ring, records, _) = open(&disk);
+    assert_eq!(records.len(), 1);
+    append(&mut ring, b"next").expect("durable");
+    disk.kill();
+    assert_eq!(contents(&disk), [b"first".to_vec(), b"next".to_vec()]);
+}
+
+#[test]
+fn given_a_killed_process_when_its_records_are_found_then_they_survive_a_loss_of_power() {
+    let disk = SimulatedDisk::new(14);
+    let (mut ring, _, _) = open(&disk);
+    disk.fail_syncs(1);
+    append(&mut ring, b"unsynced").expect_err("the sync fails");
+    disk.kill();
+    assert_eq!(contents(&disk), [b"unsynced"]);
+    disk.lose_power(&mut storage::simulated::LoseEverything);
+    assert_eq!(contents(&disk), [b"unsynced"]);
+}
--- /dev/null
+++ b/crates/storage/tests/random_history.rs
@@ -0,0 +1,232 @@
+//! Random histories of appends, releases, kills, losses of power, full disks and failing syncs.
+//!
+//! Each record holds the number of its append. After each start, everything that was durable and not released is
+//! there, in the order of the appends, and nothing that an earlier start did not show comes back.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+
+use common::try_open;
+use storage::simulated::{RandomFates, SimulatedDisk};
+use storage::{File, FileSystem, Position, Ring};
+use yare::parameterized;
+
+const STEPS: usize = 150;
+
+/// What the ring must keep.
+#[derive(Default)]
+struct Model {
+    appends: u32,
+    /// Durable records by position.
+    durable: BTreeMap<Position, u32>,
+    /// Appends of this life that failed; they may be found by the next start.
+    uncertain: Vec<u32>,
+    /// Records below this position are released.
+    released: u64,
+}
+
+impl Model {
+    /// Checks what a start found, and takes it as durable.
+    fn check(&mut self, records: &[(Position, Vec<u8>)]) -> Result<(), String> {
+        let mut found = BTreeMap::new();
+        let mut newest = None;
+        for (position, record) in records {
+            let append = number_of(record).ok_or("a record is not whole")?;
+            if newest >= Some(append) {
+                return Err(format!("append {append} stands after {newest:?}"));
+            }
+            let is_known = self.durable.get(position) == Some(&append) || self.uncertain.contains(&append);
+            if !is_known {
+                return Err(format!("append {append} came back"));
+            }
+            newest = Some(append);
+            found.insert(*position, append);
+        }
+        let kept = self.durable.range(Position(self.released)..);
+        for (position, append) in kept {
+            if found.get(position) != Some(append) {
+                return Err(format!("append {append} at {position:?} is lost"));
+            }
+        }
+        self.durable = found;
+        self.uncertain.clear();
+        Ok(())
+    }
+}
+
+fn record_of(append: u32, length: usize) -> Vec<u8> {
+    let mut record = append.to_le_bytes().to_vec();
+    record.resize(4 + length, append as u8);
+    record
+}
+
+fn number_of(record: &[u8]) -> Option<u32> {
+    let append = u32::from_le_bytes(*record.first_chunk::<4>()?);
+    (record == record_of(append, record.len() - 4)).then_some(append)
+}
+
+/// One random history on a disk, seen through a file system that `wrap` may make worse.
+fn run(seed: u64, wrap: impl Fn(Arc<dyn FileSystem>) -> Arc<dyn FileSystem>) -> Result<(), String> {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let disk = SimulatedDisk::new(seed);
+    let mut model = Model::default();
+    let mut ring = None;
+    for _ in 0..STEPS {
+        let Some(open_ring) = ring.as_mut() else {
+            ring = start(&wrap(disk.file_system()), &mut model)?;
+            if ring.is_none() {
+                disk.set_capacity(None);
+                disk.fail_syncs(0);
+            }
+            continue;
+        };
+        match random.u8(..20) {
+            0..=10 => append(open_ring, &mut model, &mut random),
+            11..=13 => release(open_ring, &mut model, &mut random),
+            14 => disk.set_capacity(Some(disk.allocated() + random.u64(..2) * 4096)),
+            15 => disk.set_capacity(None),
+            16..=17 => disk.fail_syncs(random.usize(..3)),
+            18 => {
+                disk.kill();
+                ring = None;
+            }
+            _ => {
+                disk.lose_power(&mut RandomFates::new(random.u64(..)));
+                ring = None;
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Starts the ring, if the disk lets it.
+fn start(file_system: &Arc<dyn FileSystem>, model: &mut Model) -> Result<Option<Ring>, String> {
+    match try_open(Arc::clone(file_system)) {
+        Ok((ring, records, _)) => model.check(&records).map(|()| Some(ring)),
+        Err(storage::StorageError::Corrupt { segment }) => Err(format!("segment {segment} is corrupt")),
+        Err(_) => Ok(None),
+    }
+}
+
+fn append(ring: &mut Ring, model: &mut Model, random: &mut fastrand::Rng) {
+    let first = model.appends;
+    let count = random.u32(1..6);
+    model.appends += count;
+    let numbers: Vec<_> = (first..first + count).collect();
+    let records: Vec<_> = numbers.iter().map(|number| record_of(*number, random.usize(..200))).collect();
+    for (number, outcome) in numbers.into_iter().zip(ring.append(&records)) {
+        match outcome {
+            Ok(position) => {
+                model.durable.insert(position, number);
+            }
+            Err(_) => model.uncertain.push(number),
+        }
+    }
+}
+
+fn release(ring: &mut Ring, model: &mut Model, random: &mut fastrand::Rng) {
+    let Some((newest, _)) = model.durable.last_key_value() else {
+        return;
+    };
+    let position = newest.0.saturating_sub(random.u64(..4));
+    model.released = model.released.max(position);
+    ring.release(Position(position));
+}
+
+#[parameterized(
+    first = { 0..1000 },
+    second = { 1000..2000 },
+    third = { 2000..3000 },
+    fourth = { 3000..4000 },
+)]
+fn given_random_trouble_when_started_again_then_what_was_durable_is_there(seeds: std::ops::Range<u64>) {
+    for seed in seeds {
+        if let Err(fault) = run(seed, |file_system| file_system) {
+            panic!("seed {seed}: {fault}");
+        }
+    }
+}
+
+/// A file system that makes some mistake.
+struct Faulty {
+    inner: Arc<dyn FileSystem>,
+    fault: Fault,
+}
+
+/// A mistake that the check must notice.
+#[derive(Clone, Copy, PartialEq)]
+enum Fault {
+    /// Syncs of files do nothing.
+    NoSync,
+    /// All random numbers are equal, so that generations are.
+    NoGenerations,
+}
+
+impl FileSystem for Faulty {
+    fn create_directory(&self, directory: &Path) -> io::Result<()> {
+        self.inner.create_directory(directory)
+    }
+
+    fn list(&self, directory: &Path) -> io::Result<Vec<String>> {
+        self.inner.list(directory)
+    }
+
+    fn open(&self, path: &Path) -> io::Result<Box<dyn File>> {
+        let inner = self.inner.open(path)?;
+        Ok(Box::new(FaultyFile { inner, fault: self.fault }))
+    }
+
+    fn sync_directory(&self, directory: &Path) -> io::Result<()> {
+        self.inner.sync_directory(directory)
+    }
+
+    fn random(&self) -> u64 {
+        match self.fault {
+            Fault::NoSync => self.inner.random(),
+            Fault::NoGenerations => 1,
+        }
+    }
+}
+
+struct FaultyFile {
+    inner: Box<dyn File>,
+    fault: Fault,
+}
+
+impl File for FaultyFile {
+    fn length(&mut self) -> io::Result<u64> {
+        self.inner.length()
+    }
+
+    fn set_length(&mut self, length: u64) -> io::Result<()> {
+        self.inner.set_length(length)
+    }
+
+    fn read_at(&mut self, offset: u64, buffer: &mut [u8]) -> io::Result<usize> {
+        self.inner.read_at(offset, buffer)
+    }
+
+    fn write_at(&mut self, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        self.inner.write_at(offset, bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        if self.fault == Fault::NoSync {
+            return Ok(());
+        }
+        self.inner.sync()
+    }
+}
+
+#[parameterized(
+    syncs_that_do_nothing = { Fault::NoSync },
+    equal_generations = { Fault::NoGenerations },
+)]
+fn given_a_seeded_fault_when_checked_then_it_is_noticed(fault: Fault) {
+    let noticed = (0..3000).any(|seed| run(seed, |inner| Arc::new(Faulty { inner, fault })).is_err());
+    assert!(noticed);
+}
