--- /dev/null
+++ b/crates/membership/tests/placement.rs
@@ -0,0 +1,135 @@
+//! Stories of placement and of who monitors whom.
+
+use std::collections::BTreeSet;
+
+use membership::{hash, monitored_by, monitors, rendezvous};
+use yare::parameterized;
+
+const KEYS: u64 = 20_000;
+
+fn stations(count: usize) -> Vec<String> {
+    (0..count).map(|index| format!("vault-bandung-{}-{index}", index % 3)).collect()
+}
+
+fn key(index: u64) -> Vec<u8> {
+    format!("{index:016x}").into_bytes()
+}
+
+#[parameterized(
+    empty = { "", 0xf52a_15e9_a9b5_e89b },
+    name = { "vault-bandung-a-1", 0xad97_5f6f_1cc4_4aa4 },
+)]
+fn given_a_text_when_hashed_then_the_result_never_changes(text: &str, expected: u64) {
+    assert_eq!(hash(text.as_bytes()), expected, "{:#x}", hash(text.as_bytes()));
+}
+
+#[test]
+fn given_members_in_any_order_when_ranked_then_the_ranking_is_the_same() {
+    let mut random = fastrand::Rng::with_seed(1);
+    let members = stations(9);
+    let mut shuffled = members.clone();
+    for index in 0..100 {
+        random.shuffle(&mut shuffled);
+        assert_eq!(rendezvous(&key(index), &members, 4), rendezvous(&key(index), &shuffled, 4));
+    }
+}
+
+#[test]
+fn given_a_ranking_when_taken_longer_then_the_shorter_is_its_start() {
+    let members = stations(9);
+    for index in 0..100 {
+        let all = rendezvous(&key(index), &members, 20);
+        assert_eq!(all.len(), 9);
+        assert_eq!(all.iter().collect::<BTreeSet<_>>().len(), 9);
+        assert_eq!(rendezvous(&key(index), &members, 3), all[..3]);
+    }
+}
+
+#[parameterized(few = { 3, 1 }, some = { 7, 2 }, many = { 40, 4 })]
+fn given_many_keys_when_placed_then_all_members_hold_alike(count: usize, copies: usize) {
+    let members = stations(count);
+    let mut held = vec![0_u64; count];
+    for index in 0..KEYS {
+        for member in rendezvous(&key(index), &members, copies) {
+            let place = members.iter().position(|name| name == member).expect("a member");
+            held[place] += 1;
+        }
+    }
+    let mean = (KEYS * copies as u64) as f64 / count as f64;
+    for share in held {
+        let deviation = (share as f64 - mean).abs() / mean;
+        assert!(deviation < 0.12, "{share} against a mean of {mean}");
+    }
+}
+
+#[test]
+fn given_a_member_leaves_when_ranked_again_then_the_others_keep_their_order() {
+    let members = stations(8);
+    for leaver in 0..members.len() {
+        let mut rest = members.clone();
+        let gone = rest.remove(leaver);
+        for index in 0..200 {
+            let mut before = rendezvous(&key(index), &members, 8);
+            before.retain(|member| **member != gone);
+            assert_eq!(before, rendezvous(&key(index), &rest, 8));
+        }
+    }
+}
+
+#[test]
+fn given_a_member_joins_when_placed_again_then_only_its_fair_share_moves() {
+    let before = stations(9);
+    let after = stations(10);
+    let mut moved = 0;
+    for index in 0..KEYS {
+        let old = rendezvous(&key(index), &before, 1)[0];
+        let new = rendezvous(&key(index), &after, 1)[0];
+        if old != new {
+            assert_eq!(new, &after[9], "keys move to the new member alone");
+            moved += 1;
+        }
+    }
+    let share = moved as f64 / KEYS as f64;
+    assert!((0.09..0.11).contains(&share), "{share}");
+}
+
+#[parameterized(small = { 11 }, middle = { 100 }, large = { 400 })]
+fn given_a_growing_fleet_when_monitored_then_the_work_of_a_member_stays_the_same(count: usize) {
+    let members = stations(count);
+    let mut most = 0;
+    let mut sum = 0;
+    for member in &members {
+        let watchers = monitors(member, &members, 3);
+        assert_eq!(watchers.len(), 3);
+        assert!(!watchers.contains(&member));
+        let watched = monitored_by(member, &members, 3);
+        most = most.max(watched.len());
+        sum += watched.len();
+    }
+    assert_eq!(sum, count * 3);
+    assert!(most <= 12, "{most} peers for one member");
+}
+
+#[test]
+fn given_both_directions_when_compared_then_they_agree() {
+    let members = stations(17);
+    for member in &members {
+        for other in &members {
+            let watches = monitors(member, &members, 3).contains(&other);
+            assert_eq!(watches, monitored_by(other, &members, 3).contains(&member));
+        }
+    }
+}
+
+#[parameterized(alone = { 1, 0 }, pair = { 2, 1 }, three = { 3, 2 })]
+fn given_few_members_when_monitored_then_all_others_do_it(count: usize, expected: usize) {
+    let members = stations(count);
+    assert_eq!(monitors(&members[0], &members, 3).len(), expected);
+    assert_eq!(monitored_by(&members[0], &members, 3).len(), expected);
+}
+
+#[test]
+fn given_no_members_when_ranked_then_there_is_none() {
+    let none: [&str; 0] = [];
+    assert!(rendezvous(b"key", &none, 3).is_empty());
+}
