--- a/crates/batch/src/ownership.rs
+++ b/crates/batch/src/ownership.rs
@@ -124,12 +124,13 @@
         self.log.extend(entries);
     }
 
-    /// What is to be sent now. A store is sent nothing more until [`Self::reply`] or [`Self::no_reply`].
-    pub fn requests(&mut self) -> Vec<(StoreId, ReplicaRequest)> {
+    /// What is to be sent now to the stores that can be reached. A store is sent nothing more until
+    /// [`Self::reply`] or [`Self::no_reply`].
+    pub fn requests(&mut self, reachable: impl Fn(StoreId) -> bool) -> Vec<(StoreId, ReplicaRequest)> {
         let stores: Vec<StoreId> = self.peers.keys().copied().collect();
         let mut requests = Vec::new();
         for store in stores {
-            if self.peers[&store].busy {
+            if self.peers[&store].busy || !reachable(store) {
                 continue;
             }
             if let Some(request) = self.request_for(store) {
--- a/crates/store-plane/src/lib.rs
+++ b/crates/store-plane/src/lib.rs
@@ -1,1 +1,8 @@
 //! Batch jobs on the store machines: replication, running items, results.
+
+mod replication;
+
+pub use replication::{
+    copies_of, BodyOutcome, Deposed, EndOutcome, JobClient, JobState, JobStore, JournalFailed, Limits,
+    MovedReply, OwnedJob, Page, ReadOutcome, RecordJournal, SubmitOutcome, MOVED_PATH,
+};
--- /dev/null
+++ b/crates/store-plane/src/replication/journal.rs
@@ -0,0 +1,32 @@
+//! What the replication needs of a disk.
+
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+
+/// A record could not be made durable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct JournalFailed;
+
+impl fmt::Display for JournalFailed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the record could not be made durable")
+    }
+}
+
+impl std::error::Error for JournalFailed {}
+
+/// The future of an append: the record's position, once it is durable.
+pub type Appended = Pin<Box<dyn Future<Output = Result<u64, JournalFailed>> + Send>>;
+
+/// A ring of records on a disk. Positions rise.
+pub trait RecordJournal: Send + Sync + 'static {
+    /// Appends a record, in the order of the calls; ready when it is durable.
+    fn append(&self, record: Vec<u8>) -> Appended;
+
+    /// Frees all records before a position.
+    fn release(&self, before: u64);
+
+    /// The part of the ring that is in use, from 0 to 1.
+    fn fill(&self) -> f64;
+}
