--- a/crates/rushrudder/src/node.rs
+++ b/crates/rushrudder/src/node.rs
@@ -84,7 +84,7 @@
     let front = Front::new(
         sender,
         FrontSettings {
-            jobs: Arc::new(Jobs::new(control, settings)),
+            jobs: Arc::new(Jobs::new(control)),
             is_ready: Box::new(move || {
                 ready.confirmed_age().is_some() && ready.servers_age().is_some() && ready.view().configuration.is_some()
             }),
--- a/crates/store-plane/src/replication/mod.rs
+++ b/crates/store-plane/src/replication/mod.rs
@@ -13,7 +13,7 @@
 
 pub use client::{BodyOutcome, EndOutcome, JobClient, ReadOutcome, SubmitOutcome};
 pub use copies::copies_of;
-pub use journal::{JournalFailed, RecordJournal};
+pub use journal::{Appended, JournalFailed, RecordJournal};
 pub use messages::{MovedReply, Page, MOVED_PATH};
 pub use owned::{Deposed, JobState, OwnedJob};
 pub use store::{JobStore, Limits};
