Bring items and reward calls to servers by the data plane's sender

The sender says Failed for a reward call only after as many answers of 500 as the tries of the call's route, so the runner now counts answers and not calls.

--- a/crates/store-plane/src/lib.rs
+++ b/crates/store-plane/src/lib.rs
@@ -4,5 +4,6 @@
 mod runner_end;
 mod runner_job;
 pub mod runner_ports;
+pub mod runner_sender;
 mod runner_start;
 pub mod runner_texts;
--- a/crates/store-plane/src/runner.rs
+++ b/crates/store-plane/src/runner.rs
@@ -43,7 +43,7 @@
         Self {
             items_at_once: 64,
             surplus_reserve: 8,
-            run_least: Duration::from_secs(4),
+            run_least: Duration::from_millis(2500),
             run_most: Duration::from_secs(10),
             reward_deadline: Duration::from_millis(1500),
             kept_bytes: 8 * 1024 * 1024,
--- a/crates/store-plane/src/runner_end.rs
+++ b/crates/store-plane/src/runner_end.rs
@@ -95,8 +95,8 @@
         }
         match end {
             RewardEnd::Graded(grade) => return self.list_graded(key, index, grade),
-            RewardEnd::Failed => {
-                job.work[index].reward_failures += 1;
+            RewardEnd::Failed { answers } => {
+                job.work[index].reward_failures += answers;
                 if job.work[index].reward_failures >= reward_tries(&*self.executor, job, index) {
                     return job.give_up(index);
                 }
--- a/crates/store-plane/src/runner_ports.rs
+++ b/crates/store-plane/src/runner_ports.rs
@@ -8,6 +8,7 @@
 
 use batch::{Item, ItemResult, Job, JobId, RewardRequest};
 use bytes::Bytes;
+pub use data_plane::{ItemEnd, ItemProgress};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -24,17 +25,6 @@
     pub shelf_life: Duration,
 }
 
-/// The events of a text that were made so far.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ItemProgress {
-    /// The data of each event, in order.
-    pub events: Vec<Bytes>,
-    /// The id of the last event.
-    pub last_event_id: Option<u64>,
-    /// The versions of the weights that made them.
-    pub versions: BTreeSet<u64>,
-}
-
 /// Identifies the batch job of a request, and with it the route that the request takes.
 #[derive(Clone, Debug)]
 pub struct JobAddress {
@@ -73,31 +63,16 @@
     }
 }
 
-/// How a run of an item ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ItemEnd {
-    /// The text is whole.
-    Whole(ItemProgress),
-    /// The server itself answered 500.
-    Failed,
-    /// The server answered 422: it can never be done.
-    Impossible,
-    /// The stream ended early; these events are kept.
-    Interrupted(ItemProgress),
-    /// No server ran it.
-    NotRun {
-        /// When to try again.
-        retry_after: Duration,
-    },
-}
-
 /// How a reward call ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RewardEnd {
     /// A 2xx; its stamp.
     Graded(String),
-    /// The server itself answered 500.
-    Failed,
+    /// Servers themselves answered 500.
+    Failed {
+        /// How many times they did so.
+        answers: u32,
+    },
     /// Nothing is known or it did not run; it may be repeated.
     Again,
     /// No route leads there.
--- /dev/null
+++ b/crates/store-plane/src/runner_sender.rs
@@ -0,0 +1,102 @@
+//! The executor that brings items and reward calls to servers.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use batch::RewardRequest;
+use bytes::Bytes;
+use configuration::{Configuration, Route};
+use data_plane::{ItemCall, Sender};
+
+use crate::runner_ports::{ItemAttempt, ItemEnd, ItemExecutor, JobAddress, RewardEnd, RouteTerms};
+
+/// Items are due after this time where their route does not say.
+const DUE_BY_DEFAULT: Duration = Duration::from_secs(10);
+/// Items are kept for this long where their route does not say.
+const SHELF_LIFE_BY_DEFAULT: Duration = Duration::from_secs(3600);
+/// When an item without a route is looked at again.
+const NO_ROUTE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Carries out requests by the sender of this process.
+#[derive(Clone)]
+pub struct SenderExecutor {
+    sender: Sender,
+}
+
+impl SenderExecutor {
+    /// An executor that uses `sender`.
+    #[must_use]
+    pub fn new(sender: Sender) -> Self {
+        Self { sender }
+    }
+
+    fn route(&self, host: &str, path: &str) -> Option<Arc<Route>> {
+        find_route(&*self.sender.configuration()?, host, path)
+    }
+}
+
+impl ItemExecutor for SenderExecutor {
+    fn terms(&self, host: &str, path: &str) -> Option<RouteTerms> {
+        let route = self.route(host, path)?;
+        Some(RouteTerms {
+            tries: route.tries,
+            single_version: route.single_version,
+            delivery_due: route.delivery_due.unwrap_or(DUE_BY_DEFAULT),
+            shelf_life: route.shelf_life.unwrap_or(SHELF_LIFE_BY_DEFAULT),
+        })
+    }
+
+    fn room(&self, address: &JobAddress) -> usize {
+        let Some(route) = self.route(&address.host, &address.path) else { return 0 };
+        self.sender.room(&route.targets, address.model.as_deref(), address.oldest_version)
+    }
+
+    /// The sender itself chooses a server with the right version; where there is none, it does not run the item.
+    fn can_continue(&self, _address: &JobAddress, _versions: &BTreeSet<u64>) -> bool {
+        true
+    }
+
+    async fn run_item(&self, attempt: ItemAttempt) -> ItemEnd {
+        let Some(route) = self.route(&attempt.address.host, &attempt.address.path) else {
+            return ItemEnd::NotRun { retry_after: NO_ROUTE_PAUSE };
+        };
+        self.sender.run_item(item_call(route, attempt)).await
+    }
+
+    async fn reward(&self, request: RewardRequest, body: Bytes, deadline: Duration) -> RewardEnd {
+        let route = self.route(&request.host, &request.path);
+        let end = self.sender.reward(&request.host, &request.path, &request.id, body, deadline).await;
+        match (end, route) {
+            (data_plane::RewardEnd::Graded(stamp), _) => RewardEnd::Graded(stamp),
+            // The sender says so only after as many answers of 500 as the tries of the call's own route.
+            (data_plane::RewardEnd::Failed, Some(route)) => RewardEnd::Failed { answers: route.tries.max(1) },
+            (data_plane::RewardEnd::Failed, None) => RewardEnd::Failed { answers: 1 },
+            (data_plane::RewardEnd::Again, _) => RewardEnd::Again,
+            (data_plane::RewardEnd::NoRoute, _) => RewardEnd::NoRoute,
+        }
+    }
+}
+
+fn find_route(configuration: &Configuration, host: &str, path: &str) -> Option<Arc<Route>> {
+    let path = path.split('?').next().unwrap_or(path);
+    configuration.route(host, path).cloned()
+}
+
+fn item_call(route: Arc<Route>, attempt: ItemAttempt) -> ItemCall {
+    let item = attempt.item();
+    ItemCall {
+        route,
+        host: Arc::clone(&attempt.address.host),
+        path: item.path.clone(),
+        headers: item.headers.iter().map(|(name, value)| (name.clone(), value.clone())).collect(),
+        id: Arc::clone(&item.id),
+        model: attempt.address.model.clone(),
+        oldest_version: attempt.address.oldest_version,
+        group: item.group.clone(),
+        tokens: item.tokens,
+        body: attempt.body,
+        progress: attempt.progress,
+        deadline: attempt.deadline,
+    }
+}
--- a/crates/store-plane/src/runner_start.rs
+++ b/crates/store-plane/src/runner_start.rs
@@ -13,7 +13,7 @@
 use crate::runner_ports::{ItemAttempt, ItemExecutor, ItemProgress, JobLog};
 
 /// A run is interrupted after this many times the usual length of a run.
-const USUAL_RUNS_MOST: u32 = 4;
+const USUAL_RUNS_MOST: u32 = 3;
 /// Doublings of the limit of a run after runs without any event.
 const LIMIT_DOUBLINGS_MOST: u32 = 2;
 /// An item whose body cannot be decoded waits for this long, which is until its batch job is over.
--- a/crates/store-plane/tests/runner.rs
+++ b/crates/store-plane/tests/runner.rs
@@ -158,7 +158,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn given_failing_reward_calls_when_as_many_as_tries_then_undeliverable_after_one_run() {
-    let bench = Bench::start(FakeExecutor::new(|_, _| whole(), |_| RewardEnd::Failed));
+    let bench = Bench::start(FakeExecutor::new(|_, _| whole(), |_| RewardEnd::Failed { answers: 1 }));
 
     let log = bench.hand_in("job", job_of("a", 1));
     pass(LONG).await;
