Count servers that hold for requests as loading; read empty settings as absent

A report that shows running requests amid an order now keeps the server's place, also where the planner took it for idle. The configuration tells the models whose versions may mix.

--- a/crates/configuration/src/compile.rs
+++ b/crates/configuration/src/compile.rs
@@ -1,6 +1,6 @@
 //! Checks of a whole document, and its form for matching.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -77,6 +77,17 @@
         &self.limits
     }
 
+    /// The models whose requests may go on under a new version of the weights: the servers that have the model
+    /// get no request of a route that wants one version for a whole text.
+    #[must_use]
+    pub fn models_of_mixed_versions(&self) -> BTreeSet<Arc<str>> {
+        let strict = self.routes.iter().filter(|route| route.single_version);
+        let strict: BTreeSet<&Arc<str>> = strict.flat_map(|route| self.models_of(route)).collect();
+        let engines = self.services.values().filter_map(|service| service.engine.as_ref());
+        let models = engines.flat_map(|engine| &engine.models);
+        models.filter(|model| !strict.contains(model)).cloned().collect()
+    }
+
     /// The route of a request: among those of the host, the one with the longest prefix that begins the path.
     ///
     /// `host` may have a port and capitals, `path` a query.
@@ -86,6 +97,12 @@
         let routes = self.by_host.get(&*host::normalize(host))?;
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
+
+    /// The models of the services that a route sends to.
+    fn models_of<'a>(&'a self, route: &'a Route) -> impl Iterator<Item = &'a Arc<str>> {
+        let services = route.targets.iter().filter_map(|target| self.services.get(&target.service));
+        services.filter_map(|service| service.engine.as_ref()).flat_map(|engine| &engine.models)
+    }
 }
 
 fn read_document(json: &[u8]) -> Result<Document, ConfigurationError> {
@@ -160,7 +177,7 @@
     services: &HashMap<Arc<str>, Arc<Service>>,
 ) -> Result<Vec<Arc<Route>>, ConfigurationError> {
     let mut routes: Vec<Arc<Route>> = Vec::with_capacity(documents.len());
-    let mut names = std::collections::HashSet::new();
+    let mut names = HashSet::new();
     for document in documents {
         let route = compile_route(document, services)?;
         if !names.insert(Arc::clone(&route.name)) {
--- a/crates/configuration/tests/parse.rs
+++ b/crates/configuration/tests/parse.rs
@@ -176,3 +176,14 @@
     assert!(route.allows("s"));
     assert!(configuration.limits().head_bytes > 0);
 }
+
+#[test]
+fn given_a_route_wants_one_version_when_asked_then_its_models_may_not_mix() {
+    assert_eq!(document().models_of_mixed_versions().len(), 1);
+    let other_service = DOCUMENT.replacen(r#""tries":4"#, r#""tries":4,"singleEdition":true"#, 1);
+    let configuration = Configuration::parse(other_service.as_bytes()).expect("valid");
+    assert_eq!(configuration.models_of_mixed_versions().len(), 1);
+    let own_service = DOCUMENT.replacen(r#""tries":2"#, r#""tries":2,"singleEdition":true"#, 1);
+    let configuration = Configuration::parse(own_service.as_bytes()).expect("valid");
+    assert!(configuration.models_of_mixed_versions().is_empty());
+}
--- a/crates/rollout/src/member.rs
+++ b/crates/rollout/src/member.rs
@@ -293,6 +293,10 @@
                 let waits_for_requests = goal.method == Method::Hold && waits;
                 Activity::Loading { goal, since, waits_for_requests }
             }
+            Activity::Loading { goal, since, waits_for_requests } => {
+                let waits_for_requests = waits_for_requests || (goal.method == Method::Hold && waits);
+                Activity::Loading { goal, since, waits_for_requests }
+            }
             other => other,
         };
         if !matches!(self.activity, Activity::Sent { .. }) {
--- a/crates/rollout/tests/stories.rs
+++ b/crates/rollout/tests/stories.rs
@@ -28,8 +28,8 @@
 }
 
 /// A planner that has seen a report of each of these idle servers.
-fn planner_of(servers: &[Server]) -> Planner {
-    let mut planner = Planner::new(Pacing::default());
+fn planner_of(pacing: Pacing, servers: &[Server]) -> Planner {
+    let mut planner = Planner::new(pacing);
     planner.set_servers(servers.iter().cloned());
     planner.set_named(ms(0), MODEL, 2);
     for action in planner.decide(ms(0)) {
@@ -177,7 +177,7 @@
 
 #[test]
 fn given_the_list_lags_when_a_server_is_done_then_it_is_not_ordered_again() {
-    let mut planner = planner_of(&[server(0, "a", 1)]);
+    let mut planner = planner_of(Pacing::default(), &[server(0, "a", 1)]);
     assert_eq!(orders(&planner.decide(ms(1))), [("i-0", 2, Method::Hold)]);
     planner.answered(ms(5), "i-0", Answer::Taken);
     planner.observed("i-0", MODEL, 2);
@@ -187,6 +187,34 @@
     assert!(planner.is_settled());
 }
 
+#[test]
+fn given_no_report_comes_when_the_list_shows_the_version_then_the_order_is_done() {
+    let mut planner = planner_of(Pacing::default(), &[server(0, "a", 1)]);
+    assert_eq!(planner.decide(ms(1)).len(), 1);
+    planner.answered(ms(5), "i-0", Answer::Taken);
+    planner.set_servers([server(0, "a", 2)]);
+    assert!(planner.decide(ms(5000)).is_empty());
+    assert_eq!(planner.next_wake(ms(5000)), None);
+}
+
+#[parameterized(requests_run = { 4, 0 }, idle = { 0, 1 })]
+fn given_a_report_amid_a_load_when_requests_run_then_the_server_goes_on_counting(
+    running: u64,
+    ordered: usize,
+) {
+    let pacing = Pacing { at_once: 1, ..Pacing::default() };
+    let mut planner = planner_of(pacing, &[server(0, "a", 1), server(1, "a", 1), server(2, "a", 1)]);
+    assert_eq!(orders(&planner.decide(ms(1)))[0].0, "i-0");
+    planner.answered(ms(1), "i-0", Answer::Taken);
+    assert!(planner.decide(ms(400)).is_empty());
+    assert_eq!(orders(&planner.decide(ms(401)))[0].0, "i-1");
+    planner.answered(ms(401), "i-1", Answer::Taken);
+    let actions = planner.decide(ms(651));
+    assert!(matches!(actions[..], [Action::Ask(_)]), "{actions:?}");
+    planner.reported(ms(651), "i-0", &Report { occupied: true, running, ..Report::default() });
+    assert_eq!(orders(&planner.decide(ms(801))).len(), ordered);
+}
+
 #[test]
 fn given_idle_and_busy_servers_when_ordered_then_the_idle_go_first_and_zones_are_spread() {
     let servers = [
@@ -197,7 +225,7 @@
         server(4, "c", 1),
         server(5, "b", 1),
     ];
-    let mut planner = planner_of(&servers);
+    let mut planner = planner_of(Pacing::default(), &servers);
     planner.set_running("i-3", 5);
     let actions = planner.decide(ms(1));
     let ids: Vec<&str> = orders(&actions).iter().map(|(id, _, _)| *id).collect();
@@ -206,7 +234,7 @@
 
 #[test]
 fn given_a_higher_fencing_token_was_seen_when_deciding_then_no_more_orders_are_given() {
-    let mut planner = planner_of(&[server(0, "a", 1), server(1, "b", 1)]);
+    let mut planner = planner_of(Pacing::default(), &[server(0, "a", 1), server(1, "b", 1)]);
     assert_eq!(planner.decide(ms(1)).len(), 2);
     planner.answered(ms(2), "i-0", Answer::Fenced);
     planner.answered(ms(2), "i-1", Answer::NotTaken);
@@ -217,7 +245,7 @@
 
 #[test]
 fn given_another_server_has_the_address_when_answered_then_the_old_one_gets_nothing_more() {
-    let mut planner = planner_of(&[server(0, "a", 1)]);
+    let mut planner = planner_of(Pacing::default(), &[server(0, "a", 1)]);
     assert_eq!(planner.decide(ms(1)).len(), 1);
     planner.answered(ms(2), "i-0", Answer::OtherServer);
     assert!(planner.decide(ms(9000)).is_empty());
@@ -226,7 +254,7 @@
 
 #[parameterized(unknown = { Answer::Unknown }, not_taken = { Answer::NotTaken })]
 fn given_an_order_is_not_taken_when_repeated_then_the_pauses_grow(answer: Answer) {
-    let mut planner = planner_of(&[server(0, "a", 1)]);
+    let mut planner = planner_of(Pacing::default(), &[server(0, "a", 1)]);
     let mut now = ms(1);
     let mut sent = Vec::new();
     while sent.len() < 6 {
@@ -242,7 +270,7 @@
 
 #[test]
 fn given_another_order_is_under_way_when_refused_then_a_report_decides_when_to_order() {
-    let mut planner = planner_of(&[server(0, "a", 1)]);
+    let mut planner = planner_of(Pacing::default(), &[server(0, "a", 1)]);
     assert_eq!(planner.decide(ms(1)).len(), 1);
     planner.answered(ms(2), "i-0", Answer::Busy);
     assert!(planner.decide(ms(3)).is_empty());
@@ -263,7 +291,7 @@
 
 #[test]
 fn given_an_order_without_outcome_when_its_time_is_over_then_it_counts_as_unclear() {
-    let mut planner = planner_of(&[server(0, "a", 1)]);
+    let mut planner = planner_of(Pacing::default(), &[server(0, "a", 1)]);
     assert_eq!(planner.decide(ms(1)).len(), 1);
     let wake = planner.next_wake(ms(1)).expect("a time limit");
     assert!(planner.decide(wake).is_empty());
@@ -274,7 +302,7 @@
 
 #[test]
 fn given_lower_named_versions_when_told_then_the_highest_stays() {
-    let mut planner = planner_of(&[server(0, "a", 1)]);
+    let mut planner = planner_of(Pacing::default(), &[server(0, "a", 1)]);
     planner.set_named(ms(0), MODEL, 5);
     planner.set_named(ms(0), MODEL, 3);
     assert_eq!(orders(&planner.decide(ms(1))), [("i-0", 5, Method::Hold)]);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -65,7 +65,7 @@
     #[serde(rename = "countsForQuorum", default)]
     pub counts_for_quorum: bool,
     /// The folder for data; `None` on a machine without a disk.
-    #[serde(rename = "dataDir", default)]
+    #[serde(rename = "dataDir", default, deserialize_with = "sections::unless_empty")]
     pub data_dir: Option<PathBuf>,
     /// Heartbeat of the platform.
     #[serde(rename = "beatMs", default)]
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -1,9 +1,12 @@
 //! Sections of the settings file.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::time::Duration;
 
-use serde::Deserialize;
+use serde::de::Error;
+use serde::{Deserialize, Deserializer};
 use validator::{Validate, ValidationError};
 
 use crate::figures::milliseconds;
@@ -21,13 +24,13 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
 pub struct Posts {
     /// For clients.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "unless_empty")]
     pub front: Option<SocketAddr>,
     /// For the platform, which asks whether the node is ready.
-    #[serde(rename = "readyPost", default)]
+    #[serde(rename = "readyPost", default, deserialize_with = "unless_empty")]
     pub ready: Option<SocketAddr>,
     /// For the operator and the servers.
-    #[serde(rename = "controlPost", default)]
+    #[serde(rename = "controlPost", default, deserialize_with = "unless_empty")]
     pub control: Option<SocketAddr>,
 }
 
@@ -122,6 +125,20 @@
     LIST_CALLS_PER_SECOND_DEFAULT
 }
 
+/// Reads a text; an empty one counts as absent.
+pub(crate) fn unless_empty<'de, Value, Input>(input: Input) -> Result<Option<Value>, Input::Error>
+where
+    Value: FromStr,
+    Value::Err: Display,
+    Input: Deserializer<'de>,
+{
+    let text = String::deserialize(input)?;
+    if text.is_empty() {
+        return Ok(None);
+    }
+    text.parse().map(Some).map_err(Input::Error::custom)
+}
+
 pub(crate) fn check_ports(ports: &(u16, u16)) -> Result<(), ValidationError> {
     if ports.0 == 0 || ports.0 > ports.1 {
         return Err(ValidationError::new("innerPorts").with_message("innerPorts is no range of ports".into()));
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -110,6 +110,13 @@
     assert!(settings.cloud.expect("it is in the file").per_s > 0.0);
 }
 
+#[test]
+fn given_empty_texts_when_read_then_they_count_as_absent() {
+    let settings = Settings::parse(&format!("{LEAST}\ndataDir = \"\"\nposts.front = \"\"\n")).expect("valid");
+    assert_eq!(settings.data_dir, None);
+    assert_eq!(settings.posts.front, None);
+}
+
 #[parameterized(
     no_station = { r#"station = "s""#, "", "station" },
     empty_station = { r#"station = "s""#, r#"station = """#, "station" },
