--- a/crates/rushrudder/src/store.rs
+++ b/crates/rushrudder/src/store.rs
@@ -6,7 +6,7 @@
 use batch::ItemResult;
 use control_plane::{Capability, Distribution};
 use data_plane::Sender;
-use error_stack::{report, Report};
+use error_stack::{IntoReport, Report};
 use register::Member;
 use settings::Settings;
 use storage::{Journal, Position};
@@ -31,7 +31,7 @@
 pub async fn run(settings: Settings) -> Result<(), Report<RoleError>> {
     let mut signals = Signals::listen()?;
     let disk = open_disk(&settings, journal_options(&settings))?;
-    let disk = disk.ok_or_else(|| report!(RoleError).attach("a store needs dataDir in its settings"))?;
+    let disk = disk.ok_or_else(|| RoleError.into_report().attach("a store needs dataDir in its settings"))?;
     let member = Member {
         station: settings.station.clone(),
         incarnation: disk.incarnation,
