Count the reward call's answers of 500 also where fewer servers than tries are there

Ruled out: the reward route's deadline (answers came within 40 ms). The sender now tells how many answers of 500 there were, and the runner adds them up.

--- a/crates/data-plane/src/reward.rs
+++ b/crates/data-plane/src/reward.rs
@@ -17,8 +17,11 @@
 pub enum RewardEnd {
     /// The stamp of the 2xx.
     Graded(String),
-    /// As many servers as the route's tries allow answered 500.
-    Failed,
+    /// Servers answered 500 and none answered otherwise.
+    Failed {
+        /// How many answers of 500 there were.
+        answers: u32,
+    },
     /// It did not run, or its answer was lost: it may be repeated.
     Again,
     /// No route is there for it.
@@ -49,7 +52,7 @@
         let stamp = end.answer.headers.get(POSTMARK).and_then(|stamp| stamp.to_str().ok());
         match stamp {
             Some(stamp) if end.is_servers && status.is_success() => RewardEnd::Graded(stamp.to_owned()),
-            _ if end.errors >= route.tries.max(1) => RewardEnd::Failed,
+            _ if end.errors > 0 => RewardEnd::Failed { answers: end.errors },
             _ => RewardEnd::Again,
         }
     }
--- a/crates/store-plane/src/runner_sender.rs
+++ b/crates/store-plane/src/runner_sender.rs
@@ -65,15 +65,12 @@
     }
 
     async fn reward(&self, request: RewardRequest, body: Bytes, deadline: Duration) -> RewardEnd {
-        let route = self.route(&request.host, &request.path);
         let end = self.sender.reward(&request.host, &request.path, &request.id, body, deadline).await;
-        match (end, route) {
-            (data_plane::RewardEnd::Graded(stamp), _) => RewardEnd::Graded(stamp),
-            // The sender says so only after as many answers of 500 as the tries of the call's own route.
-            (data_plane::RewardEnd::Failed, Some(route)) => RewardEnd::Failed { answers: route.tries.max(1) },
-            (data_plane::RewardEnd::Failed, None) => RewardEnd::Failed { answers: 1 },
-            (data_plane::RewardEnd::Again, _) => RewardEnd::Again,
-            (data_plane::RewardEnd::NoRoute, _) => RewardEnd::NoRoute,
+        match end {
+            data_plane::RewardEnd::Graded(stamp) => RewardEnd::Graded(stamp),
+            data_plane::RewardEnd::Failed { answers } => RewardEnd::Failed { answers },
+            data_plane::RewardEnd::Again => RewardEnd::Again,
+            data_plane::RewardEnd::NoRoute => RewardEnd::NoRoute,
         }
     }
 }
