--- /dev/null
+++ b/crates/register/tests/acceptor.rs
@@ -0,0 +1,118 @@
+//! What an acceptor promises, accepts and learns.
+
+mod common;
+
+use common::{ballot, members, versioned, History};
+use register::{Acceptor, AcceptorRequest, AcceptorState, Handled, Incarnation, Outcome, Versioned};
+use yare::parameterized;
+
+fn empty() -> Acceptor<History> {
+    Acceptor::new(AcceptorState::empty(Incarnation(7)))
+}
+
+fn value(round: u64) -> Versioned<History> {
+    versioned(round, &[round as u32], members(&[0, 1, 2]))
+}
+
+fn round_of(versioned: &Option<Versioned<History>>) -> Option<u64> {
+    versioned.as_ref().map(|versioned| versioned.ballot.round)
+}
+
+fn is_rejected(handled: &Handled<History>, round: u64) -> bool {
+    matches!(handled.reply.outcome, Outcome::Rejected(by) if by == ballot(round)) && !handled.must_persist
+}
+
+#[test]
+fn given_a_promise_when_a_lower_ballot_comes_then_it_is_rejected() {
+    let mut acceptor = empty();
+    let promise = acceptor.handle(AcceptorRequest::Prepare(ballot(5)));
+    assert!(matches!(promise.reply.outcome, Outcome::Promised(None)) && promise.must_persist);
+    assert_eq!(promise.reply.incarnation, Incarnation(7));
+    assert!(is_rejected(&acceptor.handle(AcceptorRequest::Prepare(ballot(4))), 5));
+    assert!(is_rejected(&acceptor.handle(AcceptorRequest::Accept(value(4))), 5));
+}
+
+#[test]
+fn given_an_accepted_value_when_prepared_then_it_is_shown() {
+    let mut acceptor = empty();
+    let accepted = acceptor.handle(AcceptorRequest::Accept(value(3)));
+    assert!(matches!(accepted.reply.outcome, Outcome::Accepted) && accepted.must_persist);
+    let promise = acceptor.handle(AcceptorRequest::Prepare(ballot(4)));
+    assert!(matches!(promise.reply.outcome, Outcome::Promised(shown) if round_of(&shown) == Some(3)));
+    assert!(is_rejected(&acceptor.handle(AcceptorRequest::Accept(value(3))), 4));
+}
+
+#[test]
+fn given_a_request_that_is_still_on_its_way_to_the_disk_when_repeated_then_it_must_be_durable_too() {
+    let mut acceptor = empty();
+    for _ in 0..2 {
+        assert!(acceptor.handle(AcceptorRequest::Prepare(ballot(5))).must_persist);
+    }
+    for _ in 0..2 {
+        assert!(acceptor.handle(AcceptorRequest::Accept(value(5))).must_persist);
+    }
+}
+
+#[parameterized(
+    older_accepted = { Some(2), 2, 5, Some(5), 5 },
+    nothing_accepted = { None, 0, 5, Some(5), 5 },
+    newer_accepted = { Some(7), 7, 5, Some(7), 7 },
+    same_accepted = { Some(5), 5, 5, Some(5), 5 },
+    older_accepted_and_a_higher_promise = { Some(2), 9, 5, Some(5), 9 },
+)]
+fn given_a_committed_value_when_learned_then_proposers_see_it(
+    accepted: Option<u64>,
+    promised: u64,
+    learned: u64,
+    shown: Option<u64>,
+    promised_after: u64,
+) {
+    let mut acceptor = empty();
+    if let Some(round) = accepted {
+        acceptor.handle(AcceptorRequest::Accept(value(round)));
+    }
+    acceptor.handle(AcceptorRequest::Prepare(ballot(promised)));
+    let handled = acceptor.handle(AcceptorRequest::Learn(value(learned)));
+    assert!(matches!(handled.reply.outcome, Outcome::Learned) && handled.must_persist);
+    assert_eq!(round_of(&acceptor.state().accepted), shown);
+    assert_eq!(round_of(&acceptor.state().committed), Some(learned));
+    assert_eq!(acceptor.state().promised, ballot(promised_after));
+    let again = acceptor.handle(AcceptorRequest::Learn(value(learned - 1)));
+    assert!(!again.must_persist);
+    assert_eq!(round_of(&acceptor.state().committed), Some(learned));
+}
+
+#[parameterized(
+    untouched = { None, true },
+    promised = { Some(AcceptorRequest::Prepare(ballot(1))), false },
+    accepted = { Some(AcceptorRequest::Accept(value(1))), false },
+    learned = { Some(AcceptorRequest::Learn(value(1))), false },
+    only_read = { Some(AcceptorRequest::Read), true },
+)]
+fn given_an_acceptor_when_initialised_then_only_an_untouched_one_takes_the_value(
+    before: Option<AcceptorRequest<History>>,
+    takes: bool,
+) {
+    let mut acceptor = empty();
+    before.into_iter().for_each(|request| {
+        acceptor.handle(request);
+    });
+    let handled = acceptor.initialise(value(0));
+    assert_eq!(matches!(handled.reply.outcome, Outcome::Learned), takes);
+    assert_eq!(handled.must_persist, takes);
+    assert!(!acceptor.initialise(value(0)).must_persist);
+}
+
+#[test]
+fn given_a_durable_state_when_continued_then_nothing_is_forgotten() {
+    let mut acceptor = empty();
+    acceptor.handle(AcceptorRequest::Accept(value(3)));
+    acceptor.handle(AcceptorRequest::Prepare(ballot(8)));
+    let mut restarted = Acceptor::new(acceptor.state().clone());
+    assert!(is_rejected(&restarted.handle(AcceptorRequest::Accept(value(7))), 8));
+    let read = restarted.handle(AcceptorRequest::Read);
+    assert!(!read.must_persist);
+    assert!(
+        matches!(read.reply.outcome, Outcome::Current { accepted, committed: None } if round_of(&accepted) == Some(3))
+    );
+}
--- /dev/null
+++ b/crates/register/tests/confirmation.rs
@@ -0,0 +1,76 @@
+//! Confirmation of a known committed value.
+
+mod common;
+
+use common::{member, member_of, members, receivers, reply, versioned, History};
+use register::{Confirmation, Member, Outcome, Verdict, Versioned};
+use yare::parameterized;
+
+fn value(round: u64) -> Versioned<History> {
+    versioned(round, &[round as u32], members(&[0, 1, 2]))
+}
+
+fn show(
+    confirmation: &mut Confirmation<History>,
+    from: &Member,
+    accepted: Option<u64>,
+    committed: Option<u64>,
+) -> Verdict<History> {
+    let outcome = Outcome::Current { accepted: accepted.map(value), committed: committed.map(value) };
+    confirmation.on_reply(from, reply(from, outcome))
+}
+
+#[parameterized(
+    same = { (Some(5), Some(5)), (Some(5), Some(5)) },
+    not_learned_yet = { (Some(5), Some(4)), (Some(5), None) },
+    one_lags = { (Some(5), Some(5)), (Some(4), Some(4)) },
+    one_is_empty = { (Some(5), Some(5)), (None, None) },
+)]
+fn given_a_majority_without_anything_newer_when_read_then_the_value_is_confirmed(
+    first: (Option<u64>, Option<u64>),
+    second: (Option<u64>, Option<u64>),
+) {
+    let (mut confirmation, requests) = Confirmation::start(value(5));
+    assert_eq!(requests.len(), 3);
+    assert!(matches!(show(&mut confirmation, &member(0), first.0, first.1), Verdict::Wait));
+    assert!(matches!(show(&mut confirmation, &member(0), first.0, first.1), Verdict::Wait));
+    assert!(matches!(show(&mut confirmation, &member(2), second.0, second.1), Verdict::Confirmed));
+}
+
+#[test]
+fn given_a_newer_committed_value_when_shown_then_it_is_taken_at_once() {
+    let (mut confirmation, _) = Confirmation::start(value(5));
+    let verdict = show(&mut confirmation, &member(1), Some(8), Some(7));
+    assert!(matches!(verdict, Verdict::Newer(newer) if newer == value(7)));
+}
+
+#[test]
+fn given_a_newer_accepted_value_when_a_majority_answered_then_it_is_undecided() {
+    let (mut confirmation, _) = Confirmation::start(value(5));
+    assert!(matches!(show(&mut confirmation, &member(1), Some(8), Some(5)), Verdict::Wait));
+    let verdict = show(&mut confirmation, &member(0), Some(5), Some(5));
+    assert!(matches!(verdict, Verdict::Undecided(by) if by == value(8).ballot));
+    let verdict = show(&mut confirmation, &member(2), Some(5), Some(5));
+    assert!(matches!(verdict, Verdict::Confirmed), "a majority has nothing newer");
+}
+
+#[test]
+fn given_replies_of_others_when_read_then_they_do_not_count() {
+    let (mut confirmation, _) = Confirmation::start(value(5));
+    show(&mut confirmation, &member(0), Some(5), Some(5));
+    let replaced = member_of(1, 99);
+    assert!(matches!(show(&mut confirmation, &replaced, None, None), Verdict::Wait));
+    assert!(matches!(show(&mut confirmation, &member(4), None, None), Verdict::Wait));
+    let outcome = Outcome::Current { accepted: None, committed: None };
+    let verdict = confirmation.on_reply(&member(1), reply(&replaced, outcome));
+    assert!(matches!(verdict, Verdict::Wait));
+}
+
+#[test]
+fn given_acceptors_that_lag_when_read_then_they_are_told() {
+    let (mut confirmation, _) = Confirmation::start(value(5));
+    show(&mut confirmation, &member(0), Some(5), Some(5));
+    show(&mut confirmation, &member(1), Some(5), Some(4));
+    show(&mut confirmation, &member(2), None, None);
+    assert_eq!(receivers(&confirmation.lagging()), ["station-1", "station-2"]);
+}
--- /dev/null
+++ b/crates/register/tests/members.rs
@@ -0,0 +1,55 @@
+//! Changes of the acceptors.
+
+mod common;
+
+use common::{member, member_of, members};
+use register::{can_change, next_members, same_members, with_member, without_member, Ballot, BallotSource};
+use yare::parameterized;
+
+#[parameterized(
+    same = { &[0, 1, 2], &[2, 1, 0], true },
+    added = { &[0, 1, 2], &[0, 1, 2, 3], true },
+    removed = { &[0, 1, 2, 3], &[0, 1, 3], true },
+    replaced = { &[0, 1, 2], &[0, 1, 3], false },
+    two_added = { &[0, 1, 2], &[0, 1, 2, 3, 4], false },
+    none_left = { &[0], &[], false },
+    twice = { &[0, 1], &[0, 1, 1], false },
+)]
+fn given_two_sets_when_compared_then_one_step_is_told(from: &[usize], to: &[usize], allowed: bool) {
+    assert_eq!(can_change(&members(from), &members(to)), allowed);
+}
+
+#[test]
+fn given_a_replaced_disk_when_stepped_then_the_new_one_comes_before_the_old_one_goes() {
+    let current = members(&[0, 1, 2]);
+    let wanted = vec![member(0), member(1), member_of(2, 30)];
+    let first = next_members(&current, &wanted).expect("a step");
+    assert_eq!(first.len(), 4);
+    assert!(can_change(&current, &first));
+    let second = next_members(&first, &wanted).expect("a step");
+    assert!(can_change(&first, &second));
+    assert!(same_members(&second, &wanted));
+    assert_eq!(next_members(&second, &wanted), None);
+}
+
+#[test]
+fn given_one_acceptor_when_none_is_wanted_then_it_stays() {
+    assert_eq!(next_members(&members(&[0]), &[]), None);
+}
+
+#[test]
+fn given_members_when_one_is_added_or_removed_then_each_stands_once() {
+    let current = members(&[0, 1]);
+    assert_eq!(with_member(&current, member(1)), current);
+    assert_eq!(without_member(&current, member(0).incarnation), members(&[1]));
+}
+
+#[test]
+fn given_seen_ballots_when_drawn_then_the_next_is_above_all_of_them() {
+    let mut ballots = BallotSource::new(4);
+    ballots.observe(Ballot { round: 8, proposer: 9 });
+    ballots.observe(Ballot { round: 3, proposer: 9 });
+    let first = ballots.next_ballot();
+    assert!(first > Ballot { round: 8, proposer: 9 });
+    assert!(ballots.next_ballot() > first);
+}
--- /dev/null
+++ b/crates/register/tests/proposal.rs
@@ -0,0 +1,181 @@
+//! The rounds of a proposal.
+
+mod common;
+
+use common::{ballot, member, member_of, members, receivers, reply, versioned, History};
+use register::{AcceptorRequest, Outcome, Proposal, Step, Versioned};
+use yare::parameterized;
+
+fn start(base: &Versioned<History>) -> Proposal<History> {
+    Proposal::start(ballot(10), base.clone()).0
+}
+
+fn promise(
+    proposal: &mut Proposal<History>,
+    station: usize,
+    shown: Option<Versioned<History>>,
+) -> Step<History> {
+    proposal.on_reply(&member(station), reply(&member(station), Outcome::Promised(shown)))
+}
+
+fn accept(proposal: &mut Proposal<History>, station: usize) -> Step<History> {
+    proposal.on_reply(&member(station), reply(&member(station), Outcome::Accepted))
+}
+
+fn reject(proposal: &mut Proposal<History>, station: usize, round: u64) -> Step<History> {
+    proposal.on_reply(&member(station), reply(&member(station), Outcome::Rejected(ballot(round))))
+}
+
+/// A proposal that has read a settled value of three acceptors.
+fn read_settled() -> (Proposal<History>, Versioned<History>) {
+    let base = versioned(1, &[1], members(&[0, 1, 2]));
+    let mut proposal = start(&base);
+    promise(&mut proposal, 0, Some(base.clone()));
+    promise(&mut proposal, 1, Some(base.clone()));
+    (proposal, base)
+}
+
+#[test]
+fn given_three_acceptors_when_two_answer_each_round_then_the_value_is_committed() {
+    let base = versioned(1, &[1], members(&[0, 1, 2]));
+    let (mut proposal, requests) = Proposal::start(ballot(10), base.clone());
+    assert_eq!(receivers(&requests), ["station-0", "station-1", "station-2"]);
+    assert!(matches!(promise(&mut proposal, 0, Some(base.clone())), Step::Wait));
+    let step = promise(&mut proposal, 2, Some(base.clone()));
+    assert!(matches!(step, Step::Read(read) if read == base));
+    assert!(proposal.is_settled());
+    let requests = proposal.propose(base.value.with_change(2));
+    assert_eq!(requests.len(), 3);
+    assert!(requests.iter().all(|(_, request)| matches!(request, AcceptorRequest::Accept(_))));
+    assert!(matches!(accept(&mut proposal, 1), Step::Wait));
+    assert!(matches!(promise(&mut proposal, 1, None), Step::Wait));
+    let step = accept(&mut proposal, 2);
+    assert!(
+        matches!(step, Step::Committed(done) if done.value.changes == [1, 2] && done.ballot == ballot(10))
+    );
+    assert_eq!(proposal.announcements().len(), 3);
+}
+
+#[test]
+fn given_repeated_replies_of_one_acceptor_when_counted_then_they_are_one() {
+    let base = versioned(1, &[1], members(&[0, 1, 2]));
+    let mut proposal = start(&base);
+    for _ in 0..3 {
+        assert!(matches!(promise(&mut proposal, 0, None), Step::Wait));
+    }
+    promise(&mut proposal, 1, None);
+    proposal.propose(base.value.with_change(2));
+    for _ in 0..3 {
+        assert!(matches!(accept(&mut proposal, 0), Step::Wait));
+    }
+}
+
+#[test]
+fn given_a_machine_with_another_disk_when_it_answers_then_it_has_no_vote() {
+    let base = versioned(1, &[1], members(&[0, 1, 2]));
+    let mut proposal = start(&base);
+    promise(&mut proposal, 0, None);
+    let replaced = member_of(1, 99);
+    let step = proposal.on_reply(&member(1), reply(&replaced, Outcome::Promised(None)));
+    assert!(matches!(step, Step::Wait));
+    let step = proposal.on_reply(&replaced, reply(&replaced, Outcome::Promised(None)));
+    assert!(matches!(step, Step::Wait));
+}
+
+#[test]
+fn given_a_newer_value_with_other_acceptors_when_seen_then_a_majority_of_those_is_asked_too() {
+    let base = versioned(1, &[1], members(&[0, 1, 2]));
+    let newer = versioned(5, &[1, 2], members(&[2, 3, 4]));
+    let mut proposal = start(&base);
+    let step = promise(&mut proposal, 2, Some(newer.clone()));
+    assert!(matches!(step, Step::Send(requests) if receivers(&requests) == ["station-3", "station-4"]));
+    assert!(matches!(promise(&mut proposal, 0, None), Step::Wait));
+    let step = promise(&mut proposal, 3, None);
+    assert!(matches!(step, Step::Read(read) if read == newer));
+    assert!(!proposal.is_settled());
+}
+
+#[test]
+fn given_an_unsettled_value_when_other_acceptors_are_proposed_then_it_is_settled_instead() {
+    let base = versioned(1, &[1], members(&[0, 1, 2]));
+    let newer = versioned(5, &[1, 2], members(&[0, 1, 2]));
+    let mut proposal = start(&base);
+    promise(&mut proposal, 0, Some(newer.clone()));
+    promise(&mut proposal, 1, None);
+    let requests = proposal.propose(newer.value.with_members(3, members(&[0, 1, 2, 3])));
+    let is_unchanged = |request: &AcceptorRequest<History>| matches!(request, AcceptorRequest::Accept(sent) if sent.value == newer.value);
+    assert!(requests.iter().all(|(_, request)| is_unchanged(request)));
+    accept(&mut proposal, 0);
+    let step = accept(&mut proposal, 1);
+    assert!(matches!(step, Step::Committed(done) if done.value == newer.value));
+}
+
+#[parameterized(
+    old_majority_only = { &[0, 1], false },
+    both_majorities = { &[0, 1, 3], true },
+    all_but_the_new_one = { &[0, 1, 2], true },
+)]
+fn given_an_added_acceptor_when_accepted_then_both_majorities_count(accepting: &[usize], commits: bool) {
+    let (mut proposal, base) = read_settled();
+    let requests = proposal.propose(base.value.with_members(2, members(&[0, 1, 2, 3])));
+    assert_eq!(requests.len(), 4);
+    let steps = accepting.iter().map(|station| accept(&mut proposal, *station));
+    let committed = steps.filter(|step| matches!(step, Step::Committed(_))).count();
+    assert_eq!(committed, usize::from(commits));
+}
+
+#[test]
+fn given_a_removed_acceptor_when_committed_then_it_is_told_too() {
+    let (mut proposal, base) = read_settled();
+    proposal.propose(base.value.with_members(2, members(&[0, 1])));
+    accept(&mut proposal, 0);
+    accept(&mut proposal, 1);
+    assert_eq!(receivers(&proposal.announcements()), ["station-0", "station-1", "station-2"]);
+}
+
+#[test]
+fn given_two_replaced_acceptors_when_proposed_then_the_value_stays() {
+    let (mut proposal, base) = read_settled();
+    let requests = proposal.propose(base.value.with_members(2, members(&[0, 3, 4])));
+    assert!(requests
+        .iter()
+        .all(|(_, request)| matches!(request, AcceptorRequest::Accept(sent) if sent.value == base.value)));
+}
+
+#[test]
+fn given_a_higher_promise_when_preparing_then_the_proposal_is_preempted() {
+    let mut proposal = start(&versioned(1, &[1], members(&[0, 1, 2])));
+    assert!(matches!(reject(&mut proposal, 0, 12), Step::Preempted(by) if by == ballot(12)));
+    assert!(matches!(promise(&mut proposal, 1, None), Step::Wait));
+    assert!(matches!(promise(&mut proposal, 2, None), Step::Wait));
+    assert!(proposal.propose(History::default()).is_empty());
+}
+
+#[test]
+fn given_one_refusal_when_accepting_then_the_others_may_still_commit() {
+    let (mut proposal, base) = read_settled();
+    proposal.propose(base.value.with_change(2));
+    assert!(matches!(reject(&mut proposal, 0, 12), Step::Wait));
+    accept(&mut proposal, 1);
+    assert!(matches!(accept(&mut proposal, 2), Step::Committed(_)));
+}
+
+#[test]
+fn given_a_majority_of_refusals_when_accepting_then_the_proposal_is_preempted() {
+    let (mut proposal, base) = read_settled();
+    proposal.propose(base.value.with_change(2));
+    accept(&mut proposal, 1);
+    assert!(matches!(reject(&mut proposal, 0, 12), Step::Wait));
+    assert!(matches!(reject(&mut proposal, 2, 12), Step::Preempted(_)));
+    assert!(matches!(accept(&mut proposal, 2), Step::Wait));
+    assert!(proposal.announcements().is_empty());
+}
+
+#[test]
+fn given_no_promises_when_proposed_then_nothing_is_sent() {
+    let base = versioned(1, &[1], members(&[0, 1, 2]));
+    let mut proposal = start(&base);
+    assert!(proposal.propose(base.value.with_change(2)).is_empty());
+    assert!(matches!(accept(&mut proposal, 0), Step::Wait));
+    assert!(matches!(accept(&mut proposal, 1), Step::Wait));
+}
