--- a/crates/register/tests/common/mod.rs
+++ b/crates/register/tests/common/mod.rs
@@ -1,6 +1,9 @@
 //! Helpers of the register tests.
 #![allow(dead_code, reason = "each test program uses some of the helpers")]
 
+pub mod oracle;
+pub mod world;
+
 use std::sync::Arc;
 
 use register::{
