--- a/crates/store-plane/src/runner.rs
+++ b/crates/store-plane/src/runner.rs
@@ -42,7 +42,7 @@
     fn default() -> Self {
         Self {
             items_at_once: 64,
-            surplus_reserve: 8,
+            surplus_reserve: 24,
             run_least: Duration::from_millis(2500),
             run_most: Duration::from_secs(10),
             reward_deadline: Duration::from_millis(1500),
--- a/crates/store-plane/tests/runner.rs
+++ b/crates/store-plane/tests/runner.rs
@@ -292,6 +292,34 @@
     assert!(bench.executor.runs().len() <= 20, "{} runs", bench.executor.runs().len());
 }
 
+#[tokio::test(start_paused = true)]
+async fn given_usual_runs_when_the_next_starts_then_it_may_take_a_few_times_as_long() {
+    let bench = Bench::start(FakeExecutor::reliable());
+
+    bench.hand_in("job", job_of("a", 1));
+    pass(LONG).await;
+    bench.hand_in("next", job_of("b", 1));
+    pass(LONG).await;
+
+    let limits: Vec<Duration> = bench.executor.runs().iter().map(|run| run.limit).collect();
+    assert_eq!(limits, vec![Duration::from_millis(2500), RUN * 3]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn given_runs_without_events_when_run_again_then_longer_up_to_a_bound() {
+    let script = |_: &_, nth| match nth {
+        0..=3 => ItemEnd::Interrupted(progress(&[], &[])),
+        _ => whole(),
+    };
+    let bench = Bench::start(FakeExecutor::new(script, graded));
+
+    bench.hand_in("job", job_of("a", 1));
+    pass(LONG).await;
+
+    let limits: Vec<u128> = bench.executor.runs().iter().map(|run| run.limit.as_millis()).collect();
+    assert_eq!(limits, vec![2_500, 5_000, 10_000, 10_000, 10_000]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn given_the_shelf_life_when_it_is_over_then_open_items_are_given_up_and_stop() {
     let executor =
--- /dev/null
+++ b/crates/store-plane/tests/runner_sender.rs
@@ -0,0 +1,53 @@
+//! What the executor reads from the configuration in force.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use configuration::Configuration;
+use data_plane::Sender;
+use state::View;
+use store_plane::runner_ports::{ItemExecutor, JobAddress, RouteTerms};
+use store_plane::runner_sender::SenderExecutor;
+use tokio::sync::watch;
+
+const CONFIGURATION: &str = r#"{
+    "edition": 2,
+    "routes": [{
+        "name": "texts", "depot": "texts.example", "lanePrefix": "/generate/", "kind": "rollout",
+        "expiryMs": 1500, "dueMs": 400, "urgency": 1, "postalLine": "engine", "tries": 4,
+        "singleEdition": true, "deliveryDueMs": 8000, "shelfLifeS": 15
+    }],
+    "postalLines": [{ "name": "engine", "healthPath": "/health", "berthCap": 100, "protocol": "h1", "tls": false }],
+    "limits": { "labelBytes": 16384, "parcelBytes": 33554432, "labelMs": 3000, "idleMs": 15000 }
+}"#;
+
+fn executor(configuration: Option<&str>) -> SenderExecutor {
+    let configuration = configuration.map(|json| Configuration::parse(json.as_bytes()).expect("it is valid"));
+    let view = View { configuration: configuration.map(Arc::new), ..View::default() };
+    let (_, view) = watch::channel(Arc::new(view));
+    SenderExecutor::new(Sender::new(view, "zone".into()))
+}
+
+#[tokio::test]
+async fn given_a_route_when_its_terms_are_asked_then_as_configured() {
+    let terms = executor(Some(CONFIGURATION)).terms("texts.example", "/generate/7c41?x=1");
+
+    let expected = RouteTerms {
+        tries: 4,
+        single_version: true,
+        delivery_due: Duration::from_secs(8),
+        shelf_life: Duration::from_secs(15),
+    };
+    assert_eq!(terms, Some(expected));
+}
+
+#[tokio::test]
+async fn given_no_configuration_or_route_when_asked_then_no_terms_and_no_room() {
+    let address =
+        JobAddress { host: "texts.example".into(), path: "/x".into(), model: None, oldest_version: 0 };
+
+    for executor in [executor(None), executor(Some(CONFIGURATION))] {
+        assert_eq!(executor.terms(&address.host, &address.path), None);
+        assert_eq!(executor.room(&address), 0);
+    }
+}
--- /dev/null
+++ b/crates/store-plane/tests/runner_texts.rs
@@ -0,0 +1,88 @@
+//! Texts that are kept for items that come again.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use batch::Item;
+use bytes::Bytes;
+use store_plane::runner_ports::{ItemProgress, JobAddress};
+use store_plane::runner_texts::{versions_fit, KeptText, KeptTexts};
+use yare::parameterized;
+
+fn address() -> JobAddress {
+    JobAddress { host: "a.example".into(), path: "/job".into(), model: Some("m".into()), oldest_version: 1 }
+}
+
+fn item(id: usize) -> Item {
+    Item {
+        id: format!("item{id}").into(),
+        path: "/generate".to_string(),
+        headers: BTreeMap::new(),
+        body: "AAAA".to_string(),
+        tokens: 1,
+        group: None,
+        reward: None,
+    }
+}
+
+fn text(bytes: usize) -> KeptText {
+    let progress = ItemProgress { events: vec![Bytes::from(vec![b'x'; bytes])], ..ItemProgress::default() };
+    KeptText { progress, is_whole: true, grade: None }
+}
+
+#[test]
+fn given_more_texts_than_memory_when_kept_then_the_oldest_give_way() {
+    let mut kept = KeptTexts::new(10_000);
+
+    for id in 0..20 {
+        kept.keep(&address(), &item(id), text(1_000));
+    }
+
+    assert_eq!(kept.find(&address(), &item(0)), None);
+    assert_eq!(kept.find(&address(), &item(19)), Some(&text(1_000)));
+}
+
+#[test]
+fn given_a_text_kept_again_when_found_then_the_newer_and_its_memory_counts_once() {
+    let mut kept = KeptTexts::new(10_000);
+    kept.keep(&address(), &item(0), text(10));
+
+    for bytes in 0..100 {
+        kept.keep(&address(), &item(1), text(1_000 + bytes));
+    }
+
+    assert_eq!(kept.find(&address(), &item(0)), Some(&text(10)));
+    assert_eq!(kept.find(&address(), &item(1)), Some(&text(1_099)));
+}
+
+#[test]
+fn given_a_text_beyond_all_memory_when_kept_then_nothing_is_kept() {
+    let mut kept = KeptTexts::new(100);
+
+    kept.keep(&address(), &item(0), text(1_000));
+
+    assert_eq!(kept.find(&address(), &item(0)), None);
+}
+
+#[test]
+fn given_another_host_when_searched_then_not_found() {
+    let mut kept = KeptTexts::new(10_000);
+    kept.keep(&address(), &item(0), text(10));
+
+    let other = JobAddress { host: "b.example".into(), ..address() };
+
+    assert_eq!(kept.find(&other, &item(0)), None);
+}
+
+#[parameterized(
+    one = { &[3], 3, true, true },
+    one_too_old = { &[2], 3, true, false },
+    several = { &[3, 4], 3, false, true },
+    several_where_one_is_wanted = { &[3, 4], 3, true, false },
+    one_of_several_too_old = { &[2, 4], 3, false, false },
+    none = { &[], 3, true, true },
+)]
+fn given_versions_when_checked_then_rules_hold(made: &[u64], oldest: u64, single: bool, expected: bool) {
+    let versions: BTreeSet<u64> = made.iter().copied().collect();
+
+    assert_eq!(versions_fit(&versions, oldest, single), expected);
+}
