--- a/crates/data-plane/src/attempt.rs
+++ b/crates/data-plane/src/attempt.rs
@@ -27,6 +27,9 @@
 /// Silence of this length up to the deadline is held against the server.
 const SILENCE_HELD_AGAINST: Duration = Duration::from_millis(250);
 
+/// A server may be silent for so many times longer before it begins, as the request may have to queue.
+const QUEUE_SILENCES: u32 = 2;
+
 /// What one attempt adds to the request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Extra {
@@ -36,11 +39,19 @@
     pub(crate) version: Option<u64>,
     /// The event behind which the stream is to go on.
     pub(crate) last_event_id: Option<u64>,
+    /// The longest silence of the server that is borne.
+    pub(crate) silence_most: Option<Duration>,
 }
 
 impl Extra {
     pub(crate) fn until(deadline: Instant) -> Self {
-        Self { deadline, version: None, last_event_id: None }
+        Self { deadline, version: None, last_event_id: None, silence_most: None }
+    }
+
+    /// Until when the server may stay silent from now on, for so many times the longest silence.
+    fn wait_until(&self, times: u32) -> Instant {
+        let silence_ends = self.silence_most.map(|most| Instant::now() + most * times);
+        silence_ends.map_or(self.deadline, |end| end.min(self.deadline))
     }
 }
 
@@ -63,7 +74,7 @@
 pub(crate) struct Opened {
     pub(crate) ticket: Ticket,
     response: reqwest::Response,
-    deadline: Instant,
+    extra: Extra,
     /// The version of the weights, where the head tells it.
     pub(crate) version: Option<u64>,
 }
@@ -79,7 +90,10 @@
 
     /// The next piece of the body; `None` at its proper end.
     pub(crate) async fn chunk(&mut self) -> Result<Option<Bytes>, Failure> {
-        let Ok(chunk) = timeout_at(self.deadline, self.response.chunk()).await else {
+        let Ok(chunk) = timeout_at(self.extra.wait_until(1), self.response.chunk()).await else {
+            if Instant::now() < self.extra.deadline {
+                self.ticket.outcome = Outcome::Failed;
+            }
             return Err(Failure { timed_out: true, ..Failure::new(Verdict::MayHaveRun) });
         };
         match chunk {
@@ -99,12 +113,11 @@
 
 /// Sends the request to the chosen server and waits for the head of its answer.
 pub(crate) async fn open(mut ticket: Ticket, call: &Call, extra: Extra) -> Result<Opened, Failure> {
-    let request = match prepare(&ticket, call, extra) {
-        Ok(request) => request,
-        Err(_) => return Err(Failure::new(Verdict::NotRun)),
+    let Some(request) = prepare(&ticket, call, extra) else {
+        return Err(Failure::new(Verdict::NotRun));
     };
     let begun = Instant::now();
-    let sent = timeout_at(extra.deadline, request.send()).await;
+    let sent = timeout_at(extra.wait_until(QUEUE_SILENCES), request.send()).await;
     let response = match sent {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
@@ -122,17 +135,12 @@
     accept(ticket, call, extra, response)
 }
 
-fn prepare(ticket: &Ticket, call: &Call, extra: Extra) -> Result<reqwest::RequestBuilder, Failure> {
-    let failure = |_| Failure::new(Verdict::NotRun);
-    let url = format!("http://{}{}", ticket.choice.address, call.target);
-    let url = reqwest::Url::parse(&url).map_err(|_| Failure::new(Verdict::NotRun))?;
-    if !is_unchanged(&url, &call.target) {
-        return Err(Failure::new(Verdict::NotRun));
-    }
-    let client = ticket.sender.state().links.of(&ticket.choice.id).map_err(failure)?;
+/// Builds the request; `None` where it can't be sent as it is.
+fn prepare(ticket: &Ticket, call: &Call, extra: Extra) -> Option<reqwest::RequestBuilder> {
+    let url = call.url(&ticket.choice.address.to_string())?;
+    let client = ticket.sender.state().links.of(&ticket.choice.id).ok()?;
     let mut headers = call.headers.clone();
-    let server = HeaderValue::from_str(&ticket.choice.id).map_err(|_| Failure::new(Verdict::NotRun))?;
-    headers.insert(EXPECTED_SERVER, server);
+    headers.insert(EXPECTED_SERVER, HeaderValue::from_str(&ticket.choice.id).ok()?);
     let left = extra.deadline.saturating_duration_since(Instant::now()).saturating_sub(WAY_BACK);
     let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1);
     headers.insert(TIME_LEFT, left.into());
@@ -146,16 +154,7 @@
     if !call.body.is_empty() || call.method == http::Method::POST || call.method == http::Method::PUT {
         request = request.body(call.body.clone());
     }
-    Ok(request)
-}
-
-/// Whether the server will see the very path and query of the client.
-fn is_unchanged(url: &reqwest::Url, target: &str) -> bool {
-    let (path, query) = match target.split_once('?') {
-        Some((path, query)) => (path, Some(query)),
-        None => (target, None),
-    };
-    url.path() == path && url.query() == query && url.fragment().is_none()
+    Some(request)
 }
 
 /// Checks that the head is an answer to this request, and notes what it tells.
@@ -184,7 +183,7 @@
         ticket.outcome = Outcome::Failed;
         return Err(Failure::new(Verdict::MayHaveRun));
     }
-    Ok(Opened { ticket, response, deadline: extra.deadline, version })
+    Ok(Opened { ticket, response, extra, version })
 }
 
 fn note_load(ticket: &Ticket, headers: &HeaderMap) {
--- a/crates/data-plane/src/call.rs
+++ b/crates/data-plane/src/call.rs
@@ -53,6 +53,22 @@
         self.headers.get(ATTEMPT_ID)
     }
 
+    /// Its URL at a server, if the server will see the very path and query of the client.
+    pub(crate) fn url(&self, authority: &str) -> Option<reqwest::Url> {
+        let url = reqwest::Url::parse(&format!("http://{authority}{}", self.target)).ok()?;
+        let (path, query) = match self.target.split_once('?') {
+            Some((path, query)) => (path, Some(query)),
+            None => (self.target.as_str(), None),
+        };
+        let is_unchanged = url.path() == path && url.query() == query && url.fragment().is_none();
+        is_unchanged.then_some(url)
+    }
+
+    /// Whether its path and query can be sent unchanged.
+    pub(crate) fn is_sendable(&self) -> bool {
+        self.url("server").is_some()
+    }
+
     /// The model that it names.
     pub(crate) fn model(&self) -> Option<Arc<str>> {
         let model = self.headers.get(MODEL)?.to_str().ok()?;
--- a/crates/data-plane/src/front.rs
+++ b/crates/data-plane/src/front.rs
@@ -152,7 +152,10 @@
         };
         match route.kind {
             Kind::Stream => self.shared.sender.stream(route, call, deadline).await,
-            _ => self.shared.sender.plain(route, call, deadline).await.answer,
+            _ => {
+                let may_repeat = route.kind == Kind::Safe;
+                self.shared.sender.plain(route, call, may_repeat, deadline).await.answer
+            }
         }
     }
 }
@@ -179,7 +182,12 @@
     let body = read_body(&mut request, limits, deadline).await?;
     let target = request.uri().path_and_query().map_or("/", |target| target.as_str()).to_owned();
     let headers = end_to_end(request.headers());
-    Ok(Call { method: request.method().clone(), target, headers, body })
+    let call = Call { method: request.method().clone(), target, headers, body };
+    if call.is_sendable() {
+        Ok(call)
+    } else {
+        Err(StatusCode::BAD_REQUEST)
+    }
 }
 
 fn head_bytes(request: &Request) -> u64 {
--- a/crates/data-plane/src/item.rs
+++ b/crates/data-plane/src/item.rs
@@ -20,6 +20,9 @@
 /// When an item may be tried again if no server names a time.
 const COME_BACK: Duration = Duration::from_millis(50);
 
+/// A server that is silent for this long, before the first event or between two, is thought gone.
+const SILENCE_MOST: Duration = Duration::from_millis(3000);
+
 /// One run of an item.
 #[derive(Clone, Debug)]
 pub struct ItemCall {
@@ -109,6 +112,7 @@
             deadline: item.deadline,
             version: known.filter(|_| item.route.single_version),
             last_event_id: item.progress.last_event_id,
+            silence_most: Some(SILENCE_MOST),
         };
         let opened = match open(ticket, &call, extra).await {
             Ok(opened) => opened,
--- a/crates/data-plane/src/plain.rs
+++ b/crates/data-plane/src/plain.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use configuration::{Kind, Route};
+use configuration::Route;
 use dispatch::{Need, VersionNeed};
 use futures_util::future::BoxFuture;
 use futures_util::stream::{self, FuturesUnordered, StreamExt};
@@ -59,14 +59,20 @@
 }
 
 impl Sender {
-    /// Brings a plain request to a server and retries as its route allows.
-    pub(crate) async fn plain(&self, route: &Arc<Route>, call: Arc<Call>, deadline: Instant) -> PlainEnd {
+    /// Brings a plain request to a server; where it may be repeated, to as many as its route's tries allow.
+    pub(crate) async fn plain(
+        &self,
+        route: &Arc<Route>,
+        call: Arc<Call>,
+        may_repeat: bool,
+        deadline: Instant,
+    ) -> PlainEnd {
         let mut tries = Tries {
             sender: self,
             route,
             model: call.model(),
             call: &call,
-            may_repeat: route.kind == Kind::Safe,
+            may_repeat,
             deadline,
             tried: Vec::new(),
             spent: 0,
--- a/crates/data-plane/src/reward.rs
+++ b/crates/data-plane/src/reward.rs
@@ -44,7 +44,7 @@
             return RewardEnd::NoRoute;
         };
         let call = Arc::new(Call { method: Method::POST, target: path.to_owned(), headers, body });
-        let end = self.plain(route, call, Instant::now() + deadline).await;
+        let end = self.plain(route, call, true, Instant::now() + deadline).await;
         let status = end.answer.status;
         let stamp = end.answer.headers.get(POSTMARK).and_then(|stamp| stamp.to_str().ok());
         match stamp {
