--- a/crates/store-plane/src/runner_end.rs
+++ b/crates/store-plane/src/runner_end.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base64::prelude::{Engine, BASE64_STANDARD};
 use batch::{ItemIndex, ItemPhase};
 use bytes::Bytes;
 
@@ -75,7 +74,7 @@
         let deadline = self.settings.reward_deadline;
         let Some(job) = self.jobs.get_mut(&key) else { return };
         let Some(request) = job.item(index).reward.clone() else { return };
-        let body = Bytes::from(BASE64_STANDARD.decode(&request.body).unwrap_or_default());
+        let body = Bytes::from(request.decoded_body());
         let executor = Arc::clone(&self.executor);
         let events = self.sender.clone();
         let call = tokio::spawn(async move {
--- a/crates/store-plane/src/runner_job.rs
+++ b/crates/store-plane/src/runner_job.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base64::prelude::{Engine, BASE64_STANDARD};
 use batch::{Candidate, Condition, Item, ItemIndex, ItemPhase, ItemResult, Job, JobId, JobOrder, Precedence};
-use bytes::Bytes;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
@@ -106,11 +104,6 @@
         &self.job.items[index]
     }
 
-    /// The decoded body of an item; `None` if it is not base64.
-    pub(crate) fn body(&self, index: ItemIndex) -> Option<Bytes> {
-        BASE64_STANDARD.decode(&self.item(index).body).ok().map(Bytes::from)
-    }
-
     /// Answers of 500 after which an item may be given up; never while no route is known.
     pub(crate) fn tries(&self) -> u32 {
         self.terms.map_or(u32::MAX, |terms| terms.tries.max(1))
--- a/crates/store-plane/src/runner_start.rs
+++ b/crates/store-plane/src/runner_start.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use batch::{ItemIndex, ItemPhase, Precedence, Urgency};
+use bytes::Bytes;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -16,9 +17,6 @@
 const USUAL_RUNS_MOST: u32 = 3;
 /// Doublings of the limit of a run after runs without any event.
 const LIMIT_DOUBLINGS_MOST: u32 = 2;
-/// An item whose body cannot be decoded waits for this long, which is until its batch job is over.
-const NEVER: Duration = Duration::from_secs(24 * 60 * 60);
-
 impl<Executor: ItemExecutor, Log: JobLog> Runner<Executor, Log> {
     /// Starts items as long as there is room, the most urgent first.
     pub(crate) fn start_items(&mut self) {
@@ -51,13 +49,9 @@
     }
 
     fn start_item(&mut self, key: JobKey, index: ItemIndex) {
-        let now = self.now();
         let usual_run = self.usual_run;
         let Some(job) = self.jobs.get_mut(&key) else { return };
-        let Some(body) = job.body(index) else {
-            log::error!("the body of item {} of batch job {} is not base64", job.item(index).id, job.id);
-            return job.wait(index, now, NEVER);
-        };
+        let body = Bytes::from(job.item(index).decoded_body());
         let work = &mut job.work[index];
         let versions = &work.progress.versions;
         if !work.progress.events.is_empty() && !self.executor.can_continue(&job.address, versions) {
