--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -233,12 +233,12 @@
 }
 
 impl Precedence {
-    /// The precedence of an item of a batch job that is due at `due`.
+    /// The precedence of an item that will presumably be `finished` then, of a batch job that is due at `due`.
     #[must_use]
-    pub fn new(candidate: Candidate, due: Duration, streaming: usize, now: Duration) -> Self {
+    pub fn new(candidate: Candidate, due: Duration, streaming: usize, finished: Duration) -> Self {
         let urgency = match candidate.needed {
             false => Urgency::Surplus,
-            true if now <= due + DUE_TOLERANCE => Urgency::InTime,
+            true if finished <= due + DUE_TOLERANCE => Urgency::InTime,
             true => Urgency::Late,
         };
         Self { urgency, due, streaming }
--- a/crates/batch/tests/schedule.rs
+++ b/crates/batch/tests/schedule.rs
@@ -183,9 +183,9 @@
     not_needed = { false, 10, Urgency::Surplus },
 )]
 fn given_an_item_when_ranked_then_by_need_and_due_time(needed: bool, due: u64, urgency: Urgency) {
-    let now = Duration::from_millis(9_500);
+    let finished = Duration::from_millis(9_500);
 
-    let precedence = Precedence::new(Candidate { index: 0, needed }, seconds(due), 0, now);
+    let precedence = Precedence::new(Candidate { index: 0, needed }, seconds(due), 0, finished);
 
     assert_eq!(precedence.urgency, urgency);
 }
--- a/crates/store-plane/src/runner_job.rs
+++ b/crates/store-plane/src/runner_job.rs
@@ -126,10 +126,10 @@
     }
 
     /// The next item with its precedence among those of all batch jobs.
-    pub(crate) fn next(&self, now: Duration) -> Option<(Precedence, Candidate)> {
+    pub(crate) fn next(&self, now: Duration, usual_run: Duration) -> Option<(Precedence, Candidate)> {
         let due = (self.taken_over + self.terms?.delivery_due).saturating_sub(self.age);
         let candidate = self.order.next(now)?;
-        Some((Precedence::new(candidate, due, self.order.streaming(), now), candidate))
+        Some((Precedence::new(candidate, due, self.order.streaming(), now + usual_run), candidate))
     }
 
     /// Puts an item back until `pause` has passed.
--- a/crates/store-plane/src/runner_start.rs
+++ b/crates/store-plane/src/runner_start.rs
@@ -33,8 +33,9 @@
 
     fn most_urgent(&self, now: Duration, room: &mut BTreeMap<JobKey, usize>) -> Option<(JobKey, ItemIndex)> {
         let mut best: Option<(Precedence, JobKey, ItemIndex)> = None;
+        let usual_run = self.usual_run.unwrap_or_default();
         for (&key, job) in &self.jobs {
-            let Some((precedence, candidate)) = job.next(now) else { continue };
+            let Some((precedence, candidate)) = job.next(now, usual_run) else { continue };
             if best.is_some_and(|(before, ..)| before <= precedence) {
                 continue;
             }
--- a/crates/store-plane/tests/runner/runs.rs
+++ b/crates/store-plane/tests/runner/runs.rs
@@ -105,6 +105,20 @@
     assert_eq!(bench.executor.run_ids(), vec!["fresh-0", "fresh-1", "late-0", "late-1"]);
 }
 
+#[tokio::test(start_paused = true)]
+async fn given_a_job_whose_items_cannot_end_in_time_when_another_can_then_it_yields() {
+    let bench = Bench::start(FakeExecutor::reliable().with_slots(2));
+    bench.hand_in("first", job_of("first", 2));
+    pass(RUN * 2).await;
+
+    let almost_due = Duration::from_millis(7_900);
+    bench.hand_over("hopeless", job_of("hopeless", 2), almost_due, Vec::new(), FakeLog::new());
+    bench.hand_in("fresh", job_of("fresh", 2));
+    pass(LONG).await;
+
+    assert_eq!(bench.executor.run_ids()[2..], ["fresh-0", "fresh-1", "hopeless-0", "hopeless-1"]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn given_wanted_groups_started_when_little_room_is_left_then_items_of_others_wait() {
     let bench = Bench::start(FakeExecutor::reliable().with_slots(3));
