--- a/crates/store-plane/src/replication/answers.rs
+++ b/crates/store-plane/src/replication/answers.rs
@@ -16,13 +16,16 @@
     MOVED_PATH, READ_PATH, REPLICATE_PATH, SUBMIT_PATH, TAKE_OVER_PATH,
 };
 use super::owned::JobState;
-use super::store::{has_end, results, JobStore, Owned, Shared};
+use super::state::{has_end, results, Owned};
+use super::store::{JobStore, Shared};
 use super::tend::OWNER_SILENT;
 
 /// How long an ownership may take to be ready for an answer.
 const READY_MOST: Duration = Duration::from_millis(450);
 /// How long an entry may take to be committed before the caller is told that nothing is sure.
 const COMMIT_MOST: Duration = Duration::from_millis(700);
+/// An answer leaves this long before the caller gives up.
+const REPLY_MARGIN: Duration = Duration::from_millis(120);
 /// How long other stores may take to tell what they know of a batch job.
 const QUERY_MOST: Duration = Duration::from_millis(350);
 /// An owner answers reads if a majority acknowledged something that it sent within this time.
@@ -121,18 +124,20 @@
 impl Shared {
     /// Takes a batch job. `NotTaken` only if nothing of it was sent to any store by this call.
     async fn submit(self: &Arc<Self>, id: JobId, submission: Submission) -> SubmitReply {
+        let wait = Duration::from_millis(submission.wait_ms).saturating_sub(REPLY_MARGIN);
+        let answer_by = Instant::now() + wait.min(READY_MOST + COMMIT_MOST);
+        let propose_by = Instant::now() + (wait / 2).min(READY_MOST);
         let job = match Job::parse(&submission.body) {
             Ok(job) => job,
             Err(error) => return SubmitReply::Invalid(error),
         };
         let total = u32::try_from(job.items.len()).unwrap_or(u32::MAX);
-        let Submission { host, path, body } = submission;
+        let Submission { host, path, body, .. } = submission;
         let entry = Arc::new(Entry::Job(HandedIn { host, path, body, total }));
         if let Err(store) = self.acquire_unless_owned(&id) {
             return store.map_or(SubmitReply::NotTaken, SubmitReply::Elsewhere);
         }
-        let deadline = Instant::now() + READY_MOST;
-        let proposed = self.wait_owned(&id, deadline, |owned| match owned.ownership.phase() {
+        let proposed = self.wait_owned(&id, propose_by, |owned| match owned.ownership.phase() {
             Phase::Leading if owned.ownership.log().is_empty() => {
                 owned.ownership.append([Arc::clone(&entry)]);
                 Some(())
@@ -144,11 +149,10 @@
             return self.owner_elsewhere(&id).map_or(SubmitReply::NotTaken, SubmitReply::Elsewhere);
         }
         self.drive(&id);
-        let deadline = Instant::now() + COMMIT_MOST;
         let is_committed = |owned: &mut Owned| {
             (owned.ownership.is_established() && !owned.ownership.committed().is_empty()).then_some(())
         };
-        match self.wait_owned(&id, deadline, is_committed).await {
+        match self.wait_owned(&id, answer_by, is_committed).await {
             Some(()) => SubmitReply::Accepted,
             None => SubmitReply::Unsure,
         }
--- a/crates/store-plane/src/replication/client.rs
+++ b/crates/store-plane/src/replication/client.rs
@@ -24,6 +24,8 @@
 const HOP_MOST: Duration = Duration::from_millis(650);
 /// Taking a batch job may take longer: its body travels twice and is written twice.
 const SUBMIT_HOP_MOST: Duration = Duration::from_millis(1200);
+/// No store is asked with less time than this left.
+const HOP_LEAST: Duration = Duration::from_millis(300);
 /// A store that did not answer is asked last for this long.
 const SUSPECT_FOR: Duration = Duration::from_secs(2);
 /// Pause when all stores were asked in vain.
@@ -110,11 +112,12 @@
 
     /// Hands in a batch job. Repeating it is harmless: it is taken once.
     pub async fn submit(&self, host: Arc<str>, path: Arc<str>, job: JobId, body: Bytes) -> SubmitOutcome {
-        let submission = Submission { host, path, body };
+        let mut submission = Submission { host, path, body, wait_ms: 0 };
         let mut itinerary = self.itinerary(&job, CALL_MOST);
         let mut may_be_taken = false;
         while let Some(store) = itinerary.next_store().await {
             let time = itinerary.time_left().min(SUBMIT_HOP_MOST);
+            submission.wait_ms = u64::try_from(time.as_millis()).unwrap_or(0);
             match self.ask(&store, SUBMIT_PATH, &job, &submission, time).await {
                 Ok(SubmitReply::Accepted) => {
                     self.remember_owner(&job, store.member.incarnation.0);
@@ -258,7 +261,7 @@
                 self.find_next()?
             }
         };
-        (!self.time_left().is_zero()).then_some(store)
+        (self.time_left() > HOP_LEAST).then_some(store)
     }
 
     fn find_next(&mut self) -> Option<StoreMember> {
--- a/crates/store-plane/src/replication/heartbeat.rs
+++ b/crates/store-plane/src/replication/heartbeat.rs
@@ -8,7 +8,8 @@
 use tokio::time::Instant;
 
 use super::messages::{Heartbeat, HeartbeatReply, MarkReply, OwnedMark, HEARTBEAT_PATH};
-use super::store::{Shared, State};
+use super::state::State;
+use super::store::Shared;
 
 /// How long a heartbeat may take.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(500);
--- a/crates/store-plane/src/replication/journal.rs
+++ b/crates/store-plane/src/replication/journal.rs
@@ -30,3 +30,25 @@
     /// The part of the ring that is in use, from 0 to 1.
     fn fill(&self) -> f64;
 }
+
+impl RecordJournal for storage::Journal {
+    fn append(&self, record: Vec<u8>) -> Appended {
+        let appended = Self::append(self, record);
+        Box::pin(async move {
+            appended.await.map(|position| position.0).map_err(|error| {
+                log::error!("the journal of batch jobs: {error}");
+                JournalFailed
+            })
+        })
+    }
+
+    fn release(&self, before: u64) {
+        Self::release(self, storage::Position(before));
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn fill(&self) -> f64 {
+        let usage = self.usage();
+        usage.used_bytes as f64 / usage.capacity_bytes.max(1) as f64
+    }
+}
--- a/crates/store-plane/src/replication/messages.rs
+++ b/crates/store-plane/src/replication/messages.rs
@@ -67,6 +67,8 @@
     pub host: Arc<str>,
     pub path: Arc<str>,
     pub body: Bytes,
+    /// How long the caller waits.
+    pub wait_ms: u64,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/crates/store-plane/src/replication/mod.rs
+++ b/crates/store-plane/src/replication/mod.rs
@@ -7,6 +7,8 @@
 mod journal;
 mod messages;
 mod owned;
+mod owner;
+mod state;
 mod store;
 mod tend;
 mod writer;
--- a/crates/store-plane/src/replication/owned.rs
+++ b/crates/store-plane/src/replication/owned.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use batch::{ItemResult, Job, JobId};
+use batch::{ItemResult, Job, JobId, StoreId};
 use tokio::sync::watch;
 
 use super::store::Shared;
@@ -52,6 +52,12 @@
         self.shared.list(&self.id, self.token, results).await
     }
 
+    /// The store that owns it.
+    #[must_use]
+    pub fn owner(&self) -> StoreId {
+        self.shared.id()
+    }
+
     /// Whether its items are to be run.
     #[must_use]
     pub fn state(&self) -> watch::Receiver<JobState> {
--- a/crates/store-plane/src/replication/tend.rs
+++ b/crates/store-plane/src/replication/tend.rs
@@ -9,7 +9,8 @@
 
 use super::copies::copies_of;
 use super::messages::{Call, MovedReply, TAKE_OVER_PATH};
-use super::store::{has_end, results, Shared, State};
+use super::state::{has_end, results, Owned, State};
+use super::store::Shared;
 
 /// How often an owner tells that it is alive.
 const TICK: Duration = Duration::from_millis(300);
@@ -98,7 +99,7 @@
     fn give_up_stale(&self) {
         let now = Instant::now();
         let mut state = self.lock();
-        let is_stale = |owned: &super::store::Owned| {
+        let is_stale = |owned: &Owned| {
             let since = now - owned.since;
             let lease_lost = !owned.ownership.holds_lease(self.time(now), LEASE_LOST);
             match owned.ownership.phase() {
--- /dev/null
+++ b/crates/store-plane/tests/fleet/mod.rs
@@ -0,0 +1,287 @@
+//! Stores on loopback sockets, each with a runtime of its own that ends as if killed, on disks in memory.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use batch::{Condition, ItemResult};
+use bytes::Bytes;
+use register::{Incarnation, Member};
+use state::{ControlState, StoreMember, StoreSet, View};
+use store_plane::{
+    JobClient, JobStore, JournalFailed, Limits, MovedReply, OwnedJob, Page, ReadOutcome, RecordJournal,
+    SubmitOutcome, MOVED_PATH,
+};
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// How long anything may take before a test fails.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What a disk does with records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiskMode {
+    Works,
+    Fails,
+    Stalls,
+}
+
+/// A disk in memory; it survives the process.
+#[derive(Clone, Default)]
+pub struct Disk {
+    records: Arc<Mutex<Vec<Vec<u8>>>>,
+    mode: Arc<AtomicU8>,
+}
+
+impl Disk {
+    pub fn set(&self, mode: DiskMode) {
+        self.mode.store(mode as u8, Ordering::SeqCst);
+    }
+}
+
+impl RecordJournal for Disk {
+    fn append(
+        &self,
+        record: Vec<u8>,
+    ) -> std::pin::Pin<Box<dyn std::future::Future<Output = Result<u64, JournalFailed>> + Send>> {
+        let mode = self.mode.load(Ordering::SeqCst);
+        if mode == DiskMode::Fails as u8 {
+            return Box::pin(async { Err(JournalFailed) });
+        }
+        if mode == DiskMode::Stalls as u8 {
+            return Box::pin(std::future::pending());
+        }
+        let mut records = self.records.lock().unwrap();
+        records.push(record);
+        let position = records.len() as u64;
+        Box::pin(async move { Ok(position) })
+    }
+
+    fn release(&self, _before: u64) {}
+
+    fn fill(&self) -> f64 {
+        0.0
+    }
+}
+
+struct Process {
+    thread: JoinHandle<()>,
+    kill: oneshot::Sender<()>,
+}
+
+pub struct Store {
+    pub member: Member,
+    pub disk: Disk,
+    process: Option<Process>,
+}
+
+pub struct Fleet {
+    pub stores: Vec<Store>,
+    view: watch::Sender<Arc<View>>,
+    owned_sender: mpsc::UnboundedSender<OwnedJob>,
+    pub owned: mpsc::UnboundedReceiver<OwnedJob>,
+    pub client: JobClient,
+    rpc: rpc::Client,
+    next_incarnation: u64,
+}
+
+impl Fleet {
+    /// Starts `count` stores; each batch job is kept on three.
+    pub fn start(count: u64) -> Self {
+        let stores: Vec<Store> = (1..=count).map(Store::new).collect();
+        let members = stores.iter().map(Store::as_member).collect();
+        let control =
+            ControlState { stores: StoreSet { epoch: 1, members, copies: 3 }, ..ControlState::default() };
+        let view = watch::Sender::new(Arc::new(View { control: Arc::new(control), ..View::default() }));
+        let (owned_sender, owned) = mpsc::unbounded_channel();
+        let rpc = rpc::Client::new();
+        let client = JobClient::new(rpc.clone(), view.subscribe());
+        let mut fleet = Self { stores, view, owned_sender, owned, client, rpc, next_incarnation: 100 };
+        (0..fleet.stores.len()).for_each(|index| fleet.restart(index));
+        fleet
+    }
+
+    /// Starts a store on what its disk holds.
+    pub fn restart(&mut self, index: usize) {
+        let view = self.view.subscribe();
+        let owned = self.owned_sender.clone();
+        let store = &mut self.stores[index];
+        let (kill, killed) = oneshot::channel();
+        let (member, disk) = (store.member.clone(), store.disk.clone());
+        let (ready, is_ready) = std::sync::mpsc::channel();
+        let thread = std::thread::spawn(move || run_store(member, disk, view, owned, killed, &ready));
+        is_ready.recv().expect("the store starts");
+        store.process = Some(Process { thread, kill });
+    }
+
+    /// Ends a store at once.
+    pub fn kill(&mut self, index: usize) {
+        if let Some(process) = self.stores[index].process.take() {
+            let _ = process.kill.send(());
+            process.thread.join().expect("the store ends");
+        }
+    }
+
+    /// Which store has this incarnation.
+    pub fn index_of(&self, owner: &OwnedJob) -> usize {
+        let id = owner.owner();
+        self.stores.iter().position(|store| store.member.incarnation.0 == id).expect("the owner is a store")
+    }
+
+    /// Kills a store; it comes back with an empty disk, and the next store set has it as a new member.
+    pub fn replace(&mut self, index: usize) {
+        self.kill(index);
+        self.next_incarnation += 1;
+        let store = &mut self.stores[index];
+        store.disk = Disk::default();
+        store.member.incarnation = Incarnation(self.next_incarnation);
+        store.member.address = free_address().to_string();
+        self.restart(index);
+        let members = self.stores.iter().map(Store::as_member).collect();
+        self.change(|control| {
+            let previous = std::mem::replace(&mut control.stores.members, members);
+            let epoch = control.stores.epoch;
+            control.previous_stores =
+                Some(StoreSet { epoch, members: previous, copies: control.stores.copies });
+            control.stores.epoch = epoch + 1;
+        });
+    }
+
+    fn change(&self, change: impl FnOnce(&mut ControlState)) {
+        let mut control = ControlState::clone(&self.view.borrow().control);
+        change(&mut control);
+        self.view.send_replace(Arc::new(View { control: Arc::new(control), ..View::default() }));
+    }
+
+    /// Waits until all stores have moved to the present store set, then ends the change.
+    pub async fn finish_move(&self) {
+        let epoch = self.view.borrow().control.stores.epoch;
+        for store in self.stores.iter().filter(|store| store.process.is_some()) {
+            let address = &store.member.address;
+            eventually("the store moves", || async {
+                let moved = self.rpc.call::<_, MovedReply>(address, MOVED_PATH, &(), PATIENCE).await.ok()?;
+                (moved.moved && moved.epoch >= epoch).then_some(())
+            })
+            .await;
+        }
+        self.change(|control| control.previous_stores = None);
+    }
+
+    pub async fn submit(&self, id: &str) -> SubmitOutcome {
+        self.client.submit("h.example".into(), "/jobs/1".into(), id.into(), job_body()).await
+    }
+
+    pub async fn submit_until_accepted(&self, id: &str) {
+        eventually("the batch job is taken", || async {
+            (self.submit(id).await == SubmitOutcome::Accepted).then_some(())
+        })
+        .await;
+    }
+
+    /// The next batch job that a store is to run.
+    pub async fn next_owned(&mut self) -> OwnedJob {
+        tokio::time::timeout(PATIENCE, self.owned.recv()).await.expect("a store owns it").expect("it is open")
+    }
+
+    /// Reads from a position until an answer is sure.
+    pub async fn read(&self, id: &str, after: u64) -> Page {
+        eventually("the results can be read", || async {
+            match self.client.read(id.into(), after, Duration::ZERO).await {
+                ReadOutcome::Page(page) => Some(page),
+                ReadOutcome::NoSuchJob => panic!("the batch job is gone"),
+                ReadOutcome::Unsure => None,
+            }
+        })
+        .await
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        (0..self.stores.len()).for_each(|index| self.kill(index));
+    }
+}
+
+impl Store {
+    fn new(number: u64) -> Self {
+        let address = free_address().to_string();
+        let station = format!("vault-{number}");
+        let member = Member { station, incarnation: Incarnation(number), address };
+        Self { member, disk: Disk::default(), process: None }
+    }
+
+    fn as_member(&self) -> StoreMember {
+        StoreMember { member: self.member.clone(), zone: "hall".to_owned() }
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener.local_addr().expect("the listener has an address")
+}
+
+fn run_store(
+    member: Member,
+    disk: Disk,
+    view: watch::Receiver<Arc<View>>,
+    owned: mpsc::UnboundedSender<OwnedJob>,
+    killed: oneshot::Receiver<()>,
+    ready: &std::sync::mpsc::Sender<()>,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let listener = tokio::net::TcpListener::bind(&member.address).await.expect("the port is free");
+        ready.send(()).expect("the test waits");
+        let recovered: Vec<(u64, Vec<u8>)> =
+            (1..).zip(disk.records.lock().unwrap().iter().cloned()).collect();
+        let limits = Limits { results_kept: Duration::from_secs(120) };
+        let journal = Arc::new(disk);
+        let (store, mut jobs) = JobStore::open(member, journal, recovered, rpc::Client::new(), view, limits);
+        let served = rpc::serve(listener, store.endpoint());
+        let forwarded = async {
+            while let Some(job) = jobs.recv().await {
+                let _ = owned.send(job);
+            }
+        };
+        tokio::select! {
+            _ = killed => {}
+            _ = served => {}
+            () = async { tokio::join!(store.run(), forwarded); } => {}
+        }
+    });
+    runtime.shutdown_background();
+}
+
+/// Tries until there is an answer.
+pub async fn eventually<T, Answered>(what: &str, mut attempt: impl FnMut() -> Answered) -> T
+where
+    Answered: std::future::Future<Output = Option<T>>,
+{
+    let attempts = async {
+        loop {
+            if let Some(value) = attempt().await {
+                return value;
+            }
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, attempts).await.unwrap_or_else(|_| panic!("in time: {what}"))
+}
+
+pub fn job_body() -> Bytes {
+    let items: Vec<String> = (0..10)
+        .map(|number| format!(r#"{{"id":"item-{number}","lane":"/jobs/x","payload":"aGVsbG8="}}"#))
+        .collect();
+    Bytes::from(format!(r#"{{"parcels":[{}]}}"#, items.join(",")))
+}
+
+pub fn result(number: usize) -> ItemResult {
+    ItemResult {
+        id: format!("item-{number}").into(),
+        condition: Condition::Delivered,
+        text: format!("text {number}"),
+        versions: vec![1],
+        grade: Some("stamp".to_owned()),
+    }
+}
