--- a/crates/data-plane/src/plain.rs
+++ b/crates/data-plane/src/plain.rs
@@ -223,7 +223,11 @@
         match opened.chunk().await {
             Ok(Some(chunk)) => Some((Ok(chunk), Some(opened))),
             Ok(None) => None,
-            Err(_) => Some((Err(std::io::Error::other("the server broke off")), None)),
+            Err(_) => {
+                // The pieces before it are written out meanwhile.
+                tokio::task::yield_now().await;
+                Some((Err(std::io::Error::other("the server broke off")), None))
+            }
         }
     });
     stream::once(async { Ok(begin) }).chain(rest).boxed()
--- a/crates/data-plane/src/stream.rs
+++ b/crates/data-plane/src/stream.rs
@@ -124,7 +124,11 @@
             match source.next_piece().await {
                 Ok(Some(piece)) => Some((Ok(piece), Some(source))),
                 Ok(None) => None,
-                Err(error) => Some((Err(error), None)),
+                Err(error) => {
+                    // The pieces before it are written out meanwhile.
+                    tokio::task::yield_now().await;
+                    Some((Err(error), None))
+                }
             }
         });
         pieces.boxed()
