Serve clients' connections by hyper, as poem's server goes on with a failed one

poem 3.1 polls a connection again after it has failed: a body that ends with an error got its last chunk, so that a cut stream looked complete, and a client that left did not end the work for it.

--- a/crates/data-plane/src/front.rs
+++ b/crates/data-plane/src/front.rs
@@ -18,6 +18,7 @@
 
 use crate::answer::Answer;
 use crate::call::{end_to_end, Call, ATTEMPT_ID, TIME_LEFT};
+use crate::connections;
 use crate::sender::Sender;
 
 /// Calls on batch jobs and their items.
@@ -28,8 +29,10 @@
 const STILL_COMING: Duration = Duration::from_millis(2500);
 /// When a client is asked to come back while there is no configuration.
 const COME_BACK: Duration = Duration::from_millis(200);
-/// A connection without traffic is closed after this time; operators' limits are below it.
-const IDLE_MOST: Duration = Duration::from_secs(60);
+/// A connection may rest for this long at least, as the operator's limit may rise while it is open.
+const IDLE_LEAST: Duration = Duration::from_secs(30);
+/// A connection may rest for so many times the operator's limit.
+const IDLE_MARGIN: f64 = 1.25;
 /// Bytes of a line of the head beside name and value.
 const HEADER_OVERHEAD: usize = 4;
 
@@ -92,10 +95,15 @@
             let _ = draining.wait_for(|draining| *draining).await;
             sleep(STILL_COMING).await;
         };
-        Server::new_with_acceptor(TcpAcceptor::from_tokio(listener)?)
-            .idle_timeout(IDLE_MOST)
-            .run_with_graceful_shutdown(FrontEndpoint(self.clone()), stop_accepting, Some(finish))
-            .await
+        let idle = || self.idle_time();
+        connections::serve(listener, FrontEndpoint(self.clone()), idle, stop_accepting, finish).await
+    }
+
+    /// How long a new connection may rest.
+    fn idle_time(&self) -> Duration {
+        let configuration = self.shared.sender.configuration();
+        let told = configuration.map_or(Duration::ZERO, |configuration| configuration.limits().idle);
+        told.mul_f64(IDLE_MARGIN).max(IDLE_LEAST)
     }
 
     /// Serves the platform's question whether the node is ready, until the process ends.
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod attempt;
 mod call;
+mod connections;
 mod event_stream;
 mod front;
 mod item;
--- a/crates/data-plane/tests/front.rs
+++ b/crates/data-plane/tests/front.rs
@@ -349,7 +349,8 @@
     let node = node_before(&servers).await;
     let mut response = node.get("/stream/x").await;
     assert_eq!(response.chunk().await.expect("a piece").expect("a piece"), event(1));
-    assert!(response.chunk().await.is_err());
+    let rest = response.chunk().await;
+    assert!(rest.is_err(), "{rest:?}");
     assert_eq!(sends(&servers), 1);
 }
 
