--- a/crates/store-plane/src/lib.rs
+++ b/crates/store-plane/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod runner;
 mod runner_end;
 mod runner_job;
+pub mod runner_owned;
 pub mod runner_ports;
 pub mod runner_sender;
 mod runner_start;
@@ -11,5 +12,6 @@
 
 pub use replication::{
     copies_of, Appended, BodyOutcome, Deposed, EndOutcome, JobClient, JobState, JobStore, JournalFailed, Limits,
+    copies_of, BodyOutcome, Deposed, EndOutcome, JobClient, JobState, JobStore, JournalFailed, Limits,
     MovedReply, OwnedJob, Page, ReadOutcome, RecordJournal, SubmitOutcome, MOVED_PATH,
 };
--- a/crates/store-plane/src/runner_job.rs
+++ b/crates/store-plane/src/runner_job.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base64::prelude::{Engine, BASE64_STANDARD};
 use batch::{Candidate, Condition, Item, ItemIndex, ItemPhase, ItemResult, Job, JobId, JobOrder, Precedence};
-use bytes::Bytes;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
@@ -46,6 +44,8 @@
     pub(crate) failures: u32,
     /// Answers of 500 to its reward call.
     pub(crate) reward_failures: u32,
+    /// Runs in a row that no server took.
+    pub(crate) refusals: u32,
     /// Runs or reward calls in a row that brought it no further.
     pub(crate) setbacks: u32,
     /// The request that is under way.
@@ -106,11 +106,6 @@
         &self.job.items[index]
     }
 
-    /// The decoded body of an item; `None` if it is not base64.
-    pub(crate) fn body(&self, index: ItemIndex) -> Option<Bytes> {
-        BASE64_STANDARD.decode(&self.item(index).body).ok().map(Bytes::from)
-    }
-
     /// Answers of 500 after which an item may be given up; never while no route is known.
     pub(crate) fn tries(&self) -> u32 {
         self.terms.map_or(u32::MAX, |terms| terms.tries.max(1))
@@ -131,10 +126,10 @@
     }
 
     /// The next item with its precedence among those of all batch jobs.
-    pub(crate) fn next(&self, now: Duration) -> Option<(Precedence, Candidate)> {
+    pub(crate) fn next(&self, now: Duration, usual_run: Duration) -> Option<(Precedence, Candidate)> {
         let due = (self.taken_over + self.terms?.delivery_due).saturating_sub(self.age);
         let candidate = self.order.next(now)?;
-        Some((Precedence::new(candidate, due, self.order.streaming(), now), candidate))
+        Some((Precedence::new(candidate, due, self.order.streaming(), now + usual_run), candidate))
     }
 
     /// Puts an item back until `pause` has passed.
