--- a/crates/batch/src/ownership.rs
+++ b/crates/batch/src/ownership.rs
@@ -104,16 +104,6 @@
         self.phase == Phase::Leading && self.committed >= self.base_length
     }
 
-    /// Whether all stores that keep the batch job have all of it, and no other store has it any more.
-    #[must_use]
-    pub fn is_whole(&self) -> bool {
-        let has_all = |store: &StoreId| self.length_at(*store) == self.log.len();
-        let forgotten = |store: &StoreId| self.is_copy(*store) || self.peers[store].forgotten;
-        self.phase == Phase::Leading
-            && self.copies.present.iter().all(has_all)
-            && self.copies.previous.iter().all(forgotten)
-    }
-
     /// Adds entries; they are committed once a majority has them.
     ///
     /// # Panics
--- a/crates/store-plane/src/replication/owner.rs
+++ b/crates/store-plane/src/replication/owner.rs
@@ -15,6 +15,8 @@
 use super::state::{contains, has_end, is_of, results, Owned, State};
 use super::store::Shared;
 
+/// The owner in a ballot that only stands for an epoch.
+const NOBODY: StoreId = 0;
 /// How long a request to another store may take.
 const REPLICATE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longer logs may take this much longer for each byte.
@@ -82,7 +84,9 @@
                 }
                 return;
             };
-            let known_since = sent.checked_sub(Duration::from_millis(reply.age_ms)).unwrap_or(sent);
+            // Counted from now, not from when it was asked: an age must never be more than the truth.
+            let now = Instant::now();
+            let known_since = now.checked_sub(Duration::from_millis(reply.age_ms)).unwrap_or(now);
             let first_seen = state.first_seen.entry(Arc::clone(&job)).or_insert(known_since);
             *first_seen = (*first_seen).min(known_since);
             if let Some(owned) = state.owned.get_mut(&job) {
@@ -113,6 +117,10 @@
         let Some(owned) = state.owned.get_mut(job) else { return };
         owned.progress.send_replace(());
         if let Phase::Lost(promised) = owned.ownership.phase() {
+            if promised.owner == NOBODY {
+                // Others know a newer store set; this store claims anew as soon as it does.
+                return;
+            }
             let rejected = state.rejected.entry(Arc::clone(job)).or_default();
             *rejected = (*rejected).max(promised);
             state.heard.insert(Arc::clone(job), Instant::now());
--- a/crates/store-plane/src/replication/tend.rs
+++ b/crates/store-plane/src/replication/tend.rs
@@ -105,7 +105,7 @@
             match owned.ownership.phase() {
                 Phase::Claiming => since > CLAIM_MOST,
                 Phase::Leading => since > LEASE_LOST && (lease_lost || owned.ownership.log().is_empty()),
-                Phase::Lost(_) => true,
+                Phase::Lost(_) => lease_lost,
             }
         };
         let stale: Vec<JobId> =
--- a/crates/store-plane/tests/fleet/mod.rs
+++ b/crates/store-plane/tests/fleet/mod.rs
@@ -1,7 +1,8 @@
 //! Stores on loopback sockets, each with a runtime of its own that ends as if killed, on disks in memory.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -19,6 +20,9 @@
 /// How long anything may take before a test fails.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// A disk is full with this many records.
+const DISK_RECORDS: f64 = 100.0;
+
 /// What a disk does with records.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DiskMode {
@@ -30,11 +34,17 @@
 /// A disk in memory; it survives the process.
 #[derive(Clone, Default)]
 pub struct Disk {
-    records: Arc<Mutex<Vec<Vec<u8>>>>,
+    records: Arc<Mutex<BTreeMap<u64, Vec<u8>>>>,
+    written: Arc<AtomicU64>,
     mode: Arc<AtomicU8>,
 }
 
 impl Disk {
+    /// How many records were written, and how many of them are kept.
+    pub fn written_and_kept(&self) -> (u64, usize) {
+        (self.written.load(Ordering::SeqCst), self.records.lock().unwrap().len())
+    }
+
     pub fn set(&self, mode: DiskMode) {
         self.mode.store(mode as u8, Ordering::SeqCst);
     }
@@ -53,15 +63,18 @@
             return Box::pin(std::future::pending());
         }
         let mut records = self.records.lock().unwrap();
-        records.push(record);
-        let position = records.len() as u64;
+        let position = self.written.fetch_add(1, Ordering::SeqCst) + 1;
+        records.insert(position, record);
         Box::pin(async move { Ok(position) })
     }
 
-    fn release(&self, _before: u64) {}
+    fn release(&self, before: u64) {
+        let mut records = self.records.lock().unwrap();
+        *records = records.split_off(&before);
+    }
 
     fn fill(&self) -> f64 {
-        0.0
+        self.records.lock().unwrap().len() as f64 / DISK_RECORDS
     }
 }
 
@@ -233,8 +246,13 @@
     runtime.block_on(async {
         let listener = tokio::net::TcpListener::bind(&member.address).await.expect("the port is free");
         ready.send(()).expect("the test waits");
-        let recovered: Vec<(u64, Vec<u8>)> =
-            (1..).zip(disk.records.lock().unwrap().iter().cloned()).collect();
+        let recovered: Vec<(u64, Vec<u8>)> = disk
+            .records
+            .lock()
+            .unwrap()
+            .iter()
+            .map(|(position, record)| (*position, record.clone()))
+            .collect();
         let limits = Limits { results_kept: Duration::from_secs(120) };
         let journal = Arc::new(disk);
         let (store, mut jobs) = JobStore::open(member, journal, recovered, rpc::Client::new(), view, limits);
--- a/crates/store-plane/tests/replication.rs
+++ b/crates/store-plane/tests/replication.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use fleet::{result, DiskMode, Fleet};
+use fleet::{eventually, result, DiskMode, Fleet};
 use store_plane::{BodyOutcome, Deposed, EndOutcome, JobState, ReadOutcome, SubmitOutcome};
 use yare::parameterized;
 
@@ -186,3 +186,36 @@
         assert_ne!(fleet.submit("job").await, SubmitOutcome::Accepted);
     });
 }
+
+#[test]
+fn given_a_filling_ring_when_written_anew_then_all_batch_jobs_survive_a_loss_of_power() {
+    in_runtime(async {
+        let mut fleet = Fleet::start(3);
+        let mut owned = Vec::new();
+        for number in 0..20 {
+            fleet.submit_until_accepted(&format!("job-{number}")).await;
+            owned.push(fleet.next_owned().await);
+        }
+        for number in 0..9 {
+            for job in &owned {
+                job.append(vec![result(number)]).await.expect("it is owned");
+            }
+        }
+        let disks: Vec<_> = fleet.stores.iter().map(|store| store.disk.clone()).collect();
+        eventually("old records are released", || async {
+            let has_released = |disk: &fleet::Disk| {
+                let (written, kept) = disk.written_and_kept();
+                written > 150 && kept <= 60
+            };
+            disks.iter().all(has_released).then_some(())
+        })
+        .await;
+
+        (0..3).for_each(|index| fleet.kill(index));
+        (0..3).for_each(|index| fleet.restart(index));
+
+        for number in 0..20 {
+            assert_eq!(fleet.read(&format!("job-{number}"), 0).await.next, 9);
+        }
+    });
+}
