--- a/crates/store-plane/tests/fleet/mod.rs
+++ b/crates/store-plane/tests/fleet/mod.rs
@@ -1,8 +1,8 @@
 //! Stores on loopback sockets, each with a runtime of its own that ends as if killed, on disks in memory.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU16, AtomicU64, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -81,6 +81,13 @@
 struct Process {
     thread: JoinHandle<()>,
     kill: oneshot::Sender<()>,
+    /// The process stands still from a message here until the sender in it is dropped.
+    freeze: mpsc::UnboundedSender<std::sync::mpsc::Receiver<()>>,
+}
+
+/// A store that stands still until this is dropped.
+pub struct Frozen {
+    _thaw: std::sync::mpsc::Sender<()>,
 }
 
 pub struct Store {
@@ -123,9 +130,20 @@
         let (kill, killed) = oneshot::channel();
         let (member, disk) = (store.member.clone(), store.disk.clone());
         let (ready, is_ready) = std::sync::mpsc::channel();
-        let thread = std::thread::spawn(move || run_store(member, disk, view, owned, killed, &ready));
+        let (freeze, freezes) = mpsc::unbounded_channel();
+        let signals = Signals { killed, freezes };
+        let thread = std::thread::spawn(move || run_store(member, disk, view, owned, signals, &ready));
         is_ready.recv().expect("the store starts");
-        store.process = Some(Process { thread, kill });
+        store.process = Some(Process { thread, kill, freeze });
+    }
+
+    /// Stops a store's thread; its sockets stay open.
+    pub fn freeze(&self, index: usize) -> Frozen {
+        let (thaw, thawed) = std::sync::mpsc::channel();
+        if let Some(process) = &self.stores[index].process {
+            process.freeze.send(thawed).expect("the store runs");
+        }
+        Frozen { _thaw: thaw }
     }
 
     /// Ends a store at once.
@@ -229,17 +247,27 @@
     }
 }
 
+/// A free port of a loopback address that no other store has and that no connection goes out from, so that a
+/// store finds its port free when it comes back.
 fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    static TAKEN: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = TAKEN.fetch_add(1, Ordering::SeqCst).to_be_bytes();
+    let listener =
+        std::net::TcpListener::bind((Ipv4Addr::new(127, 77, high, low), 0)).expect("a port is free");
     listener.local_addr().expect("the listener has an address")
 }
 
+struct Signals {
+    killed: oneshot::Receiver<()>,
+    freezes: mpsc::UnboundedReceiver<std::sync::mpsc::Receiver<()>>,
+}
+
 fn run_store(
     member: Member,
     disk: Disk,
     view: watch::Receiver<Arc<View>>,
     owned: mpsc::UnboundedSender<OwnedJob>,
-    killed: oneshot::Receiver<()>,
+    mut signals: Signals,
     ready: &std::sync::mpsc::Sender<()>,
 ) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -262,8 +290,14 @@
                 let _ = owned.send(job);
             }
         };
+        let frozen = async {
+            while let Some(thawed) = signals.freezes.recv().await {
+                let _ = thawed.recv();
+            }
+        };
         tokio::select! {
-            _ = killed => {}
+            _ = signals.killed => {}
+            () = frozen => {}
             _ = served => {}
             () = async { tokio::join!(store.run(), forwarded); } => {}
         }
--- a/crates/store-plane/tests/replication.rs
+++ b/crates/store-plane/tests/replication.rs
@@ -219,3 +219,30 @@
         }
     });
 }
+
+#[test]
+fn given_an_owner_that_is_frozen_when_thawed_then_it_neither_lists_nor_shows_anything_old() {
+    in_runtime(async {
+        let mut fleet = Fleet::start(3);
+        fleet.submit_until_accepted("job").await;
+        let first = fleet.next_owned().await;
+        first.append(vec![result(0)]).await.expect("it is owned");
+
+        let frozen = fleet.freeze(fleet.index_of(&first));
+        let second = eventually_owned(&mut fleet).await;
+        second.append(vec![result(1)]).await.expect("it is owned");
+        let before = fleet.read("job", 0).await;
+        drop(frozen);
+
+        assert_eq!(first.append(vec![result(2)]).await, Err(Deposed));
+        assert_eq!(*first.state().borrow(), JobState::Deposed);
+        assert_eq!(second.listed, [result(0)]);
+        assert_eq!(fleet.read("job", 0).await, before);
+    });
+}
+
+/// The next batch job that a store owns, while clients go on to read.
+async fn eventually_owned(fleet: &mut Fleet) -> store_plane::OwnedJob {
+    fleet.read("job", 0).await;
+    fleet.next_owned().await
+}
