--- a/crates/store-plane/tests/fleet/mod.rs
+++ b/crates/store-plane/tests/fleet/mod.rs
@@ -1,7 +1,8 @@
 //! Stores on loopback sockets, each with a runtime of its own that ends as if killed, on disks in memory.
 
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU16, AtomicU64, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -19,6 +20,9 @@
 /// How long anything may take before a test fails.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// A disk is full with this many records.
+const DISK_RECORDS: f64 = 100.0;
+
 /// What a disk does with records.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DiskMode {
@@ -30,11 +34,17 @@
 /// A disk in memory; it survives the process.
 #[derive(Clone, Default)]
 pub struct Disk {
-    records: Arc<Mutex<Vec<Vec<u8>>>>,
+    records: Arc<Mutex<BTreeMap<u64, Vec<u8>>>>,
+    written: Arc<AtomicU64>,
     mode: Arc<AtomicU8>,
 }
 
 impl Disk {
+    /// How many records were written, and how many of them are kept.
+    pub fn written_and_kept(&self) -> (u64, usize) {
+        (self.written.load(Ordering::SeqCst), self.records.lock().unwrap().len())
+    }
+
     pub fn set(&self, mode: DiskMode) {
         self.mode.store(mode as u8, Ordering::SeqCst);
     }
@@ -53,21 +63,31 @@
             return Box::pin(std::future::pending());
         }
         let mut records = self.records.lock().unwrap();
-        records.push(record);
-        let position = records.len() as u64;
+        let position = self.written.fetch_add(1, Ordering::SeqCst) + 1;
+        records.insert(position, record);
         Box::pin(async move { Ok(position) })
     }
 
-    fn release(&self, _before: u64) {}
+    fn release(&self, before: u64) {
+        let mut records = self.records.lock().unwrap();
+        *records = records.split_off(&before);
+    }
 
     fn fill(&self) -> f64 {
-        0.0
+        self.records.lock().unwrap().len() as f64 / DISK_RECORDS
     }
 }
 
 struct Process {
     thread: JoinHandle<()>,
     kill: oneshot::Sender<()>,
+    /// The process stands still from a message here until the sender in it is dropped.
+    freeze: mpsc::UnboundedSender<std::sync::mpsc::Receiver<()>>,
+}
+
+/// A store that stands still until this is dropped.
+pub struct Frozen {
+    _thaw: std::sync::mpsc::Sender<()>,
 }
 
 pub struct Store {
@@ -110,9 +130,20 @@
         let (kill, killed) = oneshot::channel();
         let (member, disk) = (store.member.clone(), store.disk.clone());
         let (ready, is_ready) = std::sync::mpsc::channel();
-        let thread = std::thread::spawn(move || run_store(member, disk, view, owned, killed, &ready));
+        let (freeze, freezes) = mpsc::unbounded_channel();
+        let signals = Signals { killed, freezes };
+        let thread = std::thread::spawn(move || run_store(member, disk, view, owned, signals, &ready));
         is_ready.recv().expect("the store starts");
-        store.process = Some(Process { thread, kill });
+        store.process = Some(Process { thread, kill, freeze });
+    }
+
+    /// Stops a store's thread; its sockets stay open.
+    pub fn freeze(&self, index: usize) -> Frozen {
+        let (thaw, thawed) = std::sync::mpsc::channel();
+        if let Some(process) = &self.stores[index].process {
+            process.freeze.send(thawed).expect("the store runs");
+        }
+        Frozen { _thaw: thaw }
     }
 
     /// Ends a store at once.
@@ -216,25 +247,40 @@
     }
 }
 
+/// A free port of a loopback address that no other store has and that no connection goes out from, so that a
+/// store finds its port free when it comes back.
 fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    static TAKEN: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = TAKEN.fetch_add(1, Ordering::SeqCst).to_be_bytes();
+    let listener =
+        std::net::TcpListener::bind((Ipv4Addr::new(127, 77, high, low), 0)).expect("a port is free");
     listener.local_addr().expect("the listener has an address")
 }
 
+struct Signals {
+    killed: oneshot::Receiver<()>,
+    freezes: mpsc::UnboundedReceiver<std::sync::mpsc::Receiver<()>>,
+}
+
 fn run_store(
     member: Member,
     disk: Disk,
     view: watch::Receiver<Arc<View>>,
     owned: mpsc::UnboundedSender<OwnedJob>,
-    killed: oneshot::Receiver<()>,
+    mut signals: Signals,
     ready: &std::sync::mpsc::Sender<()>,
 ) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     runtime.block_on(async {
         let listener = tokio::net::TcpListener::bind(&member.address).await.expect("the port is free");
         ready.send(()).expect("the test waits");
-        let recovered: Vec<(u64, Vec<u8>)> =
-            (1..).zip(disk.records.lock().unwrap().iter().cloned()).collect();
+        let recovered: Vec<(u64, Vec<u8>)> = disk
+            .records
+            .lock()
+            .unwrap()
+            .iter()
+            .map(|(position, record)| (*position, record.clone()))
+            .collect();
         let limits = Limits { results_kept: Duration::from_secs(120) };
         let journal = Arc::new(disk);
         let (store, mut jobs) = JobStore::open(member, journal, recovered, rpc::Client::new(), view, limits);
@@ -244,8 +290,14 @@
                 let _ = owned.send(job);
             }
         };
+        let frozen = async {
+            while let Some(thawed) = signals.freezes.recv().await {
+                let _ = thawed.recv();
+            }
+        };
         tokio::select! {
-            _ = killed => {}
+            _ = signals.killed => {}
+            () = frozen => {}
             _ = served => {}
             () = async { tokio::join!(store.run(), forwarded); } => {}
         }
