--- a/crates/data-plane/src/call.rs
+++ b/crates/data-plane/src/call.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use dispatch::VersionNeed;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::Method;
 
@@ -74,6 +75,13 @@
         let model = self.headers.get(MODEL)?.to_str().ok()?;
         Some(model.into())
     }
+
+    /// The version of that model that the client expects.
+    pub(crate) fn version_need(&self) -> VersionNeed {
+        let expected =
+            self.headers.get(EXPECT_VERSION).and_then(|version| version.to_str().ok()?.parse().ok());
+        expected.map_or(VersionNeed::Any, VersionNeed::Exactly)
+    }
 }
 
 /// Drops the headers that concern one connection only, also those that `Connection` names.
--- a/crates/data-plane/src/event_stream.rs
+++ b/crates/data-plane/src/event_stream.rs
@@ -54,6 +54,13 @@
         !self.buffer.is_empty()
     }
 
+    /// Takes what stands behind the last whole event.
+    pub fn take_partial(&mut self) -> Option<Bytes> {
+        self.searched = 0;
+        let rest = self.buffer.split().freeze();
+        (!rest.is_empty()).then_some(rest)
+    }
+
     /// The end of the first blank line.
     fn find_end(&mut self) -> Option<usize> {
         let mut line_start = self.searched;
--- a/crates/data-plane/src/front.rs
+++ b/crates/data-plane/src/front.rs
@@ -27,6 +27,8 @@
 const READY_PATH: &str = "/api/ready";
 /// After the end was asked for, new connections still come until the platform has seen two misses.
 const STILL_COMING: Duration = Duration::from_millis(2500);
+/// What is held is finished so long before the end of the time that the node is given.
+const END_MARGIN: Duration = Duration::from_millis(300);
 /// When a client is asked to come back while there is no configuration.
 const COME_BACK: Duration = Duration::from_millis(200);
 /// A connection may rest for this long at least, as the operator's limit may rise while it is open.
@@ -88,7 +90,7 @@
     ///
     /// When the listener fails for good.
     pub async fn serve(&self, listener: TcpListener) -> io::Result<()> {
-        let finish = self.shared.settings.grace.saturating_sub(STILL_COMING);
+        let finish = self.shared.settings.grace.saturating_sub(STILL_COMING + END_MARGIN);
         let mut draining = self.shared.draining.subscribe();
         let stop_accepting = async move {
             // The sender lives as long as this front.
--- a/crates/data-plane/src/item.rs
+++ b/crates/data-plane/src/item.rs
@@ -135,14 +135,20 @@
             Some(version) => VersionNeed::Exactly(*version),
             None => VersionNeed::AtLeast(item.oldest_version),
         };
+        let favourite = item.group.as_ref().and_then(|group| self.state().favourites.of(group));
         let need = Need {
             targets: &item.route.targets,
             model: item.model.as_deref(),
             version,
             tried: &[],
+            favourite: favourite.as_ref(),
             with_room: true,
         };
-        self.choose(&need)
+        let ticket = self.choose(&need)?;
+        if let Some(group) = &item.group {
+            self.state().favourites.note(group, &ticket.choice.id);
+        }
+        Some(ticket)
     }
 }
 
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -8,6 +8,7 @@
 mod call;
 mod connections;
 mod event_stream;
+mod favourites;
 mod front;
 mod item;
 mod links;
--- a/crates/data-plane/src/plain.rs
+++ b/crates/data-plane/src/plain.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use configuration::Route;
-use dispatch::{Need, VersionNeed};
+use dispatch::Need;
 use futures_util::future::BoxFuture;
 use futures_util::stream::{self, FuturesUnordered, StreamExt};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -22,6 +22,8 @@
 const HELD_MOST: usize = 512 * 1024;
 /// When a client is asked to come back if the servers name no time.
 pub(crate) const COME_BACK: Duration = Duration::from_millis(100);
+/// Clients are not asked to stay away for longer than this, as places at other servers get free meanwhile.
+pub(crate) const COME_BACK_MOST: Duration = Duration::from_millis(400);
 /// Attempts beyond the tries of the route that may end without having run.
 const REFUSALS_MOST: u32 = 6;
 /// A second attempt goes out when this part of the aim has passed.
@@ -51,6 +53,8 @@
     /// Servers that may have run the request, those at work included.
     spent: u32,
     refused: u32,
+    /// Attempts that are out.
+    running: u32,
     errors: u32,
     retry_after: Option<Duration>,
     timed_out: bool,
@@ -77,6 +81,7 @@
             tried: Vec::new(),
             spent: 0,
             refused: 0,
+            running: 0,
             errors: 0,
             retry_after: None,
             timed_out: false,
@@ -125,23 +130,26 @@
         let need = Need {
             targets: &self.route.targets,
             model: self.model.as_deref(),
-            version: VersionNeed::Any,
+            version: self.call.version_need(),
             tried: &self.tried,
+            favourite: None,
             with_room: false,
         };
         let ticket = self.sender.choose(&need)?;
-        if self.tried.contains(&ticket.choice.id) {
-            // Every server has had it once already.
+        // Every server has had it once already: it goes there again only if none refused and none is at work.
+        if self.tried.contains(&ticket.choice.id) && (self.refused > 0 || self.running > 0) {
             return None;
         }
         self.tried.push(Arc::clone(&ticket.choice.id));
         self.spent += 1;
+        self.running += 1;
         let (call, extra) = (Arc::clone(self.call), Extra::until(self.deadline));
         Some(Box::pin(async move { hold(open(ticket, &call, extra).await?).await }))
     }
 
     /// Takes in the end of an attempt; gives the answer if it is final.
     fn take(&mut self, end: Result<Answer, Failure>) -> Option<Answer> {
+        self.running -= 1;
         match end {
             Ok(answer) if answer.status.is_server_error() => {
                 if answer.status == StatusCode::INTERNAL_SERVER_ERROR {
@@ -172,7 +180,7 @@
             return PlainEnd { answer, is_servers: true, errors: self.errors };
         }
         let answer = if self.spent == 0 {
-            Answer::not_run(self.retry_after.unwrap_or(COME_BACK))
+            Answer::not_run(self.retry_after.unwrap_or(COME_BACK).min(COME_BACK_MOST))
         } else if self.timed_out {
             Answer::own(StatusCode::GATEWAY_TIMEOUT)
         } else {
@@ -190,7 +198,7 @@
 }
 
 /// Reads the body to its end, or up to the length from which it is passed on as it comes.
-async fn hold(mut opened: Opened) -> Result<Answer, Failure> {
+pub(crate) async fn hold(mut opened: Opened) -> Result<Answer, Failure> {
     let (status, mut headers) = (opened.status(), opened.headers().clone());
     let length = headers.remove(CONTENT_LENGTH);
     headers.remove(TRANSFER_ENCODING);
@@ -213,6 +221,10 @@
         }
     }
     let body = if body.is_empty() { first } else { body.freeze() };
+    if body.is_empty() {
+        // It tells the length of a body that is not sent, as after HEAD.
+        headers.extend(length.map(|length| (CONTENT_LENGTH, length)));
+    }
     Ok(Answer { status, headers, body: AnswerBody::Whole(body) })
 }
 
--- a/crates/data-plane/src/sender.rs
+++ b/crates/data-plane/src/sender.rs
@@ -10,6 +10,7 @@
 
 use configuration::{Configuration, Target};
 
+use crate::favourites::Favourites;
 use crate::links::Links;
 
 /// Brings requests to servers. Clones share connections, counts and health.
@@ -27,6 +28,7 @@
 pub(crate) struct State {
     pub(crate) dispatcher: Dispatcher,
     pub(crate) links: Links,
+    pub(crate) favourites: Favourites,
     list: Arc<ServerList>,
     /// Second attempts that may go out; each request adds a part of one.
     hedges: f64,
@@ -42,8 +44,14 @@
     #[must_use]
     pub fn new(view: watch::Receiver<Arc<View>>, zone: Arc<str>) -> Self {
         let dispatcher = Dispatcher::new(zone);
-        let state =
-            Mutex::new(State { dispatcher, links: Links::new(), list: Arc::default(), hedges: HEDGES_MOST });
+        let state = State {
+            dispatcher,
+            links: Links::new(),
+            favourites: Favourites::default(),
+            list: Arc::default(),
+            hedges: HEDGES_MOST,
+        };
+        let state = Mutex::new(state);
         Self { shared: Arc::new(Shared { view, started: Instant::now(), state }) }
     }
 
@@ -57,7 +65,7 @@
     #[must_use]
     pub fn room(&self, targets: &[Target], model: Option<&str>, oldest_version: u64) -> usize {
         let version = VersionNeed::AtLeast(oldest_version);
-        let need = Need { targets, model, version, tried: &[], with_room: true };
+        let need = Need { targets, model, version, tried: &[], favourite: None, with_room: true };
         let now = self.now();
         self.state().dispatcher.room(now, &need)
     }
--- a/crates/data-plane/src/stream.rs
+++ b/crates/data-plane/src/stream.rs
@@ -6,9 +6,9 @@
 
 use bytes::Bytes;
 use configuration::Route;
-use dispatch::{Need, VersionNeed};
+use dispatch::Need;
 use futures_util::stream::{self, BoxStream, StreamExt};
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::StatusCode;
 use state::ServerId;
 use tokio::time::Instant;
@@ -17,6 +17,7 @@
 use crate::attempt::{open, Extra, Failure, Opened};
 use crate::call::{end_to_end, Call, LAST_EVENT_ID};
 use crate::event_stream::EventParser;
+use crate::plain::{hold, COME_BACK, COME_BACK_MOST};
 use crate::sender::Sender;
 
 /// Attempts at servers that did not run the request.
@@ -60,6 +61,9 @@
         let Some(opened) = source.connect().await else {
             return source.refusal();
         };
+        if !is_event_stream(&opened) {
+            return hold(opened).await.unwrap_or_else(|_| Answer::own(StatusCode::BAD_GATEWAY));
+        }
         let (status, mut headers) = (opened.status(), end_to_end(opened.headers()));
         headers.remove(CONTENT_LENGTH);
         headers.remove(TRANSFER_ENCODING);
@@ -71,12 +75,14 @@
 impl Source {
     /// Opens the stream at the next server that may be tried.
     async fn connect(&mut self) -> Option<Opened> {
+        let model = self.call.model();
         while self.may_try() {
             let need = Need {
                 targets: &self.route.targets,
-                model: None,
-                version: VersionNeed::Any,
+                model: model.as_deref(),
+                version: self.call.version_need(),
                 tried: &self.tried,
+                favourite: None,
                 with_room: false,
             };
             let ticket = self.sender.choose(&need)?;
@@ -112,7 +118,7 @@
         let failure = self.last_failure;
         if self.spent == 0 {
             let retry_after = failure.and_then(|failure| failure.retry_after);
-            return Answer::not_run(retry_after.unwrap_or(crate::plain::COME_BACK));
+            return Answer::not_run(retry_after.unwrap_or(COME_BACK).min(COME_BACK_MOST));
         }
         let timed_out = failure.is_some_and(|failure| failure.timed_out);
         Answer::own(if timed_out { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY })
@@ -145,8 +151,8 @@
             };
             match opened.chunk().await {
                 Ok(Some(chunk)) => self.take(&chunk)?,
-                Ok(None) if self.parser.has_partial() => return Err(broken_off()),
-                Ok(None) => return Ok(None),
+                // What stands behind the last event belongs to the whole body as well.
+                Ok(None) => return Ok(self.parser.take_partial()),
                 Err(_) => self.resume().await?,
             }
         }
@@ -156,7 +162,7 @@
         self.parser.push(chunk);
         while let Some(event) = self.parser.next_event() {
             if let (Some(id), Some(last)) = (event.id, self.last_event_id) {
-                if id != last + 1 {
+                if id <= last {
                     return Err(broken_off());
                 }
             }
@@ -170,12 +176,17 @@
     async fn resume(&mut self) -> io::Result<()> {
         self.opened = None;
         self.parser = EventParser::default();
-        let opened = self.connect().await.filter(|opened| opened.status().is_success());
+        let opened = self.connect().await.filter(is_event_stream);
         self.opened = Some(opened.ok_or_else(broken_off)?);
         Ok(())
     }
 }
 
+fn is_event_stream(opened: &Opened) -> bool {
+    let kind = opened.headers().get(CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
+    opened.status().is_success() && kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
+}
+
 fn broken_off() -> io::Error {
     io::Error::other("the stream was broken off")
 }
--- a/crates/data-plane/tests/front.rs
+++ b/crates/data-plane/tests/front.rs
@@ -439,3 +439,59 @@
     assert_eq!(node.get("/safe/x").await.status(), 200);
     assert_eq!((servers[0].seen().len(), servers[1].seen().len()), (1, 1));
 }
+
+#[tokio::test]
+async fn given_one_server_that_resets_when_a_safe_request_is_asked_then_it_is_tried_again_there() {
+    let script = |_: &support::Seen, number| match number {
+        0 | 1 => Act::WriteAndClose(String::new()),
+        _ => success("x"),
+    };
+    let servers = [StandIn::start("a", script).await];
+    let node = node_before(&servers).await;
+    assert_eq!(node.get("/safe/x").await.status(), 200);
+    assert_eq!(sends(&servers), 3);
+}
+
+#[tokio::test]
+async fn given_a_head_request_when_asked_then_the_length_is_told_without_a_body() {
+    let head = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nPostmark: p\r\nContent-Length: 70\r\n\r\n";
+    let servers = stand_ins(vec![Act::Write(head.into())]).await;
+    let node = node_before(&servers).await;
+    let response = node.ask(Method::HEAD, "/safe/x", "").await.expect("an answer");
+    assert_eq!(
+        (response.status().as_u16(), &response.headers()["content-length"]),
+        (200, &"70".parse().expect("text"))
+    );
+}
+
+#[parameterized(
+    error = { answer(500, "Postmark: p\r\n", "bad"), 500, "bad" },
+    missing = { answer(404, "Postmark: p\r\n", "no such thing"), 404, "no such thing" },
+    refused = { refusal(), 503, "" },
+    reset = { Act::WriteAndClose(String::new()), 502, "" },
+)]
+#[test_macro(tokio::test)]
+async fn given_no_stream_when_one_is_asked_for_then_the_answer_tells(script: Act, status: u16, body: &str) {
+    let servers = stand_ins(vec![script]).await;
+    let node = node_before(&servers).await;
+    let response = node.post("/stream/x").await;
+    assert_eq!(response.status(), status);
+    assert_eq!(response.text().await.expect("a body"), body);
+}
+
+#[tokio::test]
+async fn given_bytes_behind_the_last_event_when_the_stream_ends_properly_then_they_go_through() {
+    let text = stream_text("", &[&event(1), "data: rest"], true);
+    let servers = stand_ins(vec![Act::Write(text)]).await;
+    let node = node_before(&servers).await;
+    let body = node.get("/stream/x").await.text().await.expect("a body");
+    assert_eq!(body, format!("{}data: rest", event(1)));
+}
+
+#[tokio::test]
+async fn given_a_stream_that_starts_anew_when_it_is_resumed_then_the_answer_is_broken_off() {
+    let cut = Act::WriteAndClose(stream_text("", &[&event(1), &event(2)], false));
+    let servers = stand_ins(vec![cut.clone(), cut]).await;
+    let node = node_before(&servers).await;
+    assert!(node.get("/resumed/x").await.text().await.is_err());
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -31,6 +31,8 @@
     pub version: VersionNeed,
     /// Servers that have been tried already; they come last.
     pub tried: &'a [ServerId],
+    /// A server that wins ties, as it has read the beginning of the prompt already.
+    pub favourite: Option<&'a ServerId>,
     /// Whether only a server with a free place will do.
     pub with_room: bool,
 }
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -1,10 +1,11 @@
 //! The servers of one service.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hsq::Counts;
-use state::ServerEntry;
+use state::{ServerEntry, ServerId};
 
 use crate::server::Server;
 use crate::{Choice, Need, Outcome};
@@ -15,6 +16,8 @@
     Good,
     Avoided,
     Tried,
+    /// It is not known to hold the model.
+    Unlikely,
 }
 
 /// The servers of one service with their counts.
@@ -23,29 +26,26 @@
     counts: Counts,
     service: Option<Arc<str>>,
     servers: Vec<Server>,
+    /// Where each server stands among them.
+    positions: HashMap<ServerId, usize>,
 }
 
 impl Pool {
     /// Follows a newer list of the servers of this service.
     pub(crate) fn update(&mut self, entries: &[&ServerEntry], zone: &str) {
         self.service = entries.first().map(|entry| Arc::clone(&entry.service));
-        let counts = &mut self.counts;
-        self.servers.retain(|server| {
-            let listed = entries.iter().any(|entry| entry.id == server.id);
-            if !listed {
-                counts.remove(server.slot);
-            }
-            listed
-        });
+        let mut known: HashMap<ServerId, Server> =
+            self.servers.drain(..).map(|server| (Arc::clone(&server.id), server)).collect();
         for entry in entries {
-            if self.server_mut(&entry.id).is_none() {
-                let slot = self.counts.add();
-                self.servers.push(Server::new(entry, slot));
-            }
-            if let Some(server) = self.server_mut(&entry.id) {
-                server.update(entry, zone);
-            }
+            let mut server = known.remove(&entry.id).unwrap_or_else(|| Server::new(entry, self.counts.add()));
+            server.update(entry, zone);
+            self.servers.push(server);
+        }
+        for gone in known.values() {
+            self.counts.remove(gone.slot);
         }
+        let positions = self.servers.iter().enumerate();
+        self.positions = positions.map(|(at, server)| (Arc::clone(&server.id), at)).collect();
     }
 
     /// Whether any server may take this request.
@@ -59,8 +59,8 @@
         let fitting = || self.servers.iter().filter(|server| may_take(server, now, need));
         let best = fitting().map(|server| suitability(server, now, need)).min()?;
         let among = fitting().filter(|server| suitability(server, now, need) == best);
-        let near = |slot| self.servers.iter().any(|server| server.slot == slot && server.near);
-        let slot = self.counts.lowest_preferring(among.map(|server| server.slot), near)?;
+        let ranked = among.map(|server| (server.slot, preference(server, need)));
+        let slot = self.counts.lowest_preferring(ranked)?;
         self.counts.sent(slot);
         let service = Arc::clone(self.service.as_ref()?);
         let chosen = self.servers.iter_mut().find(|server| server.slot == slot)?;
@@ -77,7 +77,7 @@
     }
 
     pub(crate) fn has_room(&self, now: Duration, id: &str) -> bool {
-        self.servers.iter().any(|server| &*server.id == id && server.room(now) > 0)
+        self.positions.get(id).is_some_and(|at| self.servers[*at].room(now) > 0)
     }
 
     pub(crate) fn finished(&mut self, now: Duration, id: &str, outcome: Outcome) {
@@ -125,7 +125,7 @@
     }
 
     fn server_mut(&mut self, id: &str) -> Option<&mut Server> {
-        self.servers.iter_mut().find(|server| &*server.id == id)
+        self.positions.get(id).map(|at| &mut self.servers[*at])
     }
 }
 
@@ -136,7 +136,9 @@
 }
 
 fn suitability(server: &Server, now: Duration, need: &Need<'_>) -> Suitability {
-    if need.tried.contains(&server.id) {
+    if !server.versions.may_hold(need.model) {
+        Suitability::Unlikely
+    } else if need.tried.contains(&server.id) {
         Suitability::Tried
     } else if server.health.is_avoided(now) {
         Suitability::Avoided
@@ -144,3 +146,12 @@
         Suitability::Good
     }
 }
+
+/// Among servers with equal counts, the one that has read the prompt comes first, then those of the own zone.
+fn preference(server: &Server, need: &Need<'_>) -> u8 {
+    match need.favourite {
+        Some(favourite) if *favourite == server.id => 0,
+        _ if server.near => 1,
+        _ => 2,
+    }
+}
--- a/crates/dispatch/src/versions.rs
+++ b/crates/dispatch/src/versions.rs
@@ -58,6 +58,11 @@
         self.known.get(model?).copied()
     }
 
+    /// Whether the server may hold this model: it shows that model, or none at all.
+    pub(crate) fn may_hold(&self, model: Option<&str>) -> bool {
+        self.known.is_empty() || model.is_none_or(|model| self.known.contains_key(model))
+    }
+
     /// Whether the server fits.
     pub(crate) fn fits(&self, now: Duration, model: Option<&str>, need: VersionNeed) -> bool {
         let Some(model) = model else {
@@ -65,7 +70,7 @@
         };
         let known = self.of(Some(model));
         let version_fits = match need {
-            VersionNeed::Any => return self.known.is_empty() || known.is_some(),
+            VersionNeed::Any => return true,
             VersionNeed::AtLeast(oldest) => known.is_some_and(|version| version >= oldest),
             VersionNeed::Exactly(wanted) => known == Some(wanted),
         };
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -43,7 +43,7 @@
 }
 
 fn need<'a>(targets: &'a [Target], tried: &'a [ServerId]) -> Need<'a> {
-    Need { targets, model: None, version: VersionNeed::Any, tried, with_room: false }
+    Need { targets, model: None, version: VersionNeed::Any, tried, favourite: None, with_room: false }
 }
 
 /// The servers that are chosen in so many sends, each of which is over at once.
@@ -255,3 +255,27 @@
     assert_eq!(dispatcher.room(NOW, &need), empty - 3);
     assert_eq!(dispatcher.room(NOW + Duration::from_secs(5), &need), empty);
 }
+
+#[test]
+fn given_a_favourite_when_choosing_then_it_wins_ties_alone() {
+    let mut dispatcher = dispatcher(vec![entry("a", "s"), entry("b", "s"), entry("c", "s")]);
+    let targets = targets(&[("s", 1)]);
+    let favourite = ServerId::from("b");
+    let need = Need { favourite: Some(&favourite), ..need(&targets, &[]) };
+    assert_eq!(chosen(&mut dispatcher, &need, 50), set(&["b"]));
+    for id in ["a", "b", "c"] {
+        dispatcher.reported(NOW, id, u32::from(id == "b"), 0, 4);
+    }
+    assert_ne!(&*dispatcher.choose(NOW, &need).expect("a server").id, "b");
+}
+
+#[test]
+fn given_a_model_when_choosing_then_servers_that_hold_it_come_first() {
+    let other = ServerEntry { models: BTreeMap::from([(Arc::from("other"), 1)]), ..entry("a", "s") };
+    let mut dispatcher = dispatcher(vec![other.clone(), with_version("b", 1)]);
+    let targets = targets(&[("s", 1)]);
+    let need = Need { model: Some("m"), ..need(&targets, &[]) };
+    assert_eq!(chosen(&mut dispatcher, &need, 50), set(&["b"]));
+    dispatcher.update(&list(vec![other]));
+    assert_eq!(chosen(&mut dispatcher, &need, 50), set(&["a"]));
+}
--- a/crates/hsq/src/lib.rs
+++ b/crates/hsq/src/lib.rs
@@ -57,19 +57,15 @@
 
     /// The lowest count among these servers, with ties broken at random.
     pub fn lowest(&self, among: impl IntoIterator<Item = Slot>) -> Option<Slot> {
-        self.lowest_preferring(among, |_| false)
+        self.lowest_preferring(among.into_iter().map(|slot| (slot, 0)))
     }
 
-    /// As [`Self::lowest`], but a preferred server wins a tie with one that is not.
-    pub fn lowest_preferring(
-        &self,
-        among: impl IntoIterator<Item = Slot>,
-        preferred: impl Fn(Slot) -> bool,
-    ) -> Option<Slot> {
-        let mut best: Option<((u64, bool), Slot)> = None;
+    /// As [`Self::lowest`], but of servers that tie the one with the lowest second number wins.
+    pub fn lowest_preferring(&self, among: impl IntoIterator<Item = (Slot, u8)>) -> Option<Slot> {
+        let mut best: Option<((u64, u8), Slot)> = None;
         let mut ties = 0;
-        for slot in among {
-            let rank = (self.count(slot), !preferred(slot));
+        for (slot, preference) in among {
+            let rank = (self.count(slot), preference);
             match best {
                 Some((lowest, _)) if rank > lowest => {}
                 Some((lowest, _)) if rank == lowest => {
--- a/crates/hsq/tests/counts.rs
+++ b/crates/hsq/tests/counts.rs
@@ -39,8 +39,8 @@
 #[test]
 fn given_a_tie_when_one_is_preferred_then_it_wins_but_never_against_a_lower_count() {
     let counts = counts_of(&[2, 2, 1]);
-    assert_eq!(counts.lowest_preferring([0, 1], |slot| slot == 1), Some(1));
-    assert_eq!(counts.lowest_preferring(0..3, |slot| slot == 1), Some(2));
+    assert_eq!(counts.lowest_preferring([(0, 1), (1, 0)]), Some(1));
+    assert_eq!(counts.lowest_preferring([(0, 1), (1, 0), (2, 1)]), Some(2));
 }
 
 #[test]
