--- a/crates/data-plane/src/front.rs
+++ b/crates/data-plane/src/front.rs
@@ -25,8 +25,6 @@
 const JOB_PREFIXES: [&str; 2] = ["/api/lots/", "/api/items/"];
 /// Where the platform asks whether the node is ready.
 const READY_PATH: &str = "/api/ready";
-/// After the end was asked for, new connections still come until the platform has seen two misses.
-const STILL_COMING: Duration = Duration::from_millis(2500);
 /// What is held is finished so long before the end of the time that the node is given.
 const END_MARGIN: Duration = Duration::from_millis(300);
 /// When a client is asked to come back while there is no configuration.
@@ -55,6 +53,9 @@
     pub is_ready: Condition,
     /// Whether the configuration is known to be the newest; only then is a path without route answered 404.
     pub is_confirmed: Condition,
+    /// After the call of [`Front::drain`], new connections are taken for this long, as they still come until the
+    /// platform has seen two misses; 2.5 s where it asks once a second.
+    pub still_coming: Duration,
     /// The time from the call of [`Front::drain`] until every answer must be out.
     pub grace: Duration,
 }
@@ -90,12 +91,14 @@
     ///
     /// When the listener fails for good.
     pub async fn serve(&self, listener: TcpListener) -> io::Result<()> {
-        let finish = self.shared.settings.grace.saturating_sub(STILL_COMING + END_MARGIN);
+        let settings = &self.shared.settings;
+        let still_coming = settings.still_coming;
+        let finish = settings.grace.saturating_sub(still_coming + END_MARGIN);
         let mut draining = self.shared.draining.subscribe();
         let stop_accepting = async move {
             // The sender lives as long as this front.
             let _ = draining.wait_for(|draining| *draining).await;
-            sleep(STILL_COMING).await;
+            sleep(still_coming).await;
         };
         let idle = || self.idle_time();
         connections::serve(listener, FrontEndpoint(self.clone()), idle, stop_accepting, finish).await
--- a/crates/data-plane/src/links.rs
+++ b/crates/data-plane/src/links.rs
@@ -10,7 +10,7 @@
 use state::ServerId;
 
 /// A new connection has this long to come up.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// After this time without an acknowledgement by the server's machine, a connection is given up.
 const UNACKNOWLEDGED_MOST: Duration = Duration::from_millis(1500);
 /// An idle connection is kept for this long, unless the server tells a shorter time.
--- a/crates/data-plane/tests/front.rs
+++ b/crates/data-plane/tests/front.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
 use data_plane::{Front, FrontSettings, JobEndpoint, Sender};
 use futures_util::future::BoxFuture;
@@ -37,13 +38,19 @@
 
 impl Node {
     async fn start(sender: Sender) -> Self {
+        Self::start_with(sender, LONG).await
+    }
+
+    /// A node that takes new connections for this long when it drains.
+    async fn start_with(sender: Sender, still_coming: Duration) -> Self {
         let (ready, confirmed) = (Arc::new(AtomicBool::new(true)), Arc::new(AtomicBool::new(true)));
         let (is_ready, is_confirmed) = (Arc::clone(&ready), Arc::clone(&confirmed));
         let settings = FrontSettings {
             jobs: Arc::new(Jobs),
             is_ready: Box::new(move || is_ready.load(Ordering::Relaxed)),
             is_confirmed: Box::new(move || is_confirmed.load(Ordering::Relaxed)),
-            grace: LONG,
+            still_coming,
+            grace: still_coming + LONG,
         };
         let front = Front::new(sender, settings);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -495,3 +502,27 @@
     let node = node_before(&servers).await;
     assert!(node.get("/resumed/x").await.text().await.is_err());
 }
+
+#[tokio::test]
+async fn given_held_requests_when_the_front_drains_then_they_are_finished_before_it_ends() {
+    let let_go = Arc::new(tokio::sync::Notify::new());
+    let held = Act::WriteWhenLet(Arc::clone(&let_go), answer_text(200, "Postmark: p\r\n", "whole"));
+    let servers = stand_ins(vec![held]).await;
+    let (sender, _changes) = sender(&[&servers[0]]);
+    let node = Node::start_with(sender, Duration::ZERO).await;
+    let url = format!("http://{}/unsafe/x", node.address);
+    let request = node.client.post(url).header("host", "h.example").header("attempt-id", "try1");
+    let asking = tokio::spawn(request.send());
+    while servers[0].seen().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    node.front.drain();
+    // No new connection is taken any more, so the end has begun.
+    while tokio::net::TcpStream::connect(node.address).await.is_ok() {}
+    assert!(!node.serving.is_finished());
+    let_go.notify_one();
+    let response = asking.await.expect("no panic").expect("an answer");
+    assert_eq!(response.headers()["connection"], "close");
+    assert_eq!(response.text().await.expect("a body"), "whole");
+    assert!(node.serving.await.expect("no panic").is_ok());
+}
--- a/crates/data-plane/tests/support/mod.rs
+++ b/crates/data-plane/tests/support/mod.rs
@@ -39,6 +39,8 @@
     Hang,
     /// Writes, then stays silent until the other side closes.
     WriteAndHang(String),
+    /// Writes once it is let.
+    WriteWhenLet(Arc<tokio::sync::Notify>, String),
 }
 
 pub type Script = dyn Fn(&Seen, usize) -> Act + Send + Sync;
@@ -109,6 +111,10 @@
                 stream.write_all(fill(&text).as_bytes()).await.expect("written");
                 return;
             }
+            Act::WriteWhenLet(let_go, text) => {
+                let_go.notified().await;
+                stream.write_all(fill(&text).as_bytes()).await.expect("written");
+            }
             Act::Hang => return hang(stream, closing).await,
             Act::WriteAndHang(text) => {
                 stream.write_all(fill(&text).as_bytes()).await.expect("written");
--- a/crates/dispatch/src/versions.rs
+++ b/crates/dispatch/src/versions.rs
@@ -7,6 +7,9 @@
 /// After a refusal, a server is not asked for that version again for this long.
 const REFUSAL_KEPT: Duration = Duration::from_millis(300);
 
+/// The version that servers begin with.
+const FIRST_VERSION: u64 = 1;
+
 /// Which versions of its model a request may be run by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum VersionNeed {
@@ -70,7 +73,7 @@
         };
         let known = self.of(Some(model));
         let version_fits = match need {
-            VersionNeed::Any => return true,
+            VersionNeed::Any | VersionNeed::AtLeast(..=FIRST_VERSION) => return true,
             VersionNeed::AtLeast(oldest) => known.is_some_and(|version| version >= oldest),
             VersionNeed::Exactly(wanted) => known == Some(wanted),
         };
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -137,6 +137,7 @@
     at_least = {VersionNeed::AtLeast(3), &["b", "c"]},
     exactly = {VersionNeed::Exactly(3), &["b"]},
     any = {VersionNeed::Any, &["a", "b", "c"]},
+    first = {VersionNeed::AtLeast(1), &["a", "b", "c"]},
     too_new = {VersionNeed::AtLeast(5), &[]},
 )]
 fn given_versions_when_choosing_then_only_fitting_servers_are_chosen(version: VersionNeed, fitting: &[&str]) {
