--- a/crates/data-plane/tests/front.rs
+++ b/crates/data-plane/tests/front.rs
@@ -2,107 +2,19 @@
 
 mod support;
 
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
-use data_plane::{Front, FrontSettings, JobEndpoint, Sender};
-use futures_util::future::BoxFuture;
-use reqwest::{Client, Method, Response, StatusCode};
+use data_plane::Sender;
+use reqwest::Method;
+use support::node::{node_before, sends, stand_ins, Node};
 use support::{
-    answer, answer_text, configuration, entry, event, nobody, refusal, sender, sender_to, stream_text,
-    success, Act, StandIn, LONG,
+    answer, answer_text, configuration, entry, nobody, refusal, sender, sender_to, success, Act, StandIn,
 };
 use tokio::net::TcpListener;
 use yare::parameterized;
 
-/// Answers with the path it was called with.
-struct Jobs;
-
-impl JobEndpoint for Jobs {
-    fn handle(&self, request: poem::Request) -> BoxFuture<'_, poem::Response> {
-        let path = request.uri().path().to_owned();
-        Box::pin(async move { poem::Response::builder().status(StatusCode::ACCEPTED).body(path) })
-    }
-}
-
-struct Node {
-    front: Front,
-    address: SocketAddr,
-    client: Client,
-    ready: Arc<AtomicBool>,
-    confirmed: Arc<AtomicBool>,
-    serving: tokio::task::JoinHandle<std::io::Result<()>>,
-}
-
-impl Node {
-    async fn start(sender: Sender) -> Self {
-        Self::start_with(sender, LONG).await
-    }
-
-    /// A node that takes new connections for this long when it drains.
-    async fn start_with(sender: Sender, still_coming: Duration) -> Self {
-        let (ready, confirmed) = (Arc::new(AtomicBool::new(true)), Arc::new(AtomicBool::new(true)));
-        let (is_ready, is_confirmed) = (Arc::clone(&ready), Arc::clone(&confirmed));
-        let settings = FrontSettings {
-            jobs: Arc::new(Jobs),
-            is_ready: Box::new(move || is_ready.load(Ordering::Relaxed)),
-            is_confirmed: Box::new(move || is_confirmed.load(Ordering::Relaxed)),
-            still_coming,
-            grace: still_coming + LONG,
-        };
-        let front = Front::new(sender, settings);
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        let serving = tokio::spawn({
-            let front = front.clone();
-            async move { front.serve(listener).await }
-        });
-        let client = Client::builder()
-            .no_proxy()
-            .redirect(reqwest::redirect::Policy::none())
-            .build()
-            .expect("a client");
-        Self { front, address, client, ready, confirmed, serving }
-    }
-
-    async fn ask(&self, method: Method, path: &str, body: &str) -> reqwest::Result<Response> {
-        let url = format!("http://{}{path}", self.address);
-        let request = self.client.request(method, url).header("host", "h.example");
-        request.header("attempt-id", "try1").body(body.to_owned()).send().await
-    }
-
-    async fn get(&self, path: &str) -> Response {
-        self.ask(Method::GET, path, "").await.expect("an answer")
-    }
-
-    async fn post(&self, path: &str) -> Response {
-        self.ask(Method::POST, path, "body").await.expect("an answer")
-    }
-}
-
-async fn stand_ins(scripts: Vec<Act>) -> Vec<StandIn> {
-    let mut servers = Vec::new();
-    for (number, script) in scripts.into_iter().enumerate() {
-        let id = format!("server{number}");
-        servers.push(StandIn::start(&id, move |_, _| script.clone()).await);
-    }
-    servers
-}
-
-/// A node that sends to servers which all do the same.
-async fn node_before(servers: &[StandIn]) -> Node {
-    let (sender, changes) = sender(&servers.iter().collect::<Vec<_>>());
-    // The view stays as it is; the sender keeps the last one.
-    drop(changes);
-    Node::start(sender).await
-}
-
-fn sends(servers: &[StandIn]) -> usize {
-    servers.iter().map(|server| server.seen().len()).sum()
-}
-
 #[tokio::test]
 async fn given_a_route_when_asked_then_request_and_answer_go_through_unchanged() {
     let more = "Postmark: stamp\r\nX-More: yes\r\nKeep-Alive: timeout=9\r\n";
@@ -327,59 +239,6 @@
     }
 }
 
-#[tokio::test]
-async fn given_a_stream_when_asked_then_its_events_go_through() {
-    let (first, second) = (event(1), format!(": hi\n\n{}", event(2)));
-    let servers = stand_ins(vec![Act::Write(stream_text("", &[&first, &second], true))]).await;
-    let node = node_before(&servers).await;
-    let response = node.get("/stream/x").await;
-    assert_eq!(response.headers()["postmark"], "stamp");
-    assert_eq!(response.headers()["content-type"], "text/event-stream");
-    assert_eq!(response.text().await.expect("a body"), format!("{first}{second}"));
-}
-
-#[tokio::test]
-async fn given_a_stream_that_goes_on_when_events_come_then_each_is_passed_on_at_once() {
-    let begun = stream_text("", &[&event(1), "id: 2\nda"], false);
-    let servers = stand_ins(vec![Act::WriteAndHang(begun)]).await;
-    let node = node_before(&servers).await;
-    let mut response = node.get("/stream/x").await;
-    assert_eq!(response.chunk().await.expect("a piece").expect("a piece"), event(1));
-    drop(response);
-    servers[0].hang_closed().await;
-}
-
-#[tokio::test]
-async fn given_a_cut_stream_when_it_may_not_be_resumed_then_the_answer_is_broken_off() {
-    let cut = Act::WriteAndClose(stream_text("", &[&event(1), "id: 2\nda"], false));
-    let servers = stand_ins(vec![cut.clone(), cut]).await;
-    let node = node_before(&servers).await;
-    let mut response = node.get("/stream/x").await;
-    assert_eq!(response.chunk().await.expect("a piece").expect("a piece"), event(1));
-    let rest = response.chunk().await;
-    assert!(rest.is_err(), "{rest:?}");
-    assert_eq!(sends(&servers), 1);
-}
-
-#[tokio::test]
-async fn given_a_cut_stream_when_it_may_be_resumed_then_another_server_goes_on() {
-    let cut = stream_text("", &[&event(1), "id: 2\nda"], false);
-    let mut servers = Vec::new();
-    for id in ["a", "b"] {
-        let cut = cut.clone();
-        let script = move |seen: &support::Seen, _| match seen.header("last-event-id") {
-            "" => Act::WriteAndClose(cut.clone()),
-            "1" => Act::Write(stream_text("", &[&event(2), &event(3)], true)),
-            other => panic!("not asked for: {other}"),
-        };
-        servers.push(StandIn::start(id, script).await);
-    }
-    let node = node_before(&servers).await;
-    let text = node.get("/resumed/x").await.text().await.expect("a whole body");
-    assert_eq!(text, format!("{}{}{}", event(1), event(2), event(3)));
-    assert!(servers.iter().all(|server| server.seen().len() == 1));
-}
-
 #[tokio::test]
 async fn given_a_client_that_leaves_when_its_server_works_then_the_attempt_ends() {
     let servers = stand_ins(vec![Act::Hang]).await;
@@ -471,38 +330,6 @@
     );
 }
 
-#[parameterized(
-    error = { answer(500, "Postmark: p\r\n", "bad"), 500, "bad" },
-    missing = { answer(404, "Postmark: p\r\n", "no such thing"), 404, "no such thing" },
-    refused = { refusal(), 503, "" },
-    reset = { Act::WriteAndClose(String::new()), 502, "" },
-)]
-#[test_macro(tokio::test)]
-async fn given_no_stream_when_one_is_asked_for_then_the_answer_tells(script: Act, status: u16, body: &str) {
-    let servers = stand_ins(vec![script]).await;
-    let node = node_before(&servers).await;
-    let response = node.post("/stream/x").await;
-    assert_eq!(response.status(), status);
-    assert_eq!(response.text().await.expect("a body"), body);
-}
-
-#[tokio::test]
-async fn given_bytes_behind_the_last_event_when_the_stream_ends_properly_then_they_go_through() {
-    let text = stream_text("", &[&event(1), "data: rest"], true);
-    let servers = stand_ins(vec![Act::Write(text)]).await;
-    let node = node_before(&servers).await;
-    let body = node.get("/stream/x").await.text().await.expect("a body");
-    assert_eq!(body, format!("{}data: rest", event(1)));
-}
-
-#[tokio::test]
-async fn given_a_stream_that_starts_anew_when_it_is_resumed_then_the_answer_is_broken_off() {
-    let cut = Act::WriteAndClose(stream_text("", &[&event(1), &event(2)], false));
-    let servers = stand_ins(vec![cut.clone(), cut]).await;
-    let node = node_before(&servers).await;
-    assert!(node.get("/resumed/x").await.text().await.is_err());
-}
-
 #[tokio::test]
 async fn given_held_requests_when_the_front_drains_then_they_are_finished_before_it_ends() {
     let let_go = Arc::new(tokio::sync::Notify::new());
--- a/crates/data-plane/tests/support/mod.rs
+++ b/crates/data-plane/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Stand-in servers on loopback sockets, and views that list them.
 #![allow(dead_code)]
 
+pub mod node;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
