Bring up a fleet on loopback: platform, servers, operator, trainer, clients, checks

A ledger notes what the servers ran and made; each listed result and each answer is compared with it, so that a run names the broken rule. poem ends a chunked body whose stream fails as if it were complete (seen on a raw socket), so the engine's stand-in cuts the connection beneath.

--- /dev/null
+++ b/crates/local-fleet/tests/servers.rs
@@ -0,0 +1,241 @@
+//! The stand-ins of servers, over loopback sockets.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use local_fleet::{
+    header, EngineOptions, EngineServer, EventData, Expected, Ledger, PlainOptions, PlainServer, Rule,
+};
+use serde_json::{json, Value};
+
+const LOOPBACK: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
+const LONG: Duration = Duration::from_secs(600);
+
+fn ledger() -> Arc<Ledger> {
+    Arc::new(Ledger::new(Duration::from_secs(3), Duration::ZERO))
+}
+
+async fn plain(ledger: &Arc<Ledger>, slots: usize, work: Duration) -> PlainServer {
+    let options = PlainOptions {
+        service: "tally".into(),
+        id: "i-1".into(),
+        health_path: "/health".into(),
+        slots,
+        waiting_most: 0,
+        work,
+    };
+    PlainServer::start(SocketAddr::from(LOOPBACK), options, Arc::clone(ledger)).await.expect("a free port")
+}
+
+fn engine_options() -> EngineOptions {
+    EngineOptions {
+        service: "llm".into(),
+        id: "i-2".into(),
+        health_path: "/health".into(),
+        model: "daka".into(),
+        slots: 2,
+        waiting_most: 0,
+        step: Duration::ZERO,
+        load: Duration::ZERO,
+        cache_tokens: 1000,
+        cut_every: 0,
+    }
+}
+
+async fn engine(ledger: &Arc<Ledger>, options: EngineOptions) -> EngineServer {
+    EngineServer::start(SocketAddr::from(LOOPBACK), options, Arc::clone(ledger)).await.expect("a free port")
+}
+
+fn expect(ledger: &Ledger, id: &str, service: &str) {
+    let services = vec![service.to_owned()];
+    ledger.expect(id, Expected { path: "/a/1".into(), body: "body".into(), services });
+}
+
+fn post(to: SocketAddr, id: &str) -> reqwest::RequestBuilder {
+    reqwest::Client::new().post(format!("http://{to}/a/1")).header(header::ATTEMPT_ID, id).body("body")
+}
+
+fn generation(to: SocketAddr, id: &str) -> reqwest::RequestBuilder {
+    post(to, id).header(header::TOKENS, "271,4")
+}
+
+async fn report(to: SocketAddr) -> Value {
+    let answer = reqwest::get(format!("http://{to}/api/report")).await.expect("an answer");
+    serde_json::from_slice(&answer.bytes().await.expect("a body")).expect("JSON")
+}
+
+fn load_order(version: u64, fence: u64) -> Value {
+    json!({"order": "edition", "model": "daka", "edition": version, "method": "hold", "holder": "n", "fence": fence})
+}
+
+async fn order(to: SocketAddr, order: &Value) -> u16 {
+    let request = reqwest::Client::new().post(format!("http://{to}/api/order")).body(order.to_string());
+    request.send().await.expect("an answer").status().as_u16()
+}
+
+fn named(answer: &reqwest::Response, name: &str) -> Option<String> {
+    Some(answer.headers().get(name)?.to_str().ok()?.to_owned())
+}
+
+#[tokio::test]
+async fn given_a_plain_server_when_asked_then_it_answers_with_id_stamp_and_load() {
+    let ledger = ledger();
+    expect(&ledger, "q1", "tally");
+    let server = plain(&ledger, 2, Duration::ZERO).await;
+    let answer = post(server.address(), "q1").send().await.expect("an answer");
+    assert_eq!(answer.status().as_u16(), 200);
+    assert_eq!(named(&answer, header::ATTEMPT_ID).as_deref(), Some("q1"));
+    assert!(named(&answer, header::LOAD).is_some_and(|load| load.ends_with(",2")));
+    let stamp = named(&answer, header::STAMP).expect("a stamp");
+    let body = answer.bytes().await.expect("a body");
+    assert_eq!(ledger.answer(&stamp).map(|answer| (answer.id, answer.body)), Some(("q1".to_owned(), body)));
+    assert!(ledger.violations().is_empty());
+}
+
+#[tokio::test]
+async fn given_another_expected_server_when_asked_then_the_request_is_not_run() {
+    let ledger = ledger();
+    let server = plain(&ledger, 2, Duration::ZERO).await;
+    let request = post(server.address(), "q1").header(header::EXPECTED_SERVER, "i-9");
+    let answer = request.send().await.expect("an answer");
+    assert_eq!(answer.status().as_u16(), 421);
+    assert_eq!(named(&answer, header::NOT_RUN).as_deref(), Some("1"));
+    assert_eq!(named(&answer, header::SERVER).as_deref(), Some("i-1"));
+    assert!(ledger.violations().is_empty(), "a request that was not run has not come to a server");
+}
+
+#[tokio::test]
+async fn given_a_request_without_id_when_asked_then_it_is_not_run() {
+    let server = plain(&ledger(), 2, Duration::ZERO).await;
+    let url = format!("http://{}/a/1", server.address());
+    let answer = reqwest::Client::new().post(url).send().await.expect("an answer");
+    assert_eq!(answer.status().as_u16(), 400);
+    assert_eq!(named(&answer, header::NOT_RUN).as_deref(), Some("1"));
+}
+
+#[tokio::test]
+async fn given_no_slot_when_asked_then_the_server_says_that_it_did_not_run_the_request() {
+    let ledger = ledger();
+    let server = plain(&ledger, 0, Duration::ZERO).await;
+    let answer = post(server.address(), "q1").send().await.expect("an answer");
+    assert_eq!(answer.status().as_u16(), 503);
+    assert_eq!(named(&answer, header::NOT_RUN).as_deref(), Some("1"));
+}
+
+#[tokio::test]
+async fn given_long_work_when_the_time_of_the_request_ends_then_the_server_gives_its_own_504() {
+    let ledger = ledger();
+    expect(&ledger, "q1", "tally");
+    let server = plain(&ledger, 1, LONG).await;
+    let request = post(server.address(), "q1").header(header::TIME_LEFT, "5");
+    let answer = request.send().await.expect("an answer");
+    assert_eq!(answer.status().as_u16(), 504);
+    assert_eq!(named(&answer, header::NOT_RUN), None);
+    assert!(named(&answer, header::STAMP).is_some());
+}
+
+#[tokio::test]
+async fn given_a_request_that_was_never_sent_when_run_then_it_breaks_a_rule() {
+    let ledger = ledger();
+    let server = plain(&ledger, 1, Duration::ZERO).await;
+    post(server.address(), "q1").send().await.expect("an answer");
+    assert_eq!(ledger.violations().first().map(|violation| violation.rule), Some(Rule::Unasked));
+}
+
+#[tokio::test]
+async fn given_a_server_when_its_health_is_asked_then_it_tells_its_incarnation() {
+    let server = plain(&ledger(), 1, Duration::ZERO).await;
+    let answer = reqwest::get(format!("http://{}/health", server.address())).await.expect("an answer");
+    assert_eq!(answer.status().as_u16(), 200);
+    assert_eq!(named(&answer, header::SERVER).as_deref(), Some("i-1"));
+}
+
+#[tokio::test]
+async fn given_an_engine_when_asked_then_it_streams_events_with_rising_ids() {
+    let ledger = ledger();
+    expect(&ledger, "t1", "llm");
+    let server = engine(&ledger, engine_options()).await;
+    let answer = generation(server.address(), "t1").send().await.expect("an answer");
+    assert_eq!(named(&answer, "content-type").as_deref(), Some("text/event-stream"));
+    assert_eq!(named(&answer, header::VERSION).as_deref(), Some("1"));
+    assert_eq!(ids(&answer.text().await.expect("a whole stream")), [1, 2, 3, 4]);
+}
+
+fn ids(stream: &str) -> Vec<u64> {
+    stream.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
+}
+
+fn data(stream: &str) -> Vec<EventData> {
+    stream.lines().filter_map(|line| line.strip_prefix("data: ")?.parse().ok()).collect()
+}
+
+#[tokio::test]
+async fn given_a_last_event_when_taken_up_then_the_stream_goes_on_behind_it() {
+    let ledger = ledger();
+    expect(&ledger, "t1", "llm");
+    let server = engine(&ledger, engine_options()).await;
+    let request = generation(server.address(), "t1").header(header::LAST_EVENT_ID, "2");
+    let text = request.send().await.expect("an answer").text().await.expect("a whole stream");
+    assert_eq!(ids(&text), [3, 4]);
+    assert_eq!(data(&text).iter().map(|event| event.index).collect::<Vec<_>>(), [3, 4]);
+}
+
+#[tokio::test]
+async fn given_an_engine_that_cuts_texts_when_asked_then_the_connection_breaks_off() {
+    let ledger = ledger();
+    expect(&ledger, "t1", "llm");
+    let server = engine(&ledger, EngineOptions { cut_every: 1, ..engine_options() }).await;
+    let answer = generation(server.address(), "t1").send().await.expect("a head");
+    assert!(answer.text().await.is_err());
+}
+
+#[tokio::test]
+async fn given_another_expected_version_when_asked_then_the_engine_does_not_run_the_request() {
+    let ledger = ledger();
+    let server = engine(&ledger, engine_options()).await;
+    let request = generation(server.address(), "t1").header(header::EXPECTED_VERSION, "2");
+    let answer = request.send().await.expect("an answer");
+    assert_eq!(answer.status().as_u16(), 421);
+    assert_eq!(named(&answer, header::NOT_RUN).as_deref(), Some("1"));
+    assert_eq!(named(&answer, header::VERSION).as_deref(), Some("1"));
+}
+
+#[tokio::test]
+async fn given_a_named_version_when_ordered_then_the_engine_loads_it() {
+    let ledger = ledger();
+    ledger.name_version(2);
+    let server = engine(&ledger, engine_options()).await;
+    assert_eq!(order(server.address(), &load_order(2, 1)).await, 202);
+    while report(server.address()).await["occupied"] == true {}
+    let report = report(server.address()).await;
+    assert_eq!(report["models"][0]["edition"], 2);
+    assert_eq!(report["callCount"], 1);
+    assert_eq!(order(server.address(), &load_order(2, 1)).await, 200, "it holds already");
+    assert_eq!((server.version(), server.orders_taken()), (2, 1));
+}
+
+#[tokio::test]
+async fn given_an_order_under_way_when_requests_and_orders_come_then_neither_is_taken() {
+    let ledger = ledger();
+    ledger.name_version(2);
+    let server = engine(&ledger, EngineOptions { load: LONG, ..engine_options() }).await;
+    assert_eq!(order(server.address(), &load_order(2, 1)).await, 202);
+    assert_eq!(order(server.address(), &load_order(2, 1)).await, 409);
+    let answer = generation(server.address(), "t1").send().await.expect("an answer");
+    assert_eq!(answer.status().as_u16(), 503);
+    assert_eq!(named(&answer, header::NOT_RUN).as_deref(), Some("1"));
+}
+
+#[tokio::test]
+async fn given_orders_that_are_none_when_sent_then_they_are_refused() {
+    let server = engine(&ledger(), engine_options()).await;
+    assert_eq!(order(server.address(), &load_order(2, 1)).await, 400, "no such version is named");
+    assert_eq!(
+        order(server.address(), &json!({"order": "edition", "model": "daka", "edition": 1})).await,
+        400
+    );
+    let mut unexpected = load_order(1, 1);
+    unexpected["ifRevision"] = json!(7);
+    assert_eq!(order(server.address(), &unexpected).await, 409);
+}
