--- a/crates/control-plane/src/bootstrap.rs
+++ b/crates/control-plane/src/bootstrap.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use register::{Ballot, Member, Versioned};
+use register::{with_member, without_member, Ballot, Member, Versioned};
 use state::{ControlState, StoreMember, StoreSet};
 
 use crate::messages::{paths, Announcement, Capability};
@@ -21,7 +21,7 @@
 /// How long joining is tried at a stretch.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(2000);
 /// The ballot of the first value; every proposal is above it.
-pub(crate) const FIRST_BALLOT: Ballot = Ballot { round: 1, proposer: 0 };
+const FIRST_BALLOT: Ballot = Ballot { round: 1, proposer: 0 };
 
 /// Who this process is, where it has a disk.
 #[derive(Clone, Debug)]
@@ -144,7 +144,7 @@
 /// Makes this machine an acceptor, if it is none. Returns when it is one.
 pub async fn join_register(member: &Member, view: &ViewCell, proposer: &Proposer) {
     loop {
-        let is_member = view.committed().is_some_and(|value| value.value.acceptors.contains(member));
+        let is_member = view.committed().is_some_and(|value| with_acceptor(&value.value, member).is_err());
         if is_member && view.confirmed_age().is_some_and(|age| age < JOIN_TIMEOUT) {
             return;
         }
@@ -158,16 +158,16 @@
     }
 }
 
-/// A machine whose disk was lost takes the place of its former self, which can never answer again; any other
-/// machine is added.
+/// Adds this machine; then removes its former self, where its disk was lost. One step at a time.
 fn with_acceptor(state: &ControlState, member: &Member) -> Result<ControlState, ()> {
-    if state.acceptors.contains(member) {
-        return Err(());
-    }
     let mut next = state.clone();
     next.revision += 1;
-    next.acceptors.retain(|other| other.station != member.station);
-    next.acceptors.push(member.clone());
+    if !state.acceptors.contains(member) {
+        next.acceptors = with_member(&state.acceptors, member.clone());
+        return Ok(next);
+    }
+    let former = state.acceptors.iter().find(|other| other.station == member.station && *other != member);
+    next.acceptors = without_member(&state.acceptors, former.ok_or(())?.incarnation);
     Ok(next)
 }
 
--- a/crates/control-plane/src/leader.rs
+++ b/crates/control-plane/src/leader.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use lease::{Candidate, LeaseReply, LeaseRequest};
+use lease::{Action, Candidate, GrantorId, LeaseReply, LeaseRequest};
 use register::Member;
 use state::ControlState;
 
@@ -16,6 +16,8 @@
 pub const LEASE_TTL: Duration = Duration::from_millis(1500);
 /// How long a grantor may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// The shortest pause between two looks at what to do.
+const WAIT_LEAST: Duration = Duration::from_millis(5);
 /// How long raising the fencing token may take.
 const FENCE_TIMEOUT: Duration = Duration::from_millis(1000);
 
@@ -67,33 +69,52 @@
     client: rpc::Client,
 ) {
     let began = Instant::now();
-    let mut candidate = Candidate::new(station.clone(), LEASE_TTL, fastrand::u64(..));
+    let name = format!("{station}#{:016x}", fastrand::u64(..));
+    let mut candidate = Candidate::new(name, LEASE_TTL);
     loop {
-        let now = began.elapsed();
-        let wait = candidate.next_round(now).saturating_sub(now);
-        tokio::time::sleep(wait).await;
-        let control = Arc::clone(&view.view().control);
-        if control.acceptors.is_empty() || !control.acceptors.iter().any(|member| member.station == station) {
-            tokio::time::sleep(LEASE_TTL / 4).await;
-            continue;
-        }
-        let members: Vec<_> = control.acceptors.iter().map(|member| member.incarnation).collect();
-        let request = candidate.begin(began.elapsed(), &members);
-        let mut calls: FuturesUnordered<_> =
-            control.acceptors.iter().map(|member| ask(&client, member.clone(), request.clone())).collect();
-        while let Some((member, reply)) = calls.next().await {
-            if let Some(reply) = reply {
-                candidate.on_reply(began.elapsed(), member.incarnation, &request, reply);
-            }
-            if candidate.is_decided() {
-                break;
+        match candidate.next_action(began.elapsed()) {
+            Action::Wait(until) => tokio::time::sleep(until.saturating_sub(began.elapsed()).max(WAIT_LEAST)).await,
+            Action::GiveUp => give_up(&mut candidate, began, &view, &client).await,
+            Action::Ask => {
+                let acceptors = view.view().control.acceptors.clone();
+                if !acceptors.iter().any(|member| member.station == station) {
+                    tokio::time::sleep(LEASE_TTL / 4).await;
+                    continue;
+                }
+                ask_all(&mut candidate, began, acceptors, &client).await;
+                let until = began + candidate.held_until();
+                if candidate.holds(began.elapsed()) {
+                    hold(&leadership, until, between_holders, &proposer, &station).await;
+                }
             }
         }
-        drop(calls);
-        match candidate.held_until(began.elapsed()) {
-            Some(until) => hold(&leadership, began + until, between_holders, &view, &proposer, &station).await,
-            None => *leadership.lock() = None,
+    }
+}
+
+/// One round at all acceptors; ends as soon as the lease is won or the round is lost.
+async fn ask_all(candidate: &mut Candidate, began: Instant, acceptors: Vec<Member>, client: &rpc::Client) {
+    let grantors: Vec<GrantorId> = acceptors.iter().map(|member| GrantorId(member.incarnation.0)).collect();
+    let held_before = candidate.held_until();
+    let request = candidate.begin(began.elapsed(), &grantors);
+    let mut calls: FuturesUnordered<_> =
+        acceptors.into_iter().map(|member| ask(client, member, request.clone())).collect();
+    while let Some((member, reply)) = calls.next().await {
+        if let Some(reply) = reply {
+            candidate.on_reply(request.term, GrantorId(member.incarnation.0), &reply);
         }
+        if candidate.held_until() > held_before {
+            return;
+        }
+    }
+}
+
+async fn give_up(candidate: &mut Candidate, began: Instant, view: &ViewCell, client: &rpc::Client) {
+    let Some(release) = candidate.give_up(began.elapsed()) else { return };
+    for member in view.view().control.acceptors.clone() {
+        let (client, release) = (client.clone(), release.clone());
+        tokio::spawn(async move {
+            let _: Result<(), _> = client.call(&member.address, paths::RELEASE, &release, CALL_TIMEOUT).await;
+        });
     }
 }
 
@@ -102,19 +123,18 @@
     leadership: &Leadership,
     until: Instant,
     between_holders: Duration,
-    view: &ViewCell,
     proposer: &Proposer,
     station: &str,
 ) {
-    let lapsed = leadership.held().filter(|held| Instant::now() < held.until);
-    if let Some(held) = lapsed {
+    let renewed = leadership.held().filter(|held| Instant::now() < held.until);
+    if let Some(held) = renewed {
         *leadership.lock() = Some(Held { until, ..held });
         return;
     }
     let won_at = Instant::now();
     let raised = proposer.change(won_at + FENCE_TIMEOUT, |state| Ok::<_, ()>(with_fence(state, station))).await;
     let Ok(value) = raised else { return };
-    let previous = view.committed().and_then(|_| value.value.fence_holder_before.clone());
+    let previous = value.value.fence_holder_before.as_deref();
     let is_first = previous.is_none_or(|before| before == station);
     let orders_from = if is_first { won_at } else { won_at + between_holders };
     log::info!("leads with fencing token {}", value.value.fence);
--- a/crates/control-plane/src/messages.rs
+++ b/crates/control-plane/src/messages.rs
@@ -10,6 +10,8 @@
     pub const REGISTER: &str = "/control/register";
     /// A request for the leader lease.
     pub const LEASE: &str = "/control/lease";
+    /// Grants of the leader lease are given back.
+    pub const RELEASE: &str = "/control/release";
     /// The long poll of the control state and the list of servers.
     pub const POLL: &str = "/control/poll";
     /// A machine with a disk tells that it exists, at the first start.
