--- a/crates/local-fleet/src/run.rs
+++ b/crates/local-fleet/src/run.rs
@@ -194,7 +194,9 @@
         let names = Names::draw();
         let ledger = Arc::new(Ledger::new(timetable.recall(), timetable.lease()));
         let surroundings = Surroundings::start(&layout, &names, &ledger, options.cut_every).await?;
-        let fleet = Fleet::new(&layout, &options.executable, &options.directory);
+        let mut fleet = Fleet::new(&layout, &options.executable, &options.directory);
+        // The first start of a system is one on empty disks.
+        fleet.names().iter().try_for_each(|name| fleet.wipe(name))?;
         let entry = Entry::new(&layout)?;
         let operator = Operator::new(&layout)?;
         let client =
--- a/crates/rushrudder/src/command.rs
+++ b/crates/rushrudder/src/command.rs
@@ -9,6 +9,7 @@
 use gumdrop::Options;
 use settings::Settings;
 
+use crate::local::LocalCommand;
 use crate::logging;
 
 /// A rollout scheduler for trainers.
@@ -28,6 +29,8 @@
     Node(RoleOptions),
     /// Serve as a store of batch jobs (settings file in RUSHRUDDER_BOOT).
     Store(RoleOptions),
+    /// Bring up a small fleet on this machine and let training steps go through it.
+    Local(LocalCommand),
     /// Check a settings file or a configuration and name every error.
     Check(CheckOptions),
 }
--- /dev/null
+++ b/crates/rushrudder/src/local.rs
@@ -0,0 +1,99 @@
+//! `local`: a small fleet on this machine, with stand-ins of everything around it.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use local_fleet::{LocalError, LocalOptions, Report, Trouble};
+
+use crate::logging;
+
+/// Options of `local`.
+#[derive(Debug, Options)]
+pub struct LocalCommand {
+    /// Print this help.
+    pub help: bool,
+    /// Traffic nodes; the first three have a disk.
+    #[options(default = "3")]
+    pub nodes: u8,
+    /// Stores of batch jobs.
+    #[options(default = "3")]
+    pub stores: u8,
+    /// Training steps.
+    #[options(default = "5")]
+    pub steps: u64,
+    /// Every so many texts of a model server, one is cut; 0: none.
+    #[options(default = "0")]
+    pub cut_every: u64,
+    /// Let a text be made by several versions of the weights.
+    pub mixed_versions: bool,
+    /// A trouble, STEP:kill|wipe|stop:PROCESS or STEP:kill-all; may be given again.
+    #[options(meta = "TROUBLE")]
+    pub trouble: Vec<Trouble>,
+    /// Files of the processes (default: a folder for temporary files).
+    #[options(meta = "DIRECTORY")]
+    pub directory: Option<PathBuf>,
+    /// Third part of all addresses, 127.10.SUBNET.x.
+    #[options(default = "1")]
+    pub subnet: u8,
+    /// Print the report as JSON.
+    pub json: bool,
+    /// Least level that is logged: error, warn, info, debug or trace.
+    #[options(default = "error")]
+    pub log_level: log::LevelFilter,
+}
+
+/// Runs a fleet; fails unless every step is done and no rule is broken.
+pub fn run(command: LocalCommand) -> ExitCode {
+    logging::start(command.log_level);
+    match run_fleet(&command) {
+        Ok(report) => {
+            print_report(&report, command.json);
+            if report.is_clean() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+        Err(error) => {
+            eprintln!("local: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run_fleet(command: &LocalCommand) -> Result<Report, LocalError> {
+    let options = options(command)?;
+    eprintln!("files of the processes, with their logs: {}", options.directory.display());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(local_fleet::run(options, |line| eprintln!("{line}")))
+}
+
+fn options(command: &LocalCommand) -> Result<LocalOptions, LocalError> {
+    let directory = command.directory.clone().unwrap_or_else(temporary_directory);
+    let base = LocalOptions::new(std::env::current_exe()?, directory);
+    Ok(LocalOptions {
+        nodes: command.nodes,
+        stores: command.stores,
+        steps: command.steps,
+        cut_every: command.cut_every,
+        single_version: !command.mixed_versions,
+        troubles: command.trouble.clone(),
+        subnet: command.subnet,
+        ..base
+    })
+}
+
+fn temporary_directory() -> PathBuf {
+    std::env::temp_dir().join(format!("rushrudder-local-{}", std::process::id()))
+}
+
+fn print_report(report: &Report, as_json: bool) {
+    if !as_json {
+        return print!("{report}");
+    }
+    match serde_json::to_string_pretty(report) {
+        Ok(text) => println!("{text}"),
+        Err(error) => eprintln!("local: the report cannot be written: {error}"),
+    }
+}
--- a/crates/rushrudder/src/main.rs
+++ b/crates/rushrudder/src/main.rs
@@ -3,6 +3,7 @@
 mod command;
 mod control;
 mod jobs;
+mod local;
 mod logging;
 mod node;
 mod signals;
@@ -23,6 +24,7 @@
         }
         Some(Command::Node(options)) => command::run_role(options, node::run),
         Some(Command::Store(options)) => command::run_role(options, store::run),
+        Some(Command::Local(options)) => local::run(options),
         Some(Command::Check(options)) => command::check(&options),
     }
 }
