--- a/crates/rushrudder/src/node.rs
+++ b/crates/rushrudder/src/node.rs
@@ -20,6 +20,8 @@
 const JOURNAL: storage::Options = storage::Options { segment_bytes: 2 * 1024 * 1024, segments: 8 };
 /// A path without route is answered 404 while the configuration was confirmed within this time.
 const CONFIRMED_AGE_MOST: Duration = Duration::from_millis(1900);
+/// After the end was asked for, new connections still come until the platform has seen two misses.
+const STILL_COMING: Duration = Duration::from_millis(2500);
 /// How much of the platform's grace is kept back for the end of the process.
 const GRACE_KEPT: Duration = Duration::from_millis(400);
 
@@ -89,6 +91,7 @@
                 ready.confirmed_age().is_some() && ready.servers_age().is_some() && ready.view().configuration.is_some()
             }),
             is_confirmed: Box::new(move || confirmed.confirmed_age().is_some_and(|age| age < CONFIRMED_AGE_MOST)),
+            still_coming: STILL_COMING,
             grace: settings.timetable.grace().saturating_sub(GRACE_KEPT),
         },
     );
--- a/crates/rushrudder/src/store.rs
+++ b/crates/rushrudder/src/store.rs
@@ -3,18 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use batch::ItemResult;
 use control_plane::{Capability, Distribution};
 use data_plane::Sender;
 use error_stack::{IntoReport, Report};
 use register::Member;
 use settings::Settings;
 use storage::{Journal, Position};
-use store_plane::runner::{Runner, RunnerHandle, RunnerSettings};
-use store_plane::runner_ports::{self, JobLog, RunnableJob};
-use store_plane::runner_sender::SenderExecutor;
-use store_plane::{Appended, JobStore, JournalFailed, Limits, MovedReply, OwnedJob, RecordJournal, MOVED_PATH};
-use tokio::sync::{mpsc, watch};
+use store_plane::runner::RunnerSettings;
+use store_plane::runner_owned::run_owned_jobs;
+use store_plane::{Appended, JobStore, JournalFailed, Limits, MovedReply, RecordJournal, MOVED_PATH};
 
 use crate::command::RoleError;
 use crate::control::{open_disk, Control};
@@ -49,7 +46,8 @@
     );
     tokio::spawn(rpc::serve(internal, control.internal_routes().nest_no_strip("/batch", store.endpoint())));
     control.start(&settings, Some(member), Capability::Store);
-    start_runner(&settings, &control, owned);
+    let sender = Sender::new(control.view.subscribe(), settings.zone.as_str().into());
+    tokio::spawn(run_owned_jobs(owned, sender, RunnerSettings::default()));
     tokio::spawn(store.run());
     tokio::spawn(report_moves(control.client.clone(), control.address.clone(), Arc::clone(&control.distribution)));
     log::info!("{} serves", settings.station);
@@ -65,76 +63,6 @@
     storage::Options { segment_bytes: SEGMENT_BYTES, segments: usize::try_from(segments).unwrap_or(3) }
 }
 
-/// Runs the items of the batch jobs that this store owns.
-fn start_runner(settings: &Settings, control: &Control, mut owned: mpsc::UnboundedReceiver<OwnedJob>) {
-    let sender = Sender::new(control.view.subscribe(), settings.zone.as_str().into());
-    let executor = Arc::new(SenderExecutor::new(sender));
-    let (runner, handle): (_, RunnerHandle<OwnedLog>) = Runner::new(executor, RunnerSettings::default());
-    tokio::spawn(runner.run());
-    tokio::spawn(async move {
-        while let Some(job) = owned.recv().await {
-            log::info!("batch job {}: {} items, {} listed", job.id, job.job.items.len(), job.listed.len());
-            handle.take_over(runnable(job));
-        }
-    });
-}
-
-fn runnable(owned: OwnedJob) -> RunnableJob<OwnedLog> {
-    RunnableJob {
-        id: Arc::clone(&owned.id),
-        job: Arc::clone(&owned.job),
-        host: Arc::clone(&owned.host),
-        path: Arc::clone(&owned.path),
-        age: owned.age,
-        listed: owned.listed.clone(),
-        log: OwnedLog::new(owned),
-    }
-}
-
-/// The log of an owned batch job, as the runner sees it.
-struct OwnedLog {
-    owned: OwnedJob,
-    state: watch::Receiver<runner_ports::JobState>,
-}
-
-impl OwnedLog {
-    fn new(owned: OwnedJob) -> Self {
-        let mut states = owned.state();
-        let (sender, state) = watch::channel(translate(*states.borrow_and_update()));
-        tokio::spawn(async move {
-            while states.changed().await.is_ok() {
-                sender.send_replace(translate(*states.borrow_and_update()));
-            }
-            sender.send_if_modified(|state| {
-                let was_open = *state == runner_ports::JobState::Open;
-                if was_open {
-                    *state = runner_ports::JobState::Deposed;
-                }
-                was_open
-            });
-        });
-        Self { owned, state }
-    }
-}
-
-fn translate(state: store_plane::JobState) -> runner_ports::JobState {
-    match state {
-        store_plane::JobState::Open => runner_ports::JobState::Open,
-        store_plane::JobState::Ended => runner_ports::JobState::Ended,
-        store_plane::JobState::Deposed => runner_ports::JobState::Deposed,
-    }
-}
-
-impl JobLog for OwnedLog {
-    async fn append(&self, results: Vec<ItemResult>) -> Result<(), runner_ports::Deposed> {
-        self.owned.append(results).await.map_err(|_| runner_ports::Deposed)
-    }
-
-    fn state(&self) -> watch::Receiver<runner_ports::JobState> {
-        self.state.clone()
-    }
-}
-
 /// The journal of this process, as the replication sees it.
 struct RingJournal(Journal);
 
--- a/crates/store-plane/src/lib.rs
+++ b/crates/store-plane/src/lib.rs
@@ -12,6 +12,5 @@
 
 pub use replication::{
     copies_of, Appended, BodyOutcome, Deposed, EndOutcome, JobClient, JobState, JobStore, JournalFailed, Limits,
-    copies_of, BodyOutcome, Deposed, EndOutcome, JobClient, JobState, JobStore, JournalFailed, Limits,
     MovedReply, OwnedJob, Page, ReadOutcome, RecordJournal, SubmitOutcome, MOVED_PATH,
 };
