--- a/crates/batch/tests/world/mod.rs
+++ b/crates/batch/tests/world/mod.rs
@@ -1,7 +1,6 @@
 //! A few stores, their disks and a network in one thread, driven by a seeded generator.
 
 use std::collections::{BTreeMap, HashSet};
-use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,91 +11,13 @@
 use bytes::Bytes;
 use fastrand::Rng;
 
-/// How many of a hundred messages come twice.
-const DUPLICATES: u32 = 10;
-
-/// What is wrong with the stores on purpose.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fault {
-    Nothing,
-    /// Promises are not written to the disk.
-    ForgetsPromises,
-    /// Replies leave before the disk has the records.
-    RepliesBeforeSync,
-    /// A store that lost its disk answers as if it were still the member.
-    KeepsIdentityWithoutDisk,
-}
-
-/// What went wrong.
-#[derive(Debug)]
-pub enum Violation {
-    /// Two contents were committed at one position.
-    Changed { position: usize },
-    /// A later owner lacks what an earlier one has committed.
-    Lost { ballot: Ballot, committed: usize, expected: usize },
-    /// Two owners have one ballot.
-    SameBallot(Ballot),
-}
+mod plan;
 
-impl fmt::Display for Violation {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Changed { position } => write!(f, "position {position} changed"),
-            Self::Lost { ballot, committed, expected } => {
-                write!(f, "the owner of {ballot:?} has {committed} of {expected} committed entries")
-            }
-            Self::SameBallot(ballot) => write!(f, "{ballot:?} was used twice"),
-        }
-    }
-}
+pub use plan::{Fault, Violation};
+use plan::{Step, Weights};
 
-#[derive(Clone, Copy)]
-enum Step {
-    Claim,
-    Append,
-    Send,
-    Deliver,
-    Flush,
-    Crash,
-    CrashAll,
-    LoseDisk,
-    TellSettled,
-    UpdateView,
-    ChangeStoreSet,
-}
-
-/// How often each step is taken; differs from seed to seed.
-struct Weights(Vec<(Step, u32)>);
-
-impl Weights {
-    fn draw(random: &mut Rng) -> Self {
-        let mut often = |step, most: u32| (step, random.u32(1..=most));
-        Self(vec![
-            often(Step::Claim, 20),
-            often(Step::Append, 150),
-            (Step::Send, 400),
-            (Step::Deliver, 1500),
-            (Step::Flush, 600),
-            often(Step::Crash, 30),
-            often(Step::CrashAll, 3),
-            often(Step::LoseDisk, 4),
-            often(Step::TellSettled, 40),
-            often(Step::UpdateView, 60),
-            often(Step::ChangeStoreSet, 20),
-        ])
-    }
-
-    fn pick(&self, random: &mut Rng) -> Step {
-        let mut drawn = random.u32(..self.0.iter().map(|(_, weight)| weight).sum::<u32>());
-        for (step, weight) in &self.0 {
-            if drawn < *weight {
-                return *step;
-            }
-            drawn -= weight;
-        }
-        Step::Deliver
-    }
-}
+/// How many of a hundred messages come twice.
+const DUPLICATES: u32 = 10;
 
 enum Message {
     Request {
--- a/crates/store-plane/src/replication/tend.rs
+++ b/crates/store-plane/src/replication/tend.rs
@@ -24,8 +24,8 @@
 const LEASE_LOST: Duration = Duration::from_secs(3);
 /// Claims of one tick; more would only slow each other.
 const CLAIMS_PER_TICK: usize = 16;
-/// A batch job is kept this much longer than results must be readable.
-const KEPT_MARGIN: Duration = Duration::from_secs(60);
+/// A batch job is kept longer than results must be readable by this part of that time.
+const KEPT_MARGIN_DIVISOR: u32 = 2;
 /// A batch job with all results that nobody ended is kept this many times as long.
 const KEPT_UNENDED: u32 = 8;
 /// Batch jobs are written anew once the ring is this full.
@@ -186,7 +186,7 @@
 
     /// Drops batch jobs that are over and whose results need not be readable any more.
     fn drop_old(self: &Arc<Self>) {
-        let kept = self.limits.results_kept + KEPT_MARGIN;
+        let kept = self.limits.results_kept + self.limits.results_kept / KEPT_MARGIN_DIVISOR;
         let old: Vec<(JobId, Vec<StoreId>, ReplicaRequest)> = {
             let state = self.lock();
             let over = state.owned.iter().filter(|(job, owned)| {
--- a/crates/store-plane/tests/fleet/mod.rs
+++ b/crates/store-plane/tests/fleet/mod.rs
@@ -104,11 +104,17 @@
     pub client: JobClient,
     rpc: rpc::Client,
     next_incarnation: u64,
+    limits: Limits,
 }
 
 impl Fleet {
     /// Starts `count` stores; each batch job is kept on three.
     pub fn start(count: u64) -> Self {
+        Self::start_with(count, Duration::from_secs(120))
+    }
+
+    /// As [`Fleet::start`], with results kept for some time only.
+    pub fn start_with(count: u64, results_kept: Duration) -> Self {
         let stores: Vec<Store> = (1..=count).map(Store::new).collect();
         let members = stores.iter().map(Store::as_member).collect();
         let control =
@@ -117,7 +123,16 @@
         let (owned_sender, owned) = mpsc::unbounded_channel();
         let rpc = rpc::Client::new();
         let client = JobClient::new(rpc.clone(), view.subscribe());
-        let mut fleet = Self { stores, view, owned_sender, owned, client, rpc, next_incarnation: 100 };
+        let mut fleet = Self {
+            stores,
+            view,
+            owned_sender,
+            owned,
+            client,
+            rpc,
+            next_incarnation: 100,
+            limits: Limits { results_kept },
+        };
         (0..fleet.stores.len()).for_each(|index| fleet.restart(index));
         fleet
     }
@@ -132,7 +147,9 @@
         let (ready, is_ready) = std::sync::mpsc::channel();
         let (freeze, freezes) = mpsc::unbounded_channel();
         let signals = Signals { killed, freezes };
-        let thread = std::thread::spawn(move || run_store(member, disk, view, owned, signals, &ready));
+        let limits = self.limits;
+        let thread =
+            std::thread::spawn(move || run_store(member, disk, limits, view, owned, signals, &ready));
         is_ready.recv().expect("the store starts");
         store.process = Some(Process { thread, kill, freeze });
     }
@@ -265,6 +282,7 @@
 fn run_store(
     member: Member,
     disk: Disk,
+    limits: Limits,
     view: watch::Receiver<Arc<View>>,
     owned: mpsc::UnboundedSender<OwnedJob>,
     mut signals: Signals,
@@ -281,7 +299,6 @@
             .iter()
             .map(|(position, record)| (*position, record.clone()))
             .collect();
-        let limits = Limits { results_kept: Duration::from_secs(120) };
         let journal = Arc::new(disk);
         let (store, mut jobs) = JobStore::open(member, journal, recovered, rpc::Client::new(), view, limits);
         let served = rpc::serve(listener, store.endpoint());
--- a/crates/store-plane/tests/replication.rs
+++ b/crates/store-plane/tests/replication.rs
@@ -246,3 +246,34 @@
     fleet.read("job", 0).await;
     fleet.next_owned().await
 }
+
+#[test]
+fn given_batch_jobs_past_their_time_when_only_one_is_ended_then_only_that_one_is_dropped() {
+    in_runtime(async {
+        let mut fleet = Fleet::start_with(3, Duration::ZERO);
+        for id in ["open", "ended"] {
+            fleet.submit_until_accepted(id).await;
+            fleet.next_owned().await.append(vec![result(0)]).await.expect("it is owned");
+        }
+
+        eventually("the batch job is ended, and may be dropped at once", || async {
+            (fleet.client.end("ended".into()).await != EndOutcome::Unsure).then_some(())
+        })
+        .await;
+        is_dropped(&fleet, "ended").await;
+        (0..3).for_each(|index| fleet.kill(index));
+        (0..3).for_each(|index| fleet.restart(index));
+
+        assert_eq!(fleet.read("open", 0).await.next, 1);
+        is_dropped(&fleet, "ended").await;
+    });
+}
+
+/// Waits until a majority knows nothing of a batch job.
+async fn is_dropped(fleet: &Fleet, id: &str) {
+    eventually("the batch job is dropped", || async {
+        let read = fleet.client.read(id.into(), 0, Duration::ZERO).await;
+        (read == ReadOutcome::NoSuchJob).then_some(())
+    })
+    .await;
+}
