--- a/crates/data-plane/tests/items.rs
+++ b/crates/data-plane/tests/items.rs
@@ -221,3 +221,40 @@
     let (sender, _changes) = sender(&[&server]);
     assert_eq!(reward(&sender, "/safe/r").await, RewardEnd::Again);
 }
+
+#[tokio::test]
+async fn given_a_load_in_the_answer_when_an_item_has_run_then_fewer_places_are_free() {
+    let loaded = format!("{TOLD}Carrier-Load: 3,1,4\r\n");
+    let text = stream_text(&loaded, &[&event(1)], true);
+    let server = StandIn::start("a", move |_, _| Act::Write(text.clone())).await;
+    let (sender, _changes) = sender(&[&server]);
+    let call = item(&sender, "/rollout/x", ItemProgress::default());
+    let targets = call.route.targets.clone();
+    let room = sender.room(&targets, Some("m"), 3);
+    assert!(matches!(sender.run_item(call).await, ItemEnd::Whole(_)));
+    // One of the four was the item itself.
+    assert_eq!(sender.room(&targets, Some("m"), 3), room - 3);
+}
+
+#[tokio::test]
+async fn given_a_newer_version_in_the_answer_when_an_item_has_run_then_the_server_is_known_to_have_it() {
+    let text = stream_text("Weight-Editions: 5\r\n", &[&event(1)], true);
+    let server = StandIn::start("a", move |_, _| Act::Write(text.clone())).await;
+    let (sender, _changes) = sender(&[&server]);
+    let call = item(&sender, "/rollout/x", ItemProgress::default());
+    let targets = call.route.targets.clone();
+    assert_eq!(sender.room(&targets, Some("m"), 5), 0);
+    assert!(matches!(sender.run_item(call).await, ItemEnd::Whole(_)));
+    assert!(sender.room(&targets, Some("m"), 5) > 0);
+}
+
+#[tokio::test]
+async fn given_a_refused_version_when_an_item_runs_then_the_server_is_left_out_for_a_moment() {
+    let server = StandIn::start("a", |_, _| answer(421, "", "")).await;
+    let (sender, _changes) = sender(&[&server]);
+    for _ in 0..2 {
+        let end = sender.run_item(item(&sender, "/single/x", ItemProgress::default())).await;
+        assert!(matches!(end, ItemEnd::NotRun { .. }));
+    }
+    assert_eq!(server.seen().len(), 1);
+}
