--- a/crates/rushrudder/src/store.rs
+++ b/crates/rushrudder/src/store.rs
@@ -8,10 +8,9 @@
 use error_stack::{IntoReport, Report};
 use register::Member;
 use settings::Settings;
-use storage::{Journal, Position};
 use store_plane::runner::RunnerSettings;
 use store_plane::runner_owned::run_owned_jobs;
-use store_plane::{Appended, JobStore, JournalFailed, Limits, MovedReply, RecordJournal, MOVED_PATH};
+use store_plane::{JobStore, Limits, MovedReply, MOVED_PATH};
 
 use crate::command::RoleError;
 use crate::control::{open_disk, Control};
@@ -38,7 +37,7 @@
     let internal = control.listen().await?;
     let (store, owned) = JobStore::open(
         member.clone(),
-        Arc::new(RingJournal(disk.journal)),
+        Arc::new(disk.journal),
         disk.records.into_iter().map(|(position, bytes)| (position.0, bytes)),
         control.client.clone(),
         control.view.subscribe(),
@@ -63,30 +62,6 @@
     storage::Options { segment_bytes: SEGMENT_BYTES, segments: usize::try_from(segments).unwrap_or(3) }
 }
 
-/// The journal of this process, as the replication sees it.
-struct RingJournal(Journal);
-
-impl RecordJournal for RingJournal {
-    fn append(&self, record: Vec<u8>) -> Appended {
-        let append = self.0.append(record);
-        Box::pin(async move {
-            append.await.map(|position| position.0).map_err(|error| {
-                log::warn!("the journal takes no record: {error}");
-                JournalFailed
-            })
-        })
-    }
-
-    fn release(&self, before: u64) {
-        self.0.release(Position(before));
-    }
-
-    fn fill(&self) -> f64 {
-        let usage = self.0.usage();
-        usage.used_bytes as f64 / usage.capacity_bytes.max(1) as f64
-    }
-}
-
 /// Tells the leader, by its pings, how far this store has moved its batch jobs.
 async fn report_moves(client: rpc::Client, address: String, distribution: Arc<Distribution>) {
     distribution.set_settled_epoch(0);
