Keep connections: read refusals to their end, prefer warm servers, leave loading models alone

Refusals and errors were dropped unread, which closes their connection; each node spread a request every two seconds over all eight servers; a server that loads a version refuses one model, but was asked again by every waiting item (673 refusals of 1,990 arrivals).

--- a/crates/data-plane/src/attempt.rs
+++ b/crates/data-plane/src/attempt.rs
@@ -30,6 +30,11 @@
 /// A server may be silent for so many times longer before it begins, as the request may have to queue.
 const QUEUE_SILENCES: u32 = 2;
 
+/// Answers of up to this length are read to their end although nobody waits for them, ...
+const READ_TO_END_MOST: u64 = 64 * 1024;
+/// ... within this time.
+const READ_TO_END_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// What one attempt adds to the request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Extra {
@@ -80,6 +85,13 @@
 }
 
 impl Opened {
+    /// Gives the answer up; a short one is read to its end.
+    pub(crate) fn discard(mut self) {
+        let failed = self.status().is_server_error();
+        self.ticket.outcome = if failed { Outcome::Error } else { Outcome::Served };
+        read_to_end(self.response);
+    }
+
     pub(crate) fn status(&self) -> StatusCode {
         self.response.status()
     }
@@ -177,7 +189,12 @@
         ticket.sender.state().dispatcher.version_seen(&ticket.choice.id, &model, version);
     }
     if says_not_run(&response) {
-        return Err(not_run(&mut ticket, call, extra, &response));
+        let failure = not_run(&mut ticket, call, extra, &response);
+        read_to_end(response);
+        return Err(failure);
+    }
+    if let Some(model) = call.model().filter(|_| response.status().is_success()) {
+        ticket.sender.state().dispatcher.model_runs(&ticket.choice.id, &model);
     }
     if !is_proper(&response) {
         ticket.outcome = Outcome::Failed;
@@ -186,6 +203,16 @@
     Ok(Opened { ticket, response, extra, version })
 }
 
+/// Reads what is left of a short answer that nobody waits for, so that its connection can be used again.
+pub(crate) fn read_to_end(mut response: reqwest::Response) {
+    if response.content_length().is_some_and(|length| length <= READ_TO_END_MOST) {
+        tokio::spawn(async move {
+            let reading = async { while let Ok(Some(_)) = response.chunk().await {} };
+            let _ = tokio::time::timeout(READ_TO_END_TIMEOUT, reading).await;
+        });
+    }
+}
+
 fn note_load(ticket: &Ticket, headers: &HeaderMap) {
     if let Some([running, waiting, slots]) = text(headers, &LOAD).and_then(load) {
         let now = ticket.sender.now();
@@ -208,6 +235,14 @@
 
 fn not_run(ticket: &mut Ticket, call: &Call, extra: Extra, response: &reqwest::Response) -> Failure {
     ticket.outcome = Outcome::Full;
+    let is_full = text(response.headers(), &LOAD).and_then(load).is_none_or(|[running, waiting, slots]| {
+        running + waiting >= slots
+    });
+    if let Some(model) = call.model().filter(|_| !is_full && response.status() == StatusCode::SERVICE_UNAVAILABLE) {
+        let now = ticket.sender.now();
+        ticket.sender.state().dispatcher.model_loading(now, &ticket.choice.id, &model);
+        ticket.outcome = Outcome::Withdrawn;
+    }
     if response.status() == StatusCode::MISDIRECTED_REQUEST {
         match (extra.version, call.model()) {
             (Some(version), Some(model)) => {
--- a/crates/data-plane/src/item.rs
+++ b/crates/data-plane/src/item.rs
@@ -23,6 +23,9 @@
 /// A server that is silent for this long, before the first event or between two, is thought gone.
 const SILENCE_MOST: Duration = Duration::from_millis(3000);
 
+/// Pause of an item that cannot be sent as it is; it may be given up only after its shelf life.
+const UNSENDABLE_PAUSE: Duration = Duration::from_secs(1);
+
 /// One run of an item.
 #[derive(Clone, Debug)]
 pub struct ItemCall {
@@ -102,7 +105,8 @@
     /// Runs an item once, from where its progress stands.
     pub async fn run_item(&self, item: ItemCall) -> ItemEnd {
         let Some(call) = request(&item) else {
-            return ItemEnd::Impossible;
+            log::error!("item {} cannot be sent: a header of it is no header", item.id);
+            return ItemEnd::NotRun { retry_after: UNSENDABLE_PAUSE };
         };
         let Some(ticket) = self.choose_for(&item) else {
             return ItemEnd::NotRun { retry_after: COME_BACK };
@@ -122,8 +126,14 @@
             Err(_) => return ItemEnd::Interrupted(item.progress),
         };
         match opened.status() {
-            StatusCode::INTERNAL_SERVER_ERROR => ItemEnd::Failed,
-            StatusCode::UNPROCESSABLE_ENTITY => ItemEnd::Impossible,
+            StatusCode::INTERNAL_SERVER_ERROR => {
+                opened.discard();
+                ItemEnd::Failed
+            }
+            StatusCode::UNPROCESSABLE_ENTITY => {
+                opened.discard();
+                ItemEnd::Impossible
+            }
             status if status.is_success() => gather(item, opened, known).await,
             _ => ItemEnd::Interrupted(item.progress),
         }
@@ -143,6 +153,7 @@
             tried: &[],
             favourite: favourite.as_ref(),
             with_room: true,
+            idle_usable: None,
         };
         let ticket = self.choose(&need)?;
         if let Some(group) = &item.group {
--- a/crates/data-plane/src/links.rs
+++ b/crates/data-plane/src/links.rs
@@ -31,6 +31,11 @@
         Self { clients: HashMap::new(), idle: IDLE_KEPT }
     }
 
+    /// For how long an idle connection is usable.
+    pub(crate) fn idle_usable(&self) -> Duration {
+        self.idle
+    }
+
     /// The HTTP client of a server.
     pub(crate) fn of(&mut self, id: &ServerId) -> reqwest::Result<reqwest::Client> {
         if let Some(client) = self.clients.get(id) {
--- a/crates/data-plane/src/plain.rs
+++ b/crates/data-plane/src/plain.rs
@@ -134,6 +134,7 @@
             tried: &self.tried,
             favourite: None,
             with_room: false,
+            idle_usable: Some(self.sender.idle_usable()),
         };
         let ticket = self.sender.choose(&need)?;
         // Every server has had it once already: it goes there again only if none refused and none is at work.
--- a/crates/data-plane/src/sender.rs
+++ b/crates/data-plane/src/sender.rs
@@ -65,11 +65,16 @@
     #[must_use]
     pub fn room(&self, targets: &[Target], model: Option<&str>, oldest_version: u64) -> usize {
         let version = VersionNeed::AtLeast(oldest_version);
-        let need = Need { targets, model, version, tried: &[], favourite: None, with_room: true };
+        let need = Need { targets, model, version, tried: &[], favourite: None, with_room: true, idle_usable: None };
         let now = self.now();
         self.state().dispatcher.room(now, &need)
     }
 
+    /// For how long an idle connection to a server is usable.
+    pub(crate) fn idle_usable(&self) -> Duration {
+        self.state().links.idle_usable()
+    }
+
     /// The time as the dispatcher counts it.
     pub(crate) fn now(&self) -> Duration {
         self.shared.started.elapsed()
--- a/crates/data-plane/src/stream.rs
+++ b/crates/data-plane/src/stream.rs
@@ -84,6 +84,7 @@
                 tried: &self.tried,
                 favourite: None,
                 with_room: false,
+                idle_usable: Some(self.sender.idle_usable()),
             };
             let ticket = self.sender.choose(&need)?;
             if self.tried.contains(&ticket.choice.id) {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -35,6 +35,9 @@
     pub favourite: Option<&'a ServerId>,
     /// Whether only a server with a free place will do.
     pub with_room: bool,
+    /// For how long an idle connection is usable. Servers with one make up the set to choose from, unless another
+    /// one is less loaded by more than a request. `None` where new connections don't matter.
+    pub idle_usable: Option<Duration>,
 }
 
 /// Chooses servers.
@@ -120,6 +123,20 @@
         }
     }
 
+    /// The server refused a request for this model although it had places: it loads a version.
+    pub fn model_loading(&mut self, now: Duration, id: &str, model: &str) {
+        if let Some(pool) = self.pool_mut(id) {
+            pool.model_loading(now, id, model);
+        }
+    }
+
+    /// The server runs a request for this model.
+    pub fn model_runs(&mut self, id: &str, model: &str) {
+        if let Some(pool) = self.pool_mut(id) {
+            pool.model_runs(id, model);
+        }
+    }
+
     /// Draws a service by the shares among those that have a fitting server.
     fn draw(&self, now: Duration, need: &Need<'_>) -> Option<Arc<str>> {
         let fits = |target: &&Target| {
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -10,6 +10,9 @@
 use crate::server::Server;
 use crate::{Choice, Need, Outcome};
 
+/// A server with an idle connection is taken although another one has this many requests less.
+const WARM_DETOUR: u64 = 1;
+
 /// How well a server suits; lower is better.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Suitability {
@@ -58,13 +61,19 @@
         self.refresh(now);
         let fitting = || self.servers.iter().filter(|server| may_take(server, now, need));
         let best = fitting().map(|server| suitability(server, now, need)).min()?;
-        let among = fitting().filter(|server| suitability(server, now, need) == best);
-        let ranked = among.map(|server| (server.slot, preference(server, need)));
-        let slot = self.counts.lowest_preferring(ranked)?;
+        let among = || fitting().filter(|server| suitability(server, now, need) == best);
+        let ranked = |server: &Server| (server.slot, preference(server, need));
+        let lowest = self.counts.lowest_preferring(among().map(ranked))?;
+        let usable = need.idle_usable.unwrap_or_default();
+        let warm = among().filter(|server| server.is_warm(now, usable)).map(ranked);
+        let slot = match self.counts.lowest_preferring(warm) {
+            Some(warm) if self.counts.count(warm) <= self.counts.count(lowest) + WARM_DETOUR => warm,
+            _ => lowest,
+        };
         self.counts.sent(slot);
         let service = Arc::clone(self.service.as_ref()?);
         let chosen = self.servers.iter_mut().find(|server| server.slot == slot)?;
-        chosen.own += 1;
+        chosen.sent();
         let (id, address) = (Arc::clone(&chosen.id), chosen.address);
         Some(Choice { id, address, service, version: chosen.versions.of(need.model) })
     }
@@ -84,7 +93,7 @@
         let Some(server) = self.server_mut(id) else {
             return;
         };
-        server.own = server.own.saturating_sub(1);
+        server.finished(now, matches!(outcome, Outcome::Served | Outcome::Error | Outcome::Full));
         match outcome {
             Outcome::Served => server.health.served(),
             Outcome::Error => server.health.erred(now),
@@ -115,6 +124,18 @@
         }
     }
 
+    pub(crate) fn model_loading(&mut self, now: Duration, id: &str, model: &str) {
+        if let Some(server) = self.server_mut(id) {
+            server.versions.is_loading(now, model);
+        }
+    }
+
+    pub(crate) fn model_runs(&mut self, id: &str, model: &str) {
+        if let Some(server) = self.server_mut(id) {
+            server.versions.runs(model);
+        }
+    }
+
     /// Where a server has told nothing of late, the requests that are held open to it are its report.
     fn refresh(&mut self, now: Duration) {
         for server in &self.servers {
--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -54,6 +54,8 @@
     pub(crate) health: Health,
     /// Own requests that are out.
     pub(crate) own: u32,
+    /// When each idle connection was used last, oldest first.
+    idle: Vec<Duration>,
     report: Option<Report>,
 }
 
@@ -75,6 +77,7 @@
             versions: Versions::default(),
             health: Health::default(),
             own: 0,
+            idle: Vec::new(),
             report: None,
         }
     }
@@ -94,6 +97,25 @@
         self.report = Some(Report { at: now, of_others: load.saturating_sub(self.own) });
     }
 
+    /// A request takes the connection that was used last.
+    pub(crate) fn sent(&mut self) {
+        self.own += 1;
+        self.idle.pop();
+    }
+
+    /// A request is over; its connection may be used again if it was read to its end.
+    pub(crate) fn finished(&mut self, now: Duration, is_connection_kept: bool) {
+        self.own = self.own.saturating_sub(1);
+        if is_connection_kept {
+            self.idle.push(now);
+        }
+    }
+
+    /// Whether there is an idle connection that was used within this time.
+    pub(crate) fn is_warm(&self, now: Duration, usable: Duration) -> bool {
+        self.idle.last().is_some_and(|used| now.saturating_sub(*used) < usable)
+    }
+
     /// Whether a report came of late.
     pub(crate) fn has_report(&self, now: Duration) -> bool {
         self.report.is_some_and(|report| now.saturating_sub(report.at) < REPORT_KEPT)
--- a/crates/dispatch/src/versions.rs
+++ b/crates/dispatch/src/versions.rs
@@ -7,6 +7,12 @@
 /// After a refusal, a server is not asked for that version again for this long.
 const REFUSAL_KEPT: Duration = Duration::from_millis(300);
 
+/// A server that refused a request although it had places is loading a version of the model: it is not asked for
+/// that model again for this long; the time doubles with each further refusal, ...
+const LOADING_FIRST: Duration = Duration::from_millis(100);
+/// ... up to this.
+const LOADING_MOST: Duration = Duration::from_millis(400);
+
 /// The version that servers begin with.
 const FIRST_VERSION: u64 = 1;
 
@@ -26,6 +32,14 @@
 pub(crate) struct Versions {
     known: BTreeMap<Arc<str>, u64>,
     refused: Option<Refusal>,
+    loading: BTreeMap<Arc<str>, Loading>,
+}
+
+/// A model of which the server seems to load a version.
+#[derive(Clone, Copy, Debug)]
+struct Loading {
+    until: Duration,
+    pause: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -43,6 +57,18 @@
         }
     }
 
+    /// The server refused a request for a model although it had places.
+    pub(crate) fn is_loading(&mut self, now: Duration, model: &str) {
+        let before = self.loading.get(model).map(|loading| loading.pause * 2);
+        let pause = before.unwrap_or(LOADING_FIRST).min(LOADING_MOST);
+        self.loading.insert(model.into(), Loading { until: now + pause, pause });
+    }
+
+    /// The server runs a request for a model.
+    pub(crate) fn runs(&mut self, model: &str) {
+        self.loading.remove(model);
+    }
+
     /// Takes in evidence from an answer.
     pub(crate) fn seen(&mut self, model: &str, version: u64) {
         match self.known.get_mut(model) {
@@ -71,6 +97,9 @@
         let Some(model) = model else {
             return true;
         };
+        if self.loading.get(model).is_some_and(|loading| now < loading.until) {
+            return false;
+        }
         let known = self.of(Some(model));
         let version_fits = match need {
             VersionNeed::Any | VersionNeed::AtLeast(..=FIRST_VERSION) => return true,
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -43,7 +43,7 @@
 }
 
 fn need<'a>(targets: &'a [Target], tried: &'a [ServerId]) -> Need<'a> {
-    Need { targets, model: None, version: VersionNeed::Any, tried, favourite: None, with_room: false }
+    Need { targets, model: None, version: VersionNeed::Any, tried, favourite: None, with_room: false, idle_usable: None }
 }
 
 /// The servers that are chosen in so many sends, each of which is over at once.
@@ -280,3 +280,58 @@
     dispatcher.update(&list(vec![other]));
     assert_eq!(chosen(&mut dispatcher, &need, 50), set(&["a"]));
 }
+
+#[test]
+fn given_a_server_with_an_idle_connection_when_counts_are_near_then_it_is_taken() {
+    let mut dispatcher = dispatcher(vec![entry("a", "s"), entry("b", "s"), entry("c", "s")]);
+    let targets = targets(&[("s", 1)]);
+    let need = Need { idle_usable: Some(Duration::from_secs(3)), ..need(&targets, &[]) };
+    let first = dispatcher.choose(NOW, &need).expect("a server");
+    dispatcher.finished(NOW, &first.id, Outcome::Served);
+    for _ in 0..20 {
+        let choice = dispatcher.choose(NOW, &need).expect("a server");
+        assert_eq!(choice.id, first.id);
+        dispatcher.finished(NOW, &choice.id, Outcome::Served);
+    }
+}
+
+#[test]
+fn given_an_idle_connection_that_is_too_old_when_a_request_comes_then_all_servers_are_chosen_from() {
+    let mut dispatcher = dispatcher(vec![entry("a", "s"), entry("b", "s"), entry("c", "s")]);
+    let targets = targets(&[("s", 1)]);
+    let need = Need { idle_usable: Some(Duration::from_secs(3)), ..need(&targets, &[]) };
+    let first = dispatcher.choose(NOW, &need).expect("a server");
+    dispatcher.finished(NOW, &first.id, Outcome::Served);
+    let later = NOW + Duration::from_secs(4);
+    let mut seen = BTreeSet::new();
+    for _ in 0..100 {
+        let choice = dispatcher.choose(later, &need).expect("a server");
+        seen.insert(choice.id.to_string());
+        dispatcher.finished(later, &choice.id, Outcome::Withdrawn);
+    }
+    assert_eq!(seen.len(), 3);
+}
+
+#[test]
+fn given_an_idle_connection_when_its_server_has_two_requests_more_then_another_one_is_taken() {
+    let mut dispatcher = dispatcher(vec![entry("a", "s"), entry("b", "s")]);
+    let targets = targets(&[("s", 1)]);
+    let need = Need { idle_usable: Some(Duration::from_secs(3)), ..need(&targets, &[]) };
+    let first = dispatcher.choose(NOW, &need).expect("a server");
+    dispatcher.finished(NOW, &first.id, Outcome::Served);
+    dispatcher.reported(NOW, &first.id, 2, 0, 8);
+    let choice = dispatcher.choose(NOW, &need).expect("a server");
+    assert_ne!(choice.id, first.id);
+}
+
+#[test]
+fn given_a_server_that_loads_a_model_when_another_model_is_wanted_then_it_is_chosen() {
+    let entry = ServerEntry { models: [("m".into(), 1), ("n".into(), 1)].into(), ..entry("a", "s") };
+    let mut dispatcher = dispatcher(vec![entry]);
+    let targets = targets(&[("s", 1)]);
+    dispatcher.model_loading(NOW, "a", "m");
+    let for_model = |model| Need { model: Some(model), version: VersionNeed::AtLeast(1), ..need(&targets, &[]) };
+    assert!(dispatcher.choose(NOW, &for_model("m")).is_none());
+    assert!(dispatcher.choose(NOW, &for_model("n")).is_some());
+    assert!(dispatcher.choose(NOW + Duration::from_millis(150), &for_model("m")).is_some());
+}
