--- a/crates/lease/src/candidate.rs
+++ b/crates/lease/src/candidate.rs
@@ -71,9 +71,9 @@
         }
     }
 
-    /// Starts a round at these grantors, the present acceptors of the register; replies to earlier rounds count
-    /// no more.
-    pub fn begin(&mut self, now: Duration, grantors: &[GrantorId]) -> LeaseRequest {
+    /// Starts a round at these grantors, the acceptors of the register as of `revision`; replies to earlier
+    /// rounds count no more.
+    pub fn begin(&mut self, now: Duration, revision: u64, grantors: &[GrantorId]) -> LeaseRequest {
         self.advance(now);
         self.term += 1;
         self.round = Some(Round {
@@ -82,7 +82,12 @@
             granted: HashSet::new(),
             refused: HashMap::new(),
         });
-        LeaseRequest { holder: self.name.clone(), term: self.term, ttl_ms: self.ttl.as_millis() as u64 }
+        LeaseRequest {
+            holder: self.name.clone(),
+            term: self.term,
+            ttl_ms: self.ttl.as_millis() as u64,
+            revision,
+        }
     }
 
     /// Takes a reply to the request of this term.
--- a/crates/lease/src/grantor.rs
+++ b/crates/lease/src/grantor.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{LeaseRelease, LeaseReply, LeaseRequest};
+use crate::{GrantorId, LeaseRelease, LeaseReply, LeaseRequest};
 
 /// One of the grantors. Keeps its state in memory only.
 #[derive(Clone, Debug)]
@@ -10,6 +10,9 @@
     ttl: Duration,
     silent_until: Duration,
     grant: Option<Grant>,
+    grantors: Vec<GrantorId>,
+    /// Candidates that know an older state may count on grantors that are no more.
+    least_revision: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -23,7 +26,16 @@
     /// A grantor that grants nothing for one `ttl` after `now`, for it may have forgotten a grant that it gave
     /// in an earlier life. Start it anew when its acceptor becomes a member.
     pub fn new(now: Duration, ttl: Duration) -> Self {
-        Self { ttl, silent_until: now + ttl, grant: None }
+        Self { ttl, silent_until: now + ttl, grant: None, grantors: Vec::new(), least_revision: 0 }
+    }
+
+    /// Takes note of the grantors as of a revision. Call it when the acceptor of this machine accepts or learns a
+    /// value, before that is answered: so a majority knows of a change before it is committed.
+    pub fn observe(&mut self, revision: u64, grantors: &[GrantorId]) {
+        if revision > self.least_revision && self.grantors != grantors {
+            self.least_revision = revision;
+            self.grantors = grantors.to_vec();
+        }
     }
 
     /// Answers a request. Nothing longer than the `ttl` of this grantor is granted.
@@ -32,8 +44,8 @@
             return held("", self.silent_until - now);
         }
         let asked = Duration::from_millis(request.ttl_ms);
-        if asked > self.ttl {
-            return held("", self.ttl);
+        if asked > self.ttl || request.revision < self.least_revision {
+            return held("", Duration::ZERO);
         }
         let other = self.grant.as_ref().filter(|grant| grant.holder != request.holder && now < grant.ends);
         if let Some(other) = other {
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -7,8 +7,9 @@
 //! # Changes of the grantors
 //!
 //! The grantors are the acceptors of the register at the start of a round. Majorities of two sets meet if the
-//! sets differ by one grantor at most, so the caller changes the acceptors at most once in a ttl (as long as all
-//! candidates follow that soon), and starts the [`Grantor`] of a new acceptor when it becomes a member.
+//! sets differ by one grantor at most. So the acceptors change at most once in a ttl, and a grantor refuses
+//! candidates that know an older set than it does ([`Grantor::observe`]): a process that was frozen or cut off
+//! can't win with grantors that were removed meanwhile.
 
 mod candidate;
 mod grantor;
--- a/crates/lease/src/messages.rs
+++ b/crates/lease/src/messages.rs
@@ -15,6 +15,8 @@
     pub term: u64,
     /// How long the lease is to last.
     pub ttl_ms: u64,
+    /// Revision of the state from which the candidate knows the grantors.
+    pub revision: u64,
 }
 
 /// Answers a [`LeaseRequest`].
--- a/crates/lease/tests/candidate.rs
+++ b/crates/lease/tests/candidate.rs
@@ -23,7 +23,7 @@
 /// A candidate that has won its first round.
 fn winner() -> Candidate {
     let mut candidate = Candidate::new("one", TTL);
-    let request = candidate.begin(START, &grantors(3));
+    let request = candidate.begin(START, 1, &grantors(3));
     candidate.on_reply(request.term, GrantorId(0), &LeaseReply::Granted);
     candidate.on_reply(request.term, GrantorId(2), &LeaseReply::Granted);
     candidate
@@ -40,7 +40,7 @@
 )]
 fn given_grants_when_counted_then_a_majority_holds(count: u64, granted: u64, holds: bool) {
     let mut candidate = Candidate::new("one", TTL);
-    let request = candidate.begin(START, &grantors(count));
+    let request = candidate.begin(START, 1, &grantors(count));
     for grantor in 0..granted {
         candidate.on_reply(request.term, GrantorId(grantor), &LeaseReply::Granted);
         candidate.on_reply(request.term, GrantorId(grantor), &LeaseReply::Granted);
@@ -59,8 +59,8 @@
 #[test]
 fn given_replies_of_an_earlier_round_or_of_others_when_taken_then_they_do_not_count() {
     let mut candidate = Candidate::new("one", TTL);
-    let earlier = candidate.begin(START, &grantors(3));
-    let later = candidate.begin(START + TTL, &grantors(3));
+    let earlier = candidate.begin(START, 1, &grantors(3));
+    let later = candidate.begin(START + TTL, 1, &grantors(3));
     candidate.on_reply(earlier.term, GrantorId(0), &LeaseReply::Granted);
     candidate.on_reply(later.term, GrantorId(1), &LeaseReply::Granted);
     candidate.on_reply(later.term, GrantorId(7), &LeaseReply::Granted);
@@ -75,7 +75,7 @@
     assert_eq!(candidate.next_action(START), Action::Wait(START + ms(1000)));
     let renewal = START + ms(1000);
     assert_eq!(candidate.next_action(renewal), Action::Ask);
-    let request = candidate.begin(renewal, &grantors(3));
+    let request = candidate.begin(renewal, 1, &grantors(3));
     assert!(candidate.holds(renewal));
     for grantor in [0, 1] {
         candidate.on_reply(request.term, GrantorId(grantor), &LeaseReply::Granted);
@@ -87,7 +87,7 @@
 fn given_a_holder_when_a_renewal_is_lost_then_it_keeps_the_lease_and_tries_again_soon() {
     let mut candidate = winner();
     let renewal = START + ms(1000);
-    candidate.begin(renewal, &grantors(3));
+    candidate.begin(renewal, 1, &grantors(3));
     let late = renewal + ms(500);
     assert_eq!(candidate.next_action(late), Action::GiveUp);
     assert_eq!(candidate.give_up(late), None);
@@ -98,7 +98,7 @@
 #[test]
 fn given_a_split_vote_when_lost_then_the_grants_are_given_back_and_the_pause_is_short() {
     let mut candidate = Candidate::new("one", TTL);
-    let request = candidate.begin(START, &grantors(3));
+    let request = candidate.begin(START, 1, &grantors(3));
     candidate.on_reply(request.term, GrantorId(0), &LeaseReply::Granted);
     candidate.on_reply(request.term, GrantorId(1), &held("two", 2990));
     assert!(matches!(candidate.next_action(START), Action::Wait(_)));
@@ -112,7 +112,7 @@
 #[test]
 fn given_another_holder_when_refused_then_the_next_round_waits_for_its_end() {
     let mut candidate = Candidate::new("one", TTL);
-    let request = candidate.begin(START, &grantors(3));
+    let request = candidate.begin(START, 1, &grantors(3));
     for grantor in [0, 1] {
         candidate.on_reply(request.term, GrantorId(grantor), &held("two", 2000));
     }
@@ -127,7 +127,7 @@
 fn given_several_candidates_when_refused_then_they_come_back_at_different_times() {
     let returns = |name: &str| {
         let mut candidate = Candidate::new(name, TTL);
-        candidate.begin(START, &grantors(3));
+        candidate.begin(START, 1, &grantors(3));
         candidate.give_up(START + TTL);
         candidate.next_action(START + TTL)
     };
--- a/crates/lease/tests/common/mod.rs
+++ b/crates/lease/tests/common/mod.rs
@@ -10,8 +10,8 @@
 const TICK: Duration = Duration::from_millis(5);
 /// Changes of the grantors are this far apart.
 const CHANGE_EVERY: Duration = Duration::from_secs(6);
-/// A candidate hears of a change of the grantors up to this much later.
-const CHANGE_LAG_MS: u64 = 1500;
+/// Candidates, and grantors outside of the majority that accepted a change, hear of it up to this much later.
+const CHANGE_LAG_MS: u64 = 20_000;
 
 /// A mistake that the check must notice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +22,8 @@
     NoSilence,
     /// Replies to earlier rounds count for the present one.
     AnyTerm,
+    /// Grantors grant to candidates that know an older set.
+    AnyRevision,
     /// A process that comes back has the name of its earlier life, and so takes over its grants; the earlier
     /// life goes on.
     SharedName,
@@ -82,8 +84,18 @@
 struct Contender {
     candidate: Candidate,
     life: u64,
+    /// What it knows of the grantors.
+    grantors: Vec<GrantorId>,
+    revision: u64,
+}
+
+/// Someone hears of the grantors as of a revision.
+struct News {
+    at: Duration,
+    to_candidate: bool,
+    picked: usize,
+    revision: u64,
     grantors: Vec<GrantorId>,
-    hears_of_change_at: Duration,
 }
 
 #[derive(Clone)]
@@ -108,6 +120,10 @@
     candidates: Vec<Process<Contender>>,
     network: Vec<Envelope>,
     members: Vec<GrantorId>,
+    revision: u64,
+    news: Vec<News>,
+    /// What each grantor's acceptor knows of the grantors.
+    known: Vec<(u64, Vec<GrantorId>)>,
     next_life: u64,
     next_change: Duration,
     /// Ticks in which someone held the lease.
@@ -132,8 +148,7 @@
         let candidates = (0..machines as u64).map(|life| {
             let clock = grantors[life as usize].clock.clone();
             let candidate = Candidate::new(format!("life-{life}"), TTL);
-            let hears_of_change_at = Duration::ZERO;
-            let part = Contender { candidate, life, grantors: members.clone(), hears_of_change_at };
+            let part = Contender { candidate, life, grantors: members.clone(), revision: 1 };
             Process { part, clock, frozen_until: Duration::ZERO }
         });
         let candidates = candidates.collect();
@@ -144,7 +159,10 @@
             grantors,
             candidates,
             network: Vec::new(),
+            known: vec![(1, members.clone()); machines],
             members,
+            revision: 1,
+            news: Vec::new(),
             next_life: machines as u64,
             next_change: CHANGE_EVERY,
             held_ticks: 0,
@@ -159,6 +177,7 @@
         while self.time < end && self.doubled_at.is_none() {
             self.time += TICK;
             self.make_trouble();
+            self.deliver_news();
             self.deliver_due();
             for candidate in 0..self.candidates.len() {
                 self.act(candidate);
@@ -186,13 +205,10 @@
         }
         let now = process.now(time);
         let contender = &mut process.part;
-        if time >= contender.hears_of_change_at {
-            contender.grantors.clone_from(&self.members);
-        }
         match contender.candidate.next_action(now) {
             Action::Wait(_) => {}
             Action::Ask => {
-                let request = contender.candidate.begin(now, &contender.grantors);
+                let request = contender.candidate.begin(now, contender.revision, &contender.grantors);
                 let (life, grantors) = (contender.life, contender.grantors.clone());
                 for grantor in grantors {
                     let to = grantor.0 as usize;
@@ -300,6 +316,7 @@
         let now = grantor.now(self.time);
         let started = if self.trouble.fault == Fault::NoSilence { now - TTL } else { now };
         grantor.part = Grantor::new(started, TTL);
+        self.observe_known(picked);
     }
 
     fn restart_candidate(&mut self) {
@@ -347,20 +364,79 @@
         self.next_change = self.time + CHANGE_EVERY;
         let picked = self.pick();
         let id = GrantorId(picked as u64);
+        let before = self.members.clone();
         if !self.members.contains(&id) {
             self.members.push(id);
             self.restart_as_member(picked);
         } else if self.members.len() > 3 {
             self.members.retain(|member| *member != id);
         }
-        for process in &mut self.candidates {
-            let lag = self.random.u64(..CHANGE_LAG_MS);
-            process.part.hears_of_change_at = self.time + Duration::from_millis(lag);
+        self.revision += 1;
+        self.spread_change(&before);
+    }
+
+    /// A majority of the grantors before knows of a change when it is committed, and so does one of those after;
+    /// the others hear of it later.
+    fn spread_change(&mut self, before: &[GrantorId]) {
+        let mut told = before.to_vec();
+        self.random.shuffle(&mut told);
+        told.truncate(before.len() / 2 + 1);
+        let mut later = self.members.clone();
+        self.random.shuffle(&mut later);
+        told.extend(later.iter().take(self.members.len() / 2 + 1));
+        for picked in 0..self.grantors.len() {
+            let knows = told.contains(&GrantorId(picked as u64));
+            let (grantor_lag, candidate_lag) = (self.lag(), self.lag());
+            self.tell(picked, false, if knows { 1 } else { grantor_lag });
+            self.tell(picked, true, candidate_lag);
+        }
+    }
+
+    /// Mostly short.
+    fn lag(&mut self) -> u64 {
+        if self.random.u8(..4) == 0 {
+            CHANGE_LAG_MS
+        } else {
+            CHANGE_LAG_MS / 100
+        }
+    }
+
+    fn tell(&mut self, picked: usize, to_candidate: bool, lag_ms: u64) {
+        let at = self.time + Duration::from_millis(self.random.u64(..lag_ms));
+        let (revision, grantors) = (self.revision, self.members.clone());
+        self.news.push(News { at, to_candidate, picked, revision, grantors });
+    }
+
+    fn deliver_news(&mut self) {
+        let time = self.time;
+        let (due, left) = self.news.drain(..).partition(|news| news.at <= time);
+        self.news = left;
+        let due: Vec<News> = due;
+        for news in due {
+            let contender = &mut self.candidates[news.picked].part;
+            if !news.to_candidate {
+                if news.revision > self.known[news.picked].0 {
+                    self.known[news.picked] = (news.revision, news.grantors);
+                }
+                self.observe_known(news.picked);
+            } else if news.revision > contender.revision {
+                contender.revision = news.revision;
+                contender.grantors = news.grantors;
+            }
         }
     }
 
     fn restart_as_member(&mut self, picked: usize) {
         let now = self.grantors[picked].now(self.time);
         self.grantors[picked].part = Grantor::new(now, TTL);
+        self.observe_known(picked);
+    }
+
+    /// The acceptor has on its disk what it accepted or learned.
+    fn observe_known(&mut self, picked: usize) {
+        if self.trouble.fault != Fault::AnyRevision {
+            let (revision, grantors) = &self.known[picked];
+            self.grantors[picked].part.observe(*revision, grantors);
+        }
     }
 }
--- a/crates/lease/tests/grantor.rs
+++ b/crates/lease/tests/grantor.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lease::{Grantor, LeaseRelease, LeaseReply, LeaseRequest};
+use lease::{Grantor, GrantorId, LeaseRelease, LeaseReply, LeaseRequest};
 use yare::parameterized;
 
 const TTL: Duration = Duration::from_secs(3);
@@ -15,7 +15,7 @@
 }
 
 fn request(holder: &str, term: u64) -> LeaseRequest {
-    LeaseRequest { holder: holder.to_owned(), term, ttl_ms: 3000 }
+    LeaseRequest { holder: holder.to_owned(), term, ttl_ms: 3000, revision: 7 }
 }
 
 fn release(holder: &str, term: u64) -> LeaseRelease {
@@ -83,3 +83,20 @@
     grantor.release(&release("one", 3));
     assert_eq!(grantor.holder(OPEN + ms(2000)), Some("one"));
 }
+
+#[parameterized(
+    older = { 8, false },
+    same = { 7, true },
+    newer = { 6, true },
+)]
+fn given_a_change_of_the_grantors_when_a_candidate_knows_an_older_state_then_it_is_refused(
+    changed_at: u64,
+    grants: bool,
+) {
+    let mut grantor = Grantor::new(START, TTL);
+    grantor.observe(5, &[GrantorId(1), GrantorId(2)]);
+    grantor.observe(changed_at, &[GrantorId(1), GrantorId(2), GrantorId(3)]);
+    grantor.observe(90, &[GrantorId(1), GrantorId(2), GrantorId(3)]);
+    let reply = grantor.handle(OPEN, &request("one", 1));
+    assert_eq!(reply == LeaseReply::Granted, grants);
+}
--- a/crates/lease/tests/random_exploration.rs
+++ b/crates/lease/tests/random_exploration.rs
@@ -65,11 +65,12 @@
 #[parameterized(
     no_silence_after_a_restart = { Fault::NoSilence },
     replies_of_any_round = { Fault::AnyTerm },
+    requests_of_any_revision = { Fault::AnyRevision },
     shared_names = { Fault::SharedName },
 )]
 fn given_a_seeded_fault_when_explored_then_it_is_found(fault: Fault) {
     let found = (0..500).find(|seed| {
-        let mut world = World::new(*seed, 5, 3, Trouble { changes: false, fault, ..ALL });
+        let mut world = World::new(*seed, 6, 3, Trouble { fault, ..ALL });
         world.run(LENGTH);
         world.doubled_at.is_some()
     });
