--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -6,10 +6,12 @@
 //!
 //! # Why a change of the acceptors is safe
 //!
-//! A value is committed when a majority of the acceptors of the value that it was made from *and* a majority of
-//! its own acceptors have accepted it. The acceptors change one at a time, and only on top of a value that is
-//! known to be committed, so majorities of a value and of its successor always meet. A proposer that starts from
-//! any committed value therefore sees the successor, or something newer, and follows the chain to its end.
+//! The acceptors change only on top of a value that is known to be committed, one at a time. A value with other
+//! acceptors than its predecessor names those too ([`Versioned::previous`]), and is committed when a majority of
+//! both sets has accepted it. Who reads a value that is not known to be committed needs promises of both
+//! majorities, and proposes nothing but a value with the same two sets in its place. So a majority of the acceptors
+//! of each committed value has accepted its successor; a proposer that starts from any committed value sees the
+//! successor, or something newer, and follows the chain to its end.
 
 mod acceptor;
 mod ballots;
--- a/crates/register/src/proposal.rs
+++ b/crates/register/src/proposal.rs
@@ -100,10 +100,11 @@
             return Vec::new();
         }
         let value = if self.may_follow(&value) { Arc::new(value) } else { Arc::clone(&self.current.value) };
-        let proposed = Versioned { ballot: self.ballot, value };
+        let previous = self.previous_of(&value);
+        let proposed = Versioned { ballot: self.ballot, value, previous };
         self.phase = Phase::Accepting;
         self.proposed = Some(proposed.clone());
-        let members = union(self.current.value.members(), proposed.value.members());
+        let members = union(&proposed.previous, proposed.value.members());
         members.into_iter().map(|member| (member, AcceptorRequest::Accept(proposed.clone()))).collect()
     }
 
@@ -112,7 +113,7 @@
         let Some(committed) = self.proposed.as_ref().filter(|_| self.phase == Phase::Done) else {
             return Vec::new();
         };
-        let members = union(self.current.value.members(), committed.value.members());
+        let members = union(&committed.previous, committed.value.members());
         members.into_iter().map(|member| (member, AcceptorRequest::Learn(committed.clone()))).collect()
     }
 
@@ -121,6 +122,19 @@
         same_members(current, value.members()) || (self.is_settled() && can_change(current, value.members()))
     }
 
+    /// The acceptors of the committed value that the proposed one comes from, if others than its own. A value that
+    /// is not settled comes from the same one as what is proposed in its place.
+    fn previous_of(&self, value: &V) -> Arc<[Member]> {
+        let current = self.current.value.members();
+        if !self.is_settled() {
+            Arc::clone(&self.current.previous)
+        } else if same_members(current, value.members()) {
+            Arc::default()
+        } else {
+            current.into()
+        }
+    }
+
     fn on_promise(&mut self, from: Incarnation, accepted: Option<Versioned<V>>) -> Step<V> {
         if self.phase != Phase::Preparing {
             return Step::Wait;
@@ -140,8 +154,12 @@
     }
 
     fn is_promised(&self) -> bool {
-        has_majority(self.base.value.members(), &self.promises)
-            && has_majority(self.current.value.members(), &self.promises)
+        let is_current_promised = if self.is_settled() {
+            has_majority(self.current.value.members(), &self.promises)
+        } else {
+            has_majorities(&self.current, &self.promises)
+        };
+        is_current_promised && has_majority(self.base.value.members(), &self.promises)
     }
 
     fn follow(&mut self, newer: Versioned<V>) -> Requests<V> {
@@ -151,11 +169,12 @@
 
     fn prepare_current(&mut self) -> Requests<V> {
         let mut requests = Vec::new();
-        for member in self.current.value.members() {
+        let previous: &[Member] = if self.is_settled() { &[] } else { &self.current.previous };
+        for member in union(self.current.value.members(), previous) {
             let is_asked = self.asked.iter().any(|asked| asked.incarnation == member.incarnation);
             if !is_asked {
                 self.asked.push(member.clone());
-                requests.push((member.clone(), AcceptorRequest::Prepare(self.ballot)));
+                requests.push((member, AcceptorRequest::Prepare(self.ballot)));
             }
         }
         requests
@@ -167,7 +186,7 @@
         }
         self.acceptances.insert(from);
         match &self.proposed {
-            Some(proposed) if self.is_accepted(proposed) => {
+            Some(proposed) if has_majorities(proposed, &self.acceptances) => {
                 self.phase = Phase::Done;
                 Step::Committed(proposed.clone())
             }
@@ -175,11 +194,6 @@
         }
     }
 
-    fn is_accepted(&self, proposed: &Versioned<V>) -> bool {
-        has_majority(self.current.value.members(), &self.acceptances)
-            && has_majority(proposed.value.members(), &self.acceptances)
-    }
-
     fn on_refusal(&mut self, from: Incarnation, ballot: Ballot) -> Step<V> {
         if ballot <= self.ballot {
             return Step::Wait;
@@ -188,7 +202,7 @@
         let is_lost = match (&self.phase, &self.proposed) {
             (Phase::Preparing, _) => true,
             (Phase::Accepting, Some(proposed)) => {
-                is_blocked(self.current.value.members(), &self.refusals)
+                (!proposed.previous.is_empty() && is_blocked(&proposed.previous, &self.refusals))
                     || is_blocked(proposed.value.members(), &self.refusals)
             }
             _ => false,
@@ -202,6 +216,12 @@
     }
 }
 
+/// Whether the votes hold a majority of the value's acceptors, and of those that it was handed over from.
+fn has_majorities<V: RegisterValue>(versioned: &Versioned<V>, votes: &HashSet<Incarnation>) -> bool {
+    let is_handed_over = versioned.previous.is_empty() || has_majority(&versioned.previous, votes);
+    is_handed_over && has_majority(versioned.value.members(), votes)
+}
+
 /// The members of both sets, each disk once.
 fn union(left: &[Member], right: &[Member]) -> Vec<Member> {
     let mut members = left.to_vec();
--- a/crates/register/src/types.rs
+++ b/crates/register/src/types.rs
@@ -41,6 +41,16 @@
     pub ballot: Ballot,
     /// The value.
     pub value: Arc<V>,
+    /// The acceptors of the committed value that this one was made from, if they are others than its own. As long
+    /// as this value is not known to be committed, it needs a majority of these too. Empty if they are the same.
+    pub previous: Arc<[Member]>,
+}
+
+impl<V> Versioned<V> {
+    /// A value with the acceptors of the one before it, such as the first value.
+    pub fn new(ballot: Ballot, value: Arc<V>) -> Self {
+        Self { ballot, value, previous: Arc::default() }
+    }
 }
 
 /// What a proposer asks of an acceptor.
--- a/crates/register/tests/common/mod.rs
+++ b/crates/register/tests/common/mod.rs
@@ -72,7 +72,7 @@
 
 /// A value under the ballot of this round.
 pub fn versioned(round: u64, changes: &[u32], members: Vec<Member>) -> Versioned<History> {
-    Versioned { ballot: ballot(round), value: Arc::new(History { changes: changes.to_vec(), members }) }
+    Versioned::new(ballot(round), Arc::new(History { changes: changes.to_vec(), members }))
 }
 
 /// The reply of a member.
--- a/crates/register/tests/common/oracle.rs
+++ b/crates/register/tests/common/oracle.rs
@@ -18,7 +18,6 @@
 #[derive(Clone, Debug)]
 struct Proposed {
     value: Versioned<History>,
-    parent_members: Vec<Member>,
     durable_at: HashSet<Incarnation>,
     is_chosen: bool,
 }
@@ -39,14 +38,13 @@
         self.chosen.iter().max_by_key(|chosen| chosen.ballot).expect("the first value")
     }
 
-    /// A proposer sends a value, made from one with these acceptors.
-    pub fn on_propose(&mut self, value: Versioned<History>, parent_members: &[Member]) {
+    /// A proposer sends a value.
+    pub fn on_propose(&mut self, value: Versioned<History>) {
         for chosen in &self.chosen {
             check_order(chosen, &value, &mut self.fault);
         }
-        let parent_members = parent_members.to_vec();
         let ballot = value.ballot;
-        let proposed = Proposed { value, parent_members, durable_at: HashSet::new(), is_chosen: false };
+        let proposed = Proposed { value, durable_at: HashSet::new(), is_chosen: false };
         if self.proposed.insert(ballot, proposed).is_some() {
             self.note(format!("{ballot:?} was used twice"));
         }
@@ -58,7 +56,8 @@
             return;
         };
         proposed.durable_at.insert(acceptor);
-        let is_chosen = is_majority(&proposed.parent_members, &proposed.durable_at)
+        let previous = &proposed.value.previous;
+        let is_chosen = (previous.is_empty() || is_majority(previous, &proposed.durable_at))
             && is_majority(proposed.value.value.members(), &proposed.durable_at);
         if is_chosen && !proposed.is_chosen {
             proposed.is_chosen = true;
--- a/crates/register/tests/common/world.rs
+++ b/crates/register/tests/common/world.rs
@@ -75,7 +75,7 @@
 
 enum Work {
     Idle,
-    Proposal(Proposal<History>),
+    Proposal(Box<Proposal<History>>),
     Confirmation { confirmation: Confirmation<History>, newest_before: register::Ballot },
 }
 
@@ -370,7 +370,7 @@
         };
         let requests = proposal.propose(value);
         if let Some((_, AcceptorRequest::Accept(sent))) = requests.first() {
-            self.oracle.on_propose(sent.clone(), current.value.members());
+            self.oracle.on_propose(sent.clone());
         }
         self.send(picked, requests);
     }
@@ -460,7 +460,7 @@
     fn start_proposal(&mut self) -> Vec<Request> {
         self.ballots.observe(self.known.ballot);
         let (proposal, requests) = Proposal::start(self.ballots.next_ballot(), self.known.clone());
-        self.work = Work::Proposal(proposal);
+        self.work = Work::Proposal(Box::new(proposal));
         requests
     }
 }
--- a/crates/register/tests/exhaustive.rs
+++ b/crates/register/tests/exhaustive.rs
@@ -164,7 +164,7 @@
                 let wanted = wishes[number].apply(&current.value, number as u32 + 1);
                 let requests = self.proposals[number].propose(wanted);
                 if let Some((_, AcceptorRequest::Accept(sent))) = requests.first() {
-                    self.oracle.on_propose(sent.clone(), current.value.members());
+                    self.oracle.on_propose(sent.clone());
                 }
                 self.send(number, requests);
             }
--- a/crates/register/tests/proposal.rs
+++ b/crates/register/tests/proposal.rs
@@ -185,3 +185,47 @@
     assert!(matches!(accept(&mut proposal, 0), Step::Wait));
     assert!(matches!(accept(&mut proposal, 1), Step::Wait));
 }
+
+/// A removal that only the remaining acceptor has accepted.
+fn unsettled_removal() -> (Versioned<History>, Versioned<History>) {
+    let base = versioned(1, &[1], members(&[0, 1]));
+    let removal = versioned(5, &[1, 2], members(&[1]));
+    (base, Versioned { previous: members(&[0, 1]).into(), ..removal })
+}
+
+#[test]
+fn given_an_unsettled_removal_when_settled_then_the_acceptors_before_it_must_accept_too() {
+    let (base, removal) = unsettled_removal();
+    let mut proposal = start(&base);
+    promise(&mut proposal, 0, Some(base.clone()));
+    let step = promise(&mut proposal, 1, Some(removal.clone()));
+    assert!(matches!(step, Step::Read(read) if read == removal));
+    let requests = proposal.propose(removal.value.with_change(3));
+    assert_eq!(receivers(&requests), ["station-0", "station-1"]);
+    assert!(matches!(accept(&mut proposal, 1), Step::Wait));
+    let step = accept(&mut proposal, 0);
+    assert!(matches!(step, Step::Committed(done) if done.previous == removal.previous));
+}
+
+#[test]
+fn given_an_unsettled_removal_when_read_from_an_older_value_then_the_acceptors_before_it_must_promise_too() {
+    let (_, removal) = unsettled_removal();
+    let mut proposal = start(&versioned(0, &[], members(&[1])));
+    let step = promise(&mut proposal, 1, Some(removal.clone()));
+    assert!(matches!(step, Step::Send(requests) if receivers(&requests) == ["station-0"]));
+    assert!(matches!(promise(&mut proposal, 0, None), Step::Read(read) if read == removal));
+}
+
+#[test]
+fn given_a_settled_value_when_changed_then_the_acceptors_before_are_named_only_if_they_differ() {
+    let previous_of = |value: History| {
+        let (mut proposal, _) = read_settled();
+        match &proposal.propose(value)[0].1 {
+            AcceptorRequest::Accept(sent) => sent.previous.to_vec(),
+            other => panic!("{other:?}"),
+        }
+    };
+    let (_, base) = read_settled();
+    assert_eq!(previous_of(base.value.with_change(2)), []);
+    assert_eq!(previous_of(base.value.with_members(2, members(&[0, 1]))), members(&[0, 1, 2]));
+}
