--- a/crates/control-plane/src/acceptor.rs
+++ b/crates/control-plane/src/acceptor.rs
@@ -64,6 +64,12 @@
         self.lock().durable.committed.clone()
     }
 
+    /// The value accepted last, and durable.
+    #[must_use]
+    pub fn accepted(&self) -> Option<Versioned<ControlState>> {
+        self.lock().durable.accepted.clone()
+    }
+
     /// Whether any value was ever accepted here.
     #[must_use]
     pub fn is_initialised(&self) -> bool {
--- a/crates/control-plane/src/bootstrap.rs
+++ b/crates/control-plane/src/bootstrap.rs
@@ -66,7 +66,7 @@
             stores,
             ..ControlState::default()
         };
-        Some(Versioned { ballot: FIRST_BALLOT, value: Arc::new(value) })
+        Some(Versioned::new(FIRST_BALLOT, Arc::new(value)))
     }
 }
 
--- a/crates/control-plane/src/leader.rs
+++ b/crates/control-plane/src/leader.rs
@@ -76,12 +76,12 @@
             Action::Wait(until) => tokio::time::sleep(until.saturating_sub(began.elapsed()).max(WAIT_LEAST)).await,
             Action::GiveUp => give_up(&mut candidate, began, &view, &client).await,
             Action::Ask => {
-                let acceptors = view.view().control.acceptors.clone();
-                if !acceptors.iter().any(|member| member.station == station) {
+                let control = Arc::clone(&view.view().control);
+                if !control.acceptors.iter().any(|member| member.station == station) {
                     tokio::time::sleep(LEASE_TTL / 4).await;
                     continue;
                 }
-                ask_all(&mut candidate, began, acceptors, &client).await;
+                ask_all(&mut candidate, began, &control, &client).await;
                 let until = began + candidate.held_until();
                 if candidate.holds(began.elapsed()) {
                     hold(&leadership, until, between_holders, &proposer, &station).await;
@@ -92,12 +92,13 @@
 }
 
 /// One round at all acceptors; ends as soon as the lease is won or the round is lost.
-async fn ask_all(candidate: &mut Candidate, began: Instant, acceptors: Vec<Member>, client: &rpc::Client) {
+async fn ask_all(candidate: &mut Candidate, began: Instant, control: &ControlState, client: &rpc::Client) {
+    let acceptors = &control.acceptors;
     let grantors: Vec<GrantorId> = acceptors.iter().map(|member| GrantorId(member.incarnation.0)).collect();
     let held_before = candidate.held_until();
-    let request = candidate.begin(began.elapsed(), &grantors);
+    let request = candidate.begin(began.elapsed(), control.revision, &grantors);
     let mut calls: FuturesUnordered<_> =
-        acceptors.into_iter().map(|member| ask(client, member, request.clone())).collect();
+        acceptors.iter().map(|member| ask(client, member.clone(), request.clone())).collect();
     while let Some((member, reply)) = calls.next().await {
         if let Some(reply) = reply {
             candidate.on_reply(request.term, GrantorId(member.incarnation.0), &reply);
--- a/crates/rushrudder/src/control.rs
+++ b/crates/rushrudder/src/control.rs
@@ -9,7 +9,7 @@
     PollRequest, Proposer, ViewCell, LEASE_TTL,
 };
 use error_stack::{Report, ResultExt};
-use lease::{Grantor, LeaseRelease, LeaseRequest};
+use lease::{Grantor, GrantorId, LeaseRelease, LeaseRequest};
 use poem::Route;
 use register::{AcceptorRequest, Incarnation, Member, Versioned};
 use settings::Settings;
@@ -73,6 +73,12 @@
     Ok(Some(Disk { journal, records: recovered.records, incarnation }))
 }
 
+/// Tells the grantor who the grantors are, before a value that changes them is answered for.
+fn observe(grantor: &Mutex<Grantor>, state: &ControlState) {
+    let grantors: Vec<GrantorId> = state.acceptors.iter().map(|member| GrantorId(member.incarnation.0)).collect();
+    grantor.lock().unwrap_or_else(PoisonError::into_inner).observe(state.revision, &grantors);
+}
+
 impl Control {
     /// The control plane of a process; one with a `disk` for it has an acceptor.
     pub fn new(settings: &Settings, disk: Option<Disk>) -> Self {
@@ -80,6 +86,10 @@
         let client = rpc::Client::new();
         let proposer = Proposer::new(Arc::clone(&view), client.clone());
         let acceptor = disk.map(|disk| AcceptorService::new(disk.journal, disk.incarnation, &disk.records));
+        let grantor = Mutex::new(Grantor::new(Duration::ZERO, LEASE_TTL));
+        if let Some(accepted) = acceptor.as_ref().and_then(|acceptor| acceptor.accepted()) {
+            observe(&grantor, &accepted.value);
+        }
         if let Some(known) = acceptor.as_ref().and_then(|acceptor| acceptor.committed()) {
             view.adopt_control(&known);
         }
@@ -92,7 +102,7 @@
             address: internal_address(settings),
             first_start: Arc::new(FirstStart::default()),
             acceptor,
-            grantor: Arc::new(Mutex::new(Grantor::new(Duration::ZERO, LEASE_TTL))),
+            grantor: Arc::new(grantor),
             started: std::time::Instant::now(),
         }
     }
@@ -132,11 +142,18 @@
     fn acceptor_routes(&self, routes: Route, acceptor: &Arc<AcceptorService>) -> Route {
         let (register, first) = (Arc::clone(acceptor), Arc::clone(acceptor));
         let (view, grantor, started) = (Arc::clone(&self.view), Arc::clone(&self.grantor), self.started);
+        let observer = Arc::clone(&grantor);
         let learn = move |request: AcceptorRequest<ControlState>| {
             let (register, view) = (Arc::clone(&register), Arc::clone(&view));
+            let observer = Arc::clone(&observer);
             async move {
-                if let AcceptorRequest::Learn(committed) = &request {
-                    view.adopt_control(committed);
+                match &request {
+                    AcceptorRequest::Learn(committed) => {
+                        view.adopt_control(committed);
+                        observe(&observer, &committed.value);
+                    }
+                    AcceptorRequest::Accept(proposed) => observe(&observer, &proposed.value),
+                    _ => {}
                 }
                 register.handle(request).await
             }
