--- a/crates/control-plane/src/bootstrap.rs
+++ b/crates/control-plane/src/bootstrap.rs
@@ -4,11 +4,13 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use register::{with_member, without_member, Ballot, Member, Versioned};
-use state::{ControlState, StoreMember, StoreSet};
+use futures_util::future::join_all;
+use register::{AcceptorReply, AcceptorRequest, Ballot, Member, Outcome, Versioned};
+use state::change::{first_state, with_acceptor, with_store};
+use state::{ControlState, StoreMember};
 
 use crate::messages::{paths, Announcement, Capability};
-use crate::{Proposer, ViewCell};
+use crate::{Proposer, ViewCell, LEASE_TTL};
 
 /// The collector waits this long for announcements, from its own start ...
 const COLLECT: Duration = Duration::from_millis(2500);
@@ -20,6 +22,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long joining is tried at a stretch.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(2000);
+/// Pause after a store has joined, before it joins again.
+const REJOIN_PAUSE: Duration = Duration::from_secs(10);
 /// The ballot of the first value; every proposal is above it.
 const FIRST_BALLOT: Ballot = Ballot { round: 1, proposer: 0 };
 
@@ -51,21 +55,9 @@
     fn first_value(&self, machines_lost: usize) -> Option<Versioned<ControlState>> {
         let announced = self.announced.lock().unwrap_or_else(PoisonError::into_inner);
         let of = |capability| announced.values().filter(move |a| a.capability == capability);
-        let acceptors: Vec<Member> = of(Capability::Acceptor).map(|a| a.member.clone()).collect();
-        let members: Vec<StoreMember> = of(Capability::Store)
-            .map(|a| StoreMember { member: a.member.clone(), zone: a.zone.clone() })
-            .collect();
-        if acceptors.is_empty() {
-            return None;
-        }
-        let stores = StoreSet { epoch: 1, wanted: members.len(), members, copies: 2 * machines_lost + 1 };
-        let value = ControlState {
-            revision: 1,
-            acceptors_wanted: acceptors.len(),
-            acceptors,
-            stores,
-            ..ControlState::default()
-        };
+        let acceptors = of(Capability::Acceptor).map(|a| a.member.clone()).collect();
+        let store = |a: &Announcement| StoreMember { member: a.member.clone(), zone: a.zone.clone() };
+        let value = first_state(acceptors, of(Capability::Store).map(store).collect(), machines_lost)?;
         Some(Versioned { ballot: FIRST_BALLOT, value: Arc::new(value) })
     }
 }
@@ -83,8 +75,8 @@
 ) {
     let began = Instant::now();
     let rank = seeds.iter().position(|seed| seed == this_address);
-    let announcement = identity
-        .map(|who| Announcement { member: who.member, zone: who.zone, capability: who.capability });
+    let announcement =
+        identity.map(|who| Announcement { member: who.member, zone: who.zone, capability: who.capability });
     let mut heard = vec![false; seeds.len()];
     while view.committed().is_none() {
         if let Some(announcement) = &announcement {
@@ -119,85 +111,94 @@
     }
 }
 
-/// Brings the first value to its acceptors. One that holds another first value already wins.
-async fn form(mut first: Versioned<ControlState>, view: &ViewCell, client: &rpc::Client) {
-    let acceptors = first.value.acceptors.clone();
-    let mut taken = 0;
-    for member in &acceptors {
-        let reply: Result<Versioned<ControlState>, _> =
-            client.call(&member.address, paths::FIRST, &first, CALL_TIMEOUT).await;
-        match reply {
-            Ok(stands) if stands == first => taken += 1,
-            Ok(stands) => {
-                first = stands;
-                taken = 1;
-            }
-            Err(error) => log::info!("{} has not taken the first value: {error}", member.station),
-        }
+/// Brings a first value to its acceptors: the one that an earlier collector began with, otherwise `own`.
+///
+/// A majority of the acceptors must answer before, so that a first value that a majority has taken is found.
+async fn form(own: Versioned<ControlState>, view: &ViewCell, client: &rpc::Client) {
+    let reads = own.value.acceptors.iter().map(|member| read(client, member));
+    let shown: Vec<_> = join_all(reads).await.into_iter().flatten().collect();
+    if shown.len() * 2 <= own.value.acceptors.len() {
+        log::info!("first value: only {} of {} acceptors answer", shown.len(), own.value.acceptors.len());
+        return;
     }
-    if taken * 2 > first.value.acceptors.len() {
+    let first = shown.into_iter().flatten().max_by_key(|standing| standing.ballot).unwrap_or(own);
+    let acceptors = &first.value.acceptors;
+    let offers = acceptors.iter().map(|member| offer(client, member, &first));
+    let taken = join_all(offers).await.into_iter().filter(|stands| stands.as_ref() == Some(&first)).count();
+    if taken * 2 > acceptors.len() {
         log::info!("first value: {} acceptors, {} stores", acceptors.len(), first.value.stores.members.len());
         view.adopt_control(&first);
     }
 }
 
-/// Makes this machine an acceptor, if it is none. Returns when it is one.
+/// The value that an acceptor holds, if any; `None` when it does not answer.
+async fn read(client: &rpc::Client, member: &Member) -> Option<Option<Versioned<ControlState>>> {
+    let request: AcceptorRequest<ControlState> = AcceptorRequest::Read;
+    let reply: Result<AcceptorReply<ControlState>, _> =
+        client.call(&member.address, paths::REGISTER, &request, CALL_TIMEOUT).await;
+    match reply.ok()?.outcome {
+        Outcome::Current { accepted, .. } => Some(accepted),
+        _ => None,
+    }
+}
+
+/// Offers a first value to an acceptor; tells which one stands there.
+async fn offer(
+    client: &rpc::Client,
+    member: &Member,
+    first: &Versioned<ControlState>,
+) -> Option<Versioned<ControlState>> {
+    let stands = client.call(&member.address, paths::FIRST, first, CALL_TIMEOUT).await;
+    stands.inspect_err(|error| log::info!("{} has not taken the first value: {error}", member.station)).ok()
+}
+
+/// Makes this machine an acceptor whenever it is none.
 pub async fn join_register(member: &Member, view: &ViewCell, proposer: &Proposer) {
+    let mut views = view.subscribe();
     loop {
-        let is_member = view.committed().is_some_and(|value| with_acceptor(&value.value, member).is_err());
-        if is_member && view.confirmed_age().is_some_and(|age| age < JOIN_TIMEOUT) {
-            return;
+        let known = views.borrow_and_update().control.clone();
+        let is_known = view.committed().is_some();
+        if is_known && with_acceptor(&known, member).is_err() {
+            if views.changed().await.is_err() {
+                return;
+            }
+            continue;
         }
-        if view.committed().is_some() {
-            let joined = proposer.change(Instant::now() + JOIN_TIMEOUT, |state| with_acceptor(state, member)).await;
+        if is_known {
+            let joined =
+                proposer.change(Instant::now() + JOIN_TIMEOUT, |state| with_acceptor(state, member)).await;
             if let Ok(value) = joined {
                 log::info!("joined the register as one of {} acceptors", value.value.acceptors.len());
+                // Majorities of the lease's grantors must meet: they change once in the time of a lease at most.
+                tokio::time::sleep(LEASE_TTL).await;
             }
         }
         tokio::time::sleep(PAUSE).await;
     }
 }
 
-/// Adds this machine; then removes its former self, where its disk was lost. One step at a time.
-fn with_acceptor(state: &ControlState, member: &Member) -> Result<ControlState, ()> {
-    let mut next = state.clone();
-    next.revision += 1;
-    if !state.acceptors.contains(member) {
-        next.acceptors = with_member(&state.acceptors, member.clone());
-        return Ok(next);
-    }
-    let former = state.acceptors.iter().find(|other| other.station == member.station && *other != member);
-    next.acceptors = without_member(&state.acceptors, former.ok_or(())?.incarnation);
-    Ok(next)
-}
-
-/// Makes this machine a member of the store set, if it is none. Returns when it is one.
+/// Makes this machine a member of the store set whenever it is none, unless the operator has it emptied.
 pub async fn join_stores(member: &StoreMember, view: &ViewCell, proposer: &Proposer) {
+    let mut views = view.subscribe();
     loop {
-        let known = view.committed();
-        if known.as_ref().is_some_and(|value| value.value.stores.members.contains(member)) {
-            return;
+        let known = views.borrow_and_update().control.clone();
+        if view.committed().is_none() {
+            tokio::time::sleep(PAUSE).await;
+            continue;
         }
-        if known.is_some_and(|value| value.value.previous_stores.is_none()) {
-            let joined = proposer.change(Instant::now() + JOIN_TIMEOUT, |state| with_store(state, member)).await;
-            if let Ok(value) = joined {
-                let stores = &value.value.stores;
-                log::info!("joined the stores of epoch {} as one of {}", stores.epoch, stores.members.len());
+        if with_store(&known, member).is_err() {
+            if views.changed().await.is_err() {
+                return;
             }
+            continue;
+        }
+        let joined = proposer.change(Instant::now() + JOIN_TIMEOUT, |state| with_store(state, member)).await;
+        if let Ok(value) = joined {
+            let stores = &value.value.stores;
+            log::info!("joined the stores of epoch {} as one of {}", stores.epoch, stores.members.len());
+            // A member that the leader cannot reach is removed again: not too often.
+            tokio::time::sleep(REJOIN_PAUSE).await;
         }
         tokio::time::sleep(PAUSE).await;
     }
 }
-
-fn with_store(state: &ControlState, member: &StoreMember) -> Result<ControlState, ()> {
-    if state.stores.members.contains(member) || state.previous_stores.is_some() {
-        return Err(());
-    }
-    let mut next = state.clone();
-    next.revision += 1;
-    next.previous_stores = Some(state.stores.clone());
-    next.stores.epoch += 1;
-    next.stores.members.retain(|other| other.member.station != member.member.station);
-    next.stores.members.push(member.clone());
-    Ok(next)
-}
--- a/crates/control-plane/src/distribution.rs
+++ b/crates/control-plane/src/distribution.rs
@@ -23,10 +23,10 @@
     /// A distribution of what `view` knows.
     #[must_use]
     pub fn new(view: Arc<ViewCell>) -> Arc<Self> {
-        Arc::new(Self { view, settled_epoch: AtomicU64::new(u64::MAX) })
+        Arc::new(Self { view, settled_epoch: AtomicU64::new(0) })
     }
 
-    /// Tells how far this process has moved its batch jobs; one that keeps none need not call this.
+    /// Tells how far this process has moved its batch jobs; until then it has moved none.
     pub fn set_settled_epoch(&self, epoch: u64) {
         self.settled_epoch.store(epoch, Ordering::Relaxed);
     }
--- a/crates/control-plane/src/leader.rs
+++ b/crates/control-plane/src/leader.rs
@@ -1,15 +1,16 @@
 //! The leader lease of this process and the duties that go with it.
 
-use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use lease::{Action, Candidate, GrantorId, LeaseReply, LeaseRequest};
 use register::Member;
+use state::change::{may_order_at_once, with_fence, with_order_holder};
 use state::ControlState;
 
 use crate::messages::paths;
+use crate::orders::CALL_TIMEOUT as ORDER_TIMEOUT;
 use crate::{Proposer, ViewCell};
 
 /// How long a grant lasts.
@@ -32,6 +33,8 @@
     fence: u64,
     until: Instant,
     orders_from: Instant,
+    /// The register holds that this station sends orders.
+    is_noted: bool,
 }
 
 impl Leadership {
@@ -45,7 +48,14 @@
     #[must_use]
     pub fn fence_for_orders(&self) -> Option<u64> {
         let now = Instant::now();
-        self.held().filter(|held| now < held.until && now >= held.orders_from).map(|held| held.fence)
+        let may_order = |held: &Held| held.is_noted && now < held.until && now >= held.orders_from;
+        self.held().filter(may_order).map(|held| held.fence)
+    }
+
+    fn note_order_holder(&self, fence: u64) {
+        if let Some(held) = self.lock().as_mut().filter(|held| held.fence == fence) {
+            held.is_noted = true;
+        }
     }
 
     fn held(&self) -> Option<Held> {
@@ -73,7 +83,9 @@
     let mut candidate = Candidate::new(name, LEASE_TTL);
     loop {
         match candidate.next_action(began.elapsed()) {
-            Action::Wait(until) => tokio::time::sleep(until.saturating_sub(began.elapsed()).max(WAIT_LEAST)).await,
+            Action::Wait(until) => {
+                tokio::time::sleep(until.saturating_sub(began.elapsed()).max(WAIT_LEAST)).await
+            }
             Action::GiveUp => give_up(&mut candidate, began, &view, &client).await,
             Action::Ask => {
                 let acceptors = view.view().control.acceptors.clone();
@@ -85,6 +97,7 @@
                 let until = began + candidate.held_until();
                 if candidate.holds(began.elapsed()) {
                     hold(&leadership, until, between_holders, &proposer, &station).await;
+                    note_order_holder(&leadership, &proposer, &station).await;
                 }
             }
         }
@@ -131,48 +144,33 @@
         *leadership.lock() = Some(Held { until, ..held });
         return;
     }
-    let won_at = Instant::now();
-    let raised = proposer.change(won_at + FENCE_TIMEOUT, |state| Ok::<_, ()>(with_fence(state, station))).await;
+    *leadership.lock() = None;
+    let raised = proposer
+        .change(Instant::now() + FENCE_TIMEOUT, |state| Ok::<_, ()>(with_fence(state, station)))
+        .await;
     let Ok(value) = raised else { return };
-    let previous = value.value.fence_holder_before.as_deref();
-    let is_first = previous.is_none_or(|before| before == station);
-    let orders_from = if is_first { won_at } else { won_at + between_holders };
+    let orders_from = match may_order_at_once(&value.value, station) {
+        true => Instant::now(),
+        false => Instant::now() + between_holders + ORDER_TIMEOUT,
+    };
     log::info!("leads with fencing token {}", value.value.fence);
-    *leadership.lock() = Some(Held { fence: value.value.fence, until, orders_from });
+    let is_noted = value.value.order_holder.as_deref() == Some(station);
+    *leadership.lock() = Some(Held { fence: value.value.fence, until, orders_from, is_noted });
 }
 
-fn with_fence(state: &ControlState, station: &str) -> ControlState {
-    let mut next = state.clone();
-    next.revision += 1;
-    next.fence += 1;
-    next.fence_holder_before = next.fence_holder.replace(station.to_owned());
-    next
+/// Once the time between two holders is over, notes in the register that this station sends orders. Only then does
+/// it send any, so that a later holder knows whether it must wait for this one.
+async fn note_order_holder(leadership: &Leadership, proposer: &Proposer, station: &str) {
+    let now = Instant::now();
+    let due = |held: &Held| !held.is_noted && now < held.until && now >= held.orders_from;
+    let Some(held) = leadership.held().filter(due) else { return };
+    let note = |state: &ControlState| with_order_holder(state, station, held.fence);
+    if proposer.change(now + FENCE_TIMEOUT, note).await.is_ok() {
+        leadership.note_order_holder(held.fence);
+    }
 }
 
 async fn ask(client: &rpc::Client, member: Member, request: LeaseRequest) -> (Member, Option<LeaseReply>) {
     let reply = client.call(&member.address, paths::LEASE, &request, CALL_TIMEOUT).await;
     (member, reply.ok())
 }
-
-/// When each member was last heard of, by the leader's pings.
-#[derive(Default)]
-pub(crate) struct Reachability {
-    heard_at: HashMap<Member, Instant>,
-}
-
-impl Reachability {
-    /// Notes an answer, or that a member was first missed.
-    pub(crate) fn note(&mut self, member: &Member, answered: bool) {
-        let now = Instant::now();
-        if answered {
-            self.heard_at.insert(member.clone(), now);
-        } else {
-            self.heard_at.entry(member.clone()).or_insert(now);
-        }
-    }
-
-    /// How long a member has not been heard of.
-    pub(crate) fn silent_for(&self, member: &Member) -> Duration {
-        self.heard_at.get(member).map_or(Duration::ZERO, Instant::elapsed)
-    }
-}
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -20,11 +20,11 @@
 pub use distribution::Distribution;
 pub use leader::{run_leader, Leadership, LEASE_TTL};
 pub use list_reader::run_list_reader;
-pub use upkeep::run_upkeep;
 pub use messages::{paths, Announcement, Capability, PingReply, PollReply, PollRequest};
 pub use operator::operator_routes;
 pub use orders::run_orders;
 pub use platform::{Platform, PlatformError};
 pub use poll::run_poller;
 pub use proposer::{ChangeFailure, Proposer};
+pub use upkeep::run_upkeep;
 pub use view::ViewCell;
--- a/crates/control-plane/src/messages.rs
+++ b/crates/control-plane/src/messages.rs
@@ -69,6 +69,6 @@
 /// The state of a process that was asked whether it is there.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PingReply {
-    /// The epoch of the store set to which all its batch jobs have moved; a process that keeps none says the highest.
+    /// The epoch of the store set to which all its batch jobs have moved; 0 until it is known.
     pub settled_epoch: u64,
 }
--- a/crates/control-plane/src/poll.rs
+++ b/crates/control-plane/src/poll.rs
@@ -52,7 +52,8 @@
 }
 
 fn is_fresh(reply: &PollReply) -> bool {
-    let within = |age: Option<u32>, most: Duration| age.is_some_and(|age| u128::from(age) <= most.as_millis());
+    let within =
+        |age: Option<u32>, most: Duration| age.is_some_and(|age| u128::from(age) <= most.as_millis());
     within(reply.confirmed_age_ms, CONFIRMED_AGE_MOST) && within(reply.servers_age_ms, SERVERS_AGE_MOST)
 }
 
--- a/crates/control-plane/src/proposer.rs
+++ b/crates/control-plane/src/proposer.rs
@@ -8,6 +8,7 @@
 use register::{AcceptorReply, AcceptorRequest, Ballot, Member, Proposal, Step, Versioned};
 use state::ControlState;
 
+use crate::acceptor::confirm_once;
 use crate::messages::paths;
 use crate::ViewCell;
 
@@ -15,6 +16,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// The longest pause before a proposal that lost to another is tried again; grows with each try.
 const RETRY_PAUSE_MS: u64 = 25;
+/// How often a read that writes nothing is tried.
+const READ_TRIES: usize = 2;
 /// How long settling an undecided value may take.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -34,6 +37,8 @@
     /// Random number of this process, so that ballots are unique.
     identity: u64,
     round: AtomicU64,
+    /// Changes of one process take turns: their proposals would only preempt each other.
+    turn: tokio::sync::Mutex<()>,
 }
 
 enum Attempt {
@@ -46,7 +51,13 @@
     /// A proposer that starts from what the view knows.
     #[must_use]
     pub fn new(view: Arc<ViewCell>, client: rpc::Client) -> Arc<Self> {
-        Arc::new(Self { view, client, identity: fastrand::u64(1..), round: AtomicU64::new(1) })
+        Arc::new(Self {
+            view,
+            client,
+            identity: fastrand::u64(1..),
+            round: AtomicU64::new(1),
+            turn: tokio::sync::Mutex::default(),
+        })
     }
 
     /// Changes the committed state to what `decide` makes of it. `decide` may be called several times.
@@ -62,7 +73,9 @@
         let mut tries = 0_u64;
         while Instant::now() < deadline {
             let mut declined = None;
+            let turn = self.turn.lock().await;
             let attempt = self.attempt(deadline, &decide, &mut declined).await;
+            drop(turn);
             match (attempt, declined) {
                 (Attempt::Committed(_), Some(reason)) => return Err(ChangeFailure::Declined(reason)),
                 (Attempt::Committed(value), None) => return Ok(value),
@@ -83,6 +96,17 @@
         }
     }
 
+    /// The newest state as of a moment after this call. Writes nothing where the newest value is known already.
+    pub async fn read_newest(&self, deadline: Instant) -> Option<Versioned<ControlState>> {
+        for _ in 0..READ_TRIES {
+            let known = self.view.committed()?;
+            if confirm_once(&self.view, &self.client, self, known, Instant::now()).await {
+                return self.view.committed();
+            }
+        }
+        self.read(deadline).await
+    }
+
     /// Commits a value that is accepted somewhere, or what is newer.
     pub async fn settle(&self) -> bool {
         self.read(Instant::now() + SETTLE_TIMEOUT).await.is_some()
--- /dev/null
+++ b/crates/state/src/change/members.rs
@@ -0,0 +1,65 @@
+//! Who is an acceptor of the register, and who keeps batch jobs.
+
+use register::{with_member, without_member, Member};
+
+use super::successor;
+use crate::{ControlState, StoreMember, StoreSet};
+
+/// There is nothing to change, now or for good.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AlreadyMember;
+
+/// The state of a system that starts for the first time; `None` without any acceptor.
+#[must_use]
+pub fn first_state(
+    acceptors: Vec<Member>,
+    stores: Vec<StoreMember>,
+    machines_lost: usize,
+) -> Option<ControlState> {
+    if acceptors.is_empty() {
+        return None;
+    }
+    let stores = StoreSet { epoch: 1, wanted: stores.len(), members: stores, copies: 2 * machines_lost + 1 };
+    Some(ControlState {
+        revision: 1,
+        acceptors_wanted: acceptors.len(),
+        acceptors,
+        stores,
+        ..ControlState::default()
+    })
+}
+
+/// Adds an acceptor; then removes its former self, where its disk was lost. One step at a time.
+///
+/// # Errors
+///
+/// When both are done.
+pub fn with_acceptor(state: &ControlState, member: &Member) -> Result<ControlState, AlreadyMember> {
+    let mut next = successor(state);
+    if !state.acceptors.contains(member) {
+        next.acceptors = with_member(&state.acceptors, member.clone());
+        return Ok(next);
+    }
+    let is_former = |other: &&Member| other.station == member.station && *other != member;
+    let former = state.acceptors.iter().find(is_former).ok_or(AlreadyMember)?;
+    next.acceptors = without_member(&state.acceptors, former.incarnation);
+    Ok(next)
+}
+
+/// Adds a machine to the store set, in the place of its former self where its disk was lost.
+///
+/// # Errors
+///
+/// When it is a member, when the set before has not moved everything yet, or when the machine is being emptied.
+pub fn with_store(state: &ControlState, member: &StoreMember) -> Result<ControlState, AlreadyMember> {
+    let is_emptied = state.draining.contains_key(&member.member.station);
+    if state.stores.members.contains(member) || state.previous_stores.is_some() || is_emptied {
+        return Err(AlreadyMember);
+    }
+    let mut next = successor(state);
+    next.previous_stores = Some(state.stores.clone());
+    next.stores.epoch += 1;
+    next.stores.members.retain(|other| other.member.station != member.member.station);
+    next.stores.members.push(member.clone());
+    Ok(next)
+}
--- /dev/null
+++ b/crates/state/src/change/operator.rs
@@ -0,0 +1,119 @@
+//! Changes by the operator and the trainers.
+
+use configuration::{Configuration, ConfigurationError};
+
+use super::successor;
+use crate::{ControlState, DrainState, TakenChange, TAKEN_KEPT};
+
+/// The version of a model that was never named.
+const FIRST_VERSION: u64 = 1;
+
+/// How a configuration is changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangeKind {
+    /// A whole document takes the place of the one before.
+    Replace,
+    /// Named items are added, replaced and removed.
+    Patch,
+}
+
+/// Why the committed state declines a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Declined {
+    /// It was taken before.
+    AlreadyTaken,
+    /// It builds on another version than this current one.
+    OtherVersion(u64),
+    /// It is invalid.
+    Invalid(ConfigurationError),
+    /// There is nothing to change.
+    Unchanged,
+    /// There is no such machine.
+    Unknown,
+    /// Too few machines would be left.
+    TooFew,
+}
+
+/// A digest of an order's content: two 64-bit FNV-1a sums with different starts.
+#[must_use]
+pub fn change_digest(kind: ChangeKind, expected: u64, body: &[u8]) -> u128 {
+    let head = [u8::from(kind == ChangeKind::Patch)].into_iter().chain(expected.to_be_bytes());
+    let sum = |start: u64| {
+        head.clone()
+            .chain(body.iter().copied())
+            .fold(start, |sum, byte| (sum ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3))
+    };
+    u128::from(sum(0xcbf2_9ce4_8422_2325)) << 64 | u128::from(sum(0x9e37_79b9_7f4a_7c15))
+}
+
+/// Changes the configuration on top of version `expected`.
+///
+/// # Errors
+///
+/// [`Declined::AlreadyTaken`] for a change that this state holds already, whatever came after it.
+pub fn with_configuration(
+    state: &ControlState,
+    kind: ChangeKind,
+    expected: u64,
+    digest: u128,
+    body: &[u8],
+) -> Result<ControlState, Declined> {
+    if state.taken.iter().any(|taken| taken.digest == digest) {
+        return Err(Declined::AlreadyTaken);
+    }
+    if expected != state.edition {
+        return Err(Declined::OtherVersion(state.edition));
+    }
+    let document = match kind {
+        ChangeKind::Patch => configuration::patch(&state.configuration, body),
+        ChangeKind::Replace => configuration::replace(state.edition, body),
+    };
+    let document = document.map_err(Declined::Invalid)?;
+    let parsed = Configuration::parse(document.as_bytes()).map_err(Declined::Invalid)?;
+    let mut next = successor(state);
+    next.edition = parsed.edition();
+    next.configuration = document;
+    next.taken.push_back(TakenChange { digest, edition: next.edition });
+    while next.taken.len() > TAKEN_KEPT {
+        next.taken.pop_front();
+    }
+    Ok(next)
+}
+
+/// Names a version of a model.
+///
+/// # Errors
+///
+/// [`Declined::Unchanged`] when this version or a newer one was named.
+pub fn with_version(state: &ControlState, model: &str, version: u64) -> Result<ControlState, Declined> {
+    if state.named_versions.get(model).copied().unwrap_or(FIRST_VERSION) >= version {
+        return Err(Declined::Unchanged);
+    }
+    let mut next = successor(state);
+    next.named_versions.insert(model.to_owned(), version);
+    Ok(next)
+}
+
+/// Has a store machine emptied.
+///
+/// # Errors
+///
+/// When it is under way already, no such machine keeps batch jobs, or too few would be left.
+pub fn with_draining(state: &ControlState, station: &str) -> Result<ControlState, Declined> {
+    if state.draining.contains_key(station) {
+        return Err(Declined::Unchanged);
+    }
+    let previous = state.previous_stores.iter().flat_map(|set| &set.members);
+    let mut known = state.stores.members.iter().chain(previous);
+    if !known.any(|store| store.member.station == station) {
+        return Err(Declined::Unknown);
+    }
+    let stays = |of: &str| of != station && !state.draining.contains_key(of);
+    let remaining = state.stores.members.iter().filter(|store| stays(&store.member.station)).count();
+    if remaining < state.stores.copies {
+        return Err(Declined::TooFew);
+    }
+    let mut next = successor(state);
+    next.draining.insert(station.to_owned(), DrainState::Rolling);
+    Ok(next)
+}
--- a/crates/state/src/control.rs
+++ b/crates/state/src/control.rs
@@ -69,8 +69,8 @@
     pub fence: u64,
     /// The station to which it was handed out.
     pub fence_holder: Option<String>,
-    /// The station that held the one before.
-    pub fence_holder_before: Option<String>,
+    /// The station that last was free to send orders to servers.
+    pub order_holder: Option<String>,
     /// The machines that keep batch jobs.
     pub stores: StoreSet,
     /// The set before, until all that it kept is whole in the present one.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -2,7 +2,9 @@
 //!
 //! [`ControlState`] is the value of the replicated register. [`ServerList`] is what the holder of the leader
 //! lease read from the platform. [`View`] joins both into the immutable snapshot that a process acts on.
+//! [`change`] holds the decisions that lead from one control state to the next.
 
+pub mod change;
 mod control;
 mod servers;
 mod view;
--- /dev/null
+++ b/crates/state/tests/members.rs
@@ -0,0 +1,187 @@
+//! Members that join, are lost, and are replaced.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{member, store, system};
+use register::Member;
+use state::change::{
+    first_state, may_order_at_once, next_upkeep, with_acceptor, with_draining, with_fence, with_order_holder,
+    with_store, AlreadyMember, Observation, Reachability, Superseded,
+};
+use state::{ControlState, DrainState};
+use yare::parameterized;
+
+const ROUND: Duration = Duration::from_millis(700);
+const LONGEST: Duration = Duration::from_millis(2400);
+
+/// `rounds` of pings that all but `silent` answer.
+fn observe(state: &ControlState, silent: &[&str], rounds: u32) -> Observation {
+    let mut observed = Observation::default();
+    for _ in 0..rounds {
+        observed.reachability.round(state, &others(state, silent), ROUND, LONGEST);
+    }
+    observed
+}
+
+fn others(state: &ControlState, silent: &[&str]) -> Vec<Member> {
+    let mut members = Observation::to_ping(state);
+    members.retain(|member| !silent.contains(&&*member.station));
+    members
+}
+
+fn stations(members: &[Member]) -> Vec<&str> {
+    members.iter().map(|member| &*member.station).collect()
+}
+
+#[test]
+fn given_no_acceptor_when_started_first_then_there_is_no_state() {
+    assert_eq!(first_state(Vec::new(), vec![store("v", 1)], 1), None);
+}
+
+#[test]
+fn given_a_lost_disk_when_the_machine_joins_then_its_former_self_goes_in_a_second_step() {
+    let again = member("b", 20);
+    let joined = with_acceptor(&system(3), &again).expect("it joins");
+    assert_eq!(joined.acceptors.len(), 4);
+    let cleaned = with_acceptor(&joined, &again).expect("its former self goes");
+    assert_eq!(cleaned.acceptors, [member("a", 1), member("c", 3), again.clone()]);
+    assert_eq!(with_acceptor(&cleaned, &again), Err(AlreadyMember));
+}
+
+#[test]
+fn given_the_same_disk_at_another_address_when_it_joins_then_the_address_is_replaced() {
+    let moved = Member { address: "b:2".into(), ..member("b", 2) };
+    let state = with_acceptor(&system(3), &moved).expect("it changes");
+    assert_eq!(state.acceptors.len(), 3);
+    assert!(state.acceptors.contains(&moved));
+    assert_eq!(with_acceptor(&state, &moved), Err(AlreadyMember));
+}
+
+#[test]
+fn given_a_machine_taken_away_when_another_joins_then_the_lost_one_is_removed_after_five_silent_rounds() {
+    let state = with_acceptor(&system(3), &member("d", 4)).expect("it joins");
+    assert_eq!(next_upkeep(&state, 0, &observe(&state, &["c"], 4)), None);
+    let next = next_upkeep(&state, 0, &observe(&state, &["c"], 5)).expect("it is removed");
+    assert_eq!(stations(&next.acceptors), ["a", "b", "d"]);
+}
+
+#[parameterized(acceptor = { "c" }, store = { "v0" })]
+fn given_no_replacement_when_a_member_is_silent_then_it_stays(silent: &str) {
+    let state = system(3);
+    assert_eq!(next_upkeep(&state, 0, &observe(&state, &[silent], 50)), None);
+}
+
+#[test]
+fn given_a_store_too_many_when_one_is_silent_then_it_is_removed_but_never_a_second() {
+    let state = with_store(&system(3), &store("v9", 90)).expect("it joins");
+    assert_eq!(state.stores.epoch, 2);
+    assert_eq!(next_upkeep(&state, 0, &observe(&state, &["v1"], 5)), None, "first everything is moved");
+    let state = ControlState { previous_stores: None, ..state };
+    let next = next_upkeep(&state, 0, &observe(&state, &["v1", "v2"], 5)).expect("one is removed");
+    assert_eq!(next.stores.members.len(), 3);
+    let next = ControlState { previous_stores: None, ..next };
+    assert_eq!(next_upkeep(&next, 0, &observe(&next, &["v1", "v2"], 5)), None);
+}
+
+#[test]
+fn given_a_frozen_leader_when_it_thaws_then_nobody_is_lost() {
+    let state = with_acceptor(&system(3), &member("d", 4)).expect("it joins");
+    let mut observed = observe(&state, &["c"], 4);
+    observed.reachability.round(&state, &[], LONGEST * 10, LONGEST);
+    assert_eq!(next_upkeep(&state, 0, &observed), None);
+    observed.reachability.round(&state, &others(&state, &["c"]), ROUND, LONGEST);
+    assert_eq!(next_upkeep(&state, 0, &observed), None, "the count begins anew");
+}
+
+#[test]
+fn given_a_leader_without_majority_when_it_pings_then_nobody_is_lost() {
+    let state = with_acceptor(&system(3), &member("d", 4)).expect("it joins");
+    assert_eq!(next_upkeep(&state, 0, &observe(&state, &["b", "c"], 50)), None);
+}
+
+#[test]
+fn given_an_answer_now_and_then_when_pinged_then_the_member_stays() {
+    let state = with_acceptor(&system(3), &member("d", 4)).expect("it joins");
+    let mut reachability = Reachability::default();
+    for round in 0..50 {
+        let silent: &[&str] = if round % 5 == 4 { &[] } else { &["c"] };
+        reachability.round(&state, &others(&state, silent), ROUND, LONGEST);
+        assert!(!reachability.is_lost(&member("c", 3)));
+    }
+}
+
+#[test]
+fn given_another_holder_of_the_lease_when_a_late_upkeep_comes_then_it_changes_nothing() {
+    let state = with_fence(&with_acceptor(&system(3), &member("d", 4)).expect("it joins"), "b");
+    let observed = observe(&state, &["c"], 5);
+    assert_eq!(next_upkeep(&state, 0, &observed), None);
+    assert!(next_upkeep(&state, 1, &observed).is_some());
+}
+
+#[parameterized(
+    one_missing = { &[10, 11], 2, true },
+    two_missing = { &[10], 2, false },
+    old_epoch = { &[10, 11, 12], 1, false },
+    none = { &[], 2, false },
+)]
+fn given_a_move_when_stores_have_settled_then_it_ends_if_a_majority_of_each_batch_job_is_heard(
+    settled: &[u64],
+    epoch: u64,
+    ends: bool,
+) {
+    let state = with_store(&system(3), &store("v9", 90)).expect("it joins");
+    let settled = settled.iter().map(|id| (register::Incarnation(*id), epoch)).collect();
+    let next = next_upkeep(&state, 0, &Observation { settled, ..Observation::default() });
+    assert_eq!(next.is_some_and(|next| next.previous_stores.is_none()), ends);
+}
+
+#[test]
+fn given_fewer_stores_than_copies_when_one_has_not_settled_then_the_move_does_not_end() {
+    let state = with_store(&system(2), &store("v9", 90)).expect("it joins");
+    let settled = [(register::Incarnation(10), 2)].into();
+    assert_eq!(next_upkeep(&state, 0, &Observation { settled, ..Observation::default() }), None);
+}
+
+#[test]
+fn given_answers_about_another_set_when_the_move_changed_meanwhile_then_they_do_not_end_it() {
+    let state = with_store(&system(3), &store("v9", 90)).expect("it joins");
+    let strangers = [77, 78, 79].map(|id| (register::Incarnation(id), 9)).into();
+    assert_eq!(next_upkeep(&state, 0, &Observation { settled: strangers, ..Observation::default() }), None);
+}
+
+#[test]
+fn given_a_store_being_emptied_when_its_process_starts_again_then_it_does_not_join_again() {
+    let state = with_draining(&system(4), "v1").expect("three are left");
+    let moving = next_upkeep(&state, 0, &Observation::default()).expect("the move begins");
+    let moved = ControlState { previous_stores: None, ..moving };
+    assert_eq!(with_store(&moved, &store("v1", 11)), Err(AlreadyMember));
+    assert_eq!(moved.draining["v1"], DrainState::Rolling);
+}
+
+#[test]
+fn given_a_store_without_its_disk_when_it_joins_then_it_takes_the_place_of_its_former_self() {
+    let state = with_store(&system(3), &store("v1", 99)).expect("it joins");
+    assert_eq!(state.stores.members.len(), 3);
+    assert!(state.stores.members.contains(&store("v1", 99)));
+    assert_eq!(with_store(&state, &store("v2", 98)), Err(AlreadyMember), "one move at a time");
+}
+
+#[test]
+fn given_a_holder_that_never_sent_orders_when_the_one_before_returns_then_it_need_not_wait() {
+    let state = with_fence(&system(3), "a");
+    assert!(may_order_at_once(&state, "a"), "nobody has sent orders yet");
+    let state = with_order_holder(&state, "a", 1).expect("it holds the token");
+    let state = with_fence(&with_fence(&state, "b"), "a");
+    assert!(may_order_at_once(&state, "a"));
+}
+
+#[test]
+fn given_a_holder_that_raises_its_token_twice_when_another_sent_orders_then_it_must_still_wait() {
+    let state = with_order_holder(&with_fence(&system(3), "a"), "a", 1).expect("it holds the token");
+    let state = with_fence(&with_fence(&state, "b"), "b");
+    assert!(!may_order_at_once(&state, "b"));
+    assert_eq!(with_order_holder(&state, "a", 1), Err(Superseded));
+    assert!(may_order_at_once(&with_order_holder(&state, "b", 3).expect("it holds the token"), "b"));
+}
