--- a/crates/control-plane/src/distribution.rs
+++ b/crates/control-plane/src/distribution.rs
@@ -61,6 +61,7 @@
             control,
             servers,
             confirmed_age_ms: self.view.confirmed_age().map(milliseconds),
+            servers_version: view.servers.version,
             servers_age_ms: self.view.servers_age().map(milliseconds),
         }
     }
--- a/crates/control-plane/src/list_reader.rs
+++ b/crates/control-plane/src/list_reader.rs
@@ -3,20 +3,29 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use state::{ServerEntry, ServerList, ServerListVersion};
+use state::{ServerList, ServerListVersion};
 
-use crate::{Leadership, Platform, PlatformError, ViewCell};
+use crate::{Leadership, Platform, ViewCell};
 
 /// How often the leader reads.
 const LEADER_EVERY: Duration = Duration::from_millis(900);
 /// The leader gives the list a new version after this time, changed or not, so that what others read for
 /// themselves gives way.
 const RENEW_AFTER: Duration = Duration::from_secs(5);
-/// Pause after the platform refused a call.
-const REFUSED_PAUSE: Duration = Duration::from_millis(700);
+/// Pause after the platform refused a call or gave no list; all nodes together may make few calls.
+const FAILED_PAUSE: Duration = Duration::from_millis(700);
 /// How often is looked whether it is time to read.
 const TICK: Duration = Duration::from_millis(150);
 
+/// What became of a list that was read.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Taken {
+    /// The one held said the same.
+    Unchanged,
+    /// It is held under a new version.
+    Changed,
+}
+
 /// Reads the list while this process leads; otherwise only where nothing was heard of it for `own_after`.
 pub async fn run_list_reader(
     platform: Platform,
@@ -25,7 +34,6 @@
     own_after: Duration,
 ) {
     let mut renewed_at = Instant::now();
-    let mut sequence = 0;
     let mut own_wait = own_after + jitter(own_after);
     loop {
         tokio::time::sleep(TICK).await;
@@ -39,43 +47,32 @@
         match platform.read(ServerListVersion::default()).await {
             Ok(list) => {
                 own_wait = own_after + jitter(own_after);
-                let known = view.view();
-                let changed = !same_servers(&known.servers.servers, &list.servers);
-                let renew = fence.is_some_and(|fence| {
-                    known.servers.version.fence != fence || renewed_at.elapsed() > RENEW_AFTER
-                });
-                if changed || renew {
+                if take_over(&view, list, leadership.fence(), renewed_at.elapsed() > RENEW_AFTER)
+                    == Taken::Changed
+                {
                     renewed_at = began;
-                    let version = next_version(known.servers.version, fence, &mut sequence);
-                    view.adopt_servers(ServerList { version, servers: list.servers });
                 }
                 view.servers_read(began);
             }
             Err(error) => {
                 log::warn!("{error}");
-                if error == PlatformError::TooManyCalls {
-                    tokio::time::sleep(REFUSED_PAUSE + jitter(REFUSED_PAUSE)).await;
-                }
+                tokio::time::sleep(FAILED_PAUSE + jitter(FAILED_PAUSE)).await;
             }
         }
     }
 }
 
-fn next_version(known: ServerListVersion, fence: Option<u64>, sequence: &mut u64) -> ServerListVersion {
-    match fence {
-        Some(fence) => {
-            let before = if known.fence == fence { known.sequence } else { 0 };
-            *sequence = before.max(*sequence) + 1;
-            ServerListVersion { fence, sequence: *sequence, local: 0 }
-        }
-        None => ServerListVersion { local: known.local + 1, ..known },
+/// Takes over what was read, under a new version where it differs or is to be renewed.
+fn take_over(view: &ViewCell, read: ServerList, fence: Option<u64>, renew: bool) -> Taken {
+    let known = Arc::clone(&view.view().servers);
+    let is_same = known.shows_same(&read);
+    let by_holder = fence.and_then(|fence| known.version.next_of_holder(fence));
+    if is_same && !(by_holder.is_some() && (renew || Some(known.version.fence) != fence)) {
+        return Taken::Unchanged;
     }
-}
-
-/// Whether two lists say the same; how much longer a server is slow changes all the time and does not count.
-fn same_servers(a: &[ServerEntry], b: &[ServerEntry]) -> bool {
-    let settled = |entry: &ServerEntry| ServerEntry { cold_ms: 0, ..entry.clone() };
-    a.len() == b.len() && a.iter().zip(b).all(|(a, b)| settled(a) == settled(b))
+    let version = by_holder.unwrap_or_else(|| known.version.next_local(fastrand::u64(..)));
+    view.adopt_servers(ServerList { version, ..read });
+    Taken::Changed
 }
 
 fn jitter(most: Duration) -> Duration {
--- a/crates/control-plane/src/messages.rs
+++ b/crates/control-plane/src/messages.rs
@@ -62,6 +62,8 @@
     pub servers: Option<ServerList>,
     /// Time since a majority confirmed that the value is the newest; `None` if none has.
     pub confirmed_age_ms: Option<u32>,
+    /// The version of the list that the peer holds: its age says nothing of another one.
+    pub servers_version: ServerListVersion,
     /// Time since the list was read from the platform; `None` if none was.
     pub servers_age_ms: Option<u32>,
 }
--- a/crates/control-plane/src/poll.rs
+++ b/crates/control-plane/src/poll.rs
@@ -82,7 +82,13 @@
     let hold = if view.confirmed_age().is_none() { Duration::ZERO } else { HOLD };
     let request = PollRequest { ballot, servers, hold_ms: u32::try_from(hold.as_millis()).unwrap_or(0) };
     let reply: PollReply = client.call(peer, paths::POLL, &request, hold + GRACE).await.ok()?;
-    let now = Instant::now();
+    take_over(view, &reply, Instant::now());
+    Some(reply)
+}
+
+/// Adopts what is newer in a reply that came at `now`. A control state that was confirmed at a time is no newer than
+/// the one held here; but the age of a list says nothing of another list.
+fn take_over(view: &ViewCell, reply: &PollReply, now: Instant) {
     if let Some(newer) = &reply.control {
         view.adopt_control(newer);
     }
@@ -93,8 +99,8 @@
     if let Some(at) = reply.confirmed_age_ms.and_then(ago) {
         view.confirm(at);
     }
-    if let Some(at) = reply.servers_age_ms.and_then(ago) {
+    let holds_same = view.view().servers.version == reply.servers_version;
+    if let Some(at) = reply.servers_age_ms.and_then(ago).filter(|_| holds_same) {
         view.servers_read(at);
     }
-    Some(reply)
 }
--- a/crates/state/src/servers.rs
+++ b/crates/state/src/servers.rs
@@ -51,6 +51,26 @@
     pub local: u64,
 }
 
+/// Bits of [`ServerListVersion::local`] that tell readers apart, so that no two lists share a version.
+const READER_BITS: u32 = 24;
+
+impl ServerListVersion {
+    /// The version of what the holder of the lease with this fencing token reads next; `None` where a later holder
+    /// is known already.
+    #[must_use]
+    pub fn next_of_holder(self, fence: u64) -> Option<Self> {
+        let sequence = if self.fence == fence { self.sequence + 1 } else { 1 };
+        (self.fence <= fence).then_some(Self { fence, sequence, local: 0 })
+    }
+
+    /// The version of what a process without the lease reads next; `random` tells it from other such lists.
+    #[must_use]
+    pub fn next_local(self, random: u64) -> Self {
+        let count = (self.local >> READER_BITS) + 1;
+        Self { local: count << READER_BITS | (random & ((1 << READER_BITS) - 1)), ..self }
+    }
+}
+
 /// All servers.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerList {
@@ -59,3 +79,13 @@
     /// The servers, ordered by id.
     pub servers: Vec<ServerEntry>,
 }
+
+impl ServerList {
+    /// Whether two lists say the same; how much longer a server is slow changes all the time and does not count.
+    #[must_use]
+    pub fn shows_same(&self, other: &Self) -> bool {
+        let settled = |entry: &ServerEntry| ServerEntry { cold_ms: 0, ..entry.clone() };
+        let mut pairs = self.servers.iter().zip(&other.servers);
+        self.servers.len() == other.servers.len() && pairs.all(|(a, b)| settled(a) == settled(b))
+    }
+}
