--- a/crates/control-plane/src/messages.rs
+++ b/crates/control-plane/src/messages.rs
@@ -62,6 +62,8 @@
     pub servers: Option<ServerList>,
     /// Time since a majority confirmed that the value is the newest; `None` if none has.
     pub confirmed_age_ms: Option<u32>,
+    /// The version of the list that the peer holds: its age says nothing of another one.
+    pub servers_version: ServerListVersion,
     /// Time since the list was read from the platform; `None` if none was.
     pub servers_age_ms: Option<u32>,
 }
@@ -69,6 +71,6 @@
 /// The state of a process that was asked whether it is there.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PingReply {
-    /// The epoch of the store set to which all its batch jobs have moved; a process that keeps none says the highest.
+    /// The epoch of the store set to which all its batch jobs have moved; 0 until it is known.
     pub settled_epoch: u64,
 }
