--- a/crates/local-fleet/src/run.rs
+++ b/crates/local-fleet/src/run.rs
@@ -224,6 +224,7 @@
     }
 
     async fn start(&mut self, tell: &impl Fn(&str)) -> Result<(), LocalError> {
+        self.background.spawn(self.surroundings.list_versions());
         self.fleet.start_all()?;
         tell(&format!("started {}", self.fleet.names().join(", ")));
         let put = self.operator.put(&self.configuration, 0, START_WITHIN).await;
--- a/crates/local-fleet/src/surroundings.rs
+++ b/crates/local-fleet/src/surroundings.rs
@@ -1,5 +1,6 @@
 //! The stand-ins around a fleet: platform and servers.
 
+use std::future::Future;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,6 +30,8 @@
 const LOAD: Duration = Duration::from_millis(400);
 /// Entries of a page of the list of servers.
 const PAGE_ENTRIES: usize = 5;
+/// The list is compared with the engines this often.
+const LISTED_EVERY: Duration = Duration::from_millis(100);
 /// The version of the servers' software.
 const SOFTWARE: &str = "v1";
 
@@ -36,9 +39,10 @@
 #[derive(Debug)]
 pub struct Surroundings {
     /// The platform.
-    pub platform: Platform,
+    pub platform: Arc<Platform>,
     /// The engines.
-    pub engines: Vec<EngineServer>,
+    pub engines: Arc<[EngineServer]>,
+    carriers: Vec<Carrier>,
     _plain: Vec<PlainServer>,
 }
 
@@ -55,7 +59,7 @@
             calls_per_second: PLATFORM_CALLS_PER_SECOND,
             page_entries: PAGE_ENTRIES,
         };
-        let platform = Platform::start(layout.platform(), options).await?;
+        let platform = Arc::new(Platform::start(layout.platform(), options).await?);
         let mut carriers = Vec::new();
         let mut plain = Vec::new();
         for number in 0..layout.plain_servers {
@@ -69,9 +73,38 @@
             carriers.push(engine_entry(layout, number, &options));
             engines.push(EngineServer::start(layout.engine(number), options, Arc::clone(ledger)).await?);
         }
-        platform.set(carriers);
-        Ok(Self { platform, engines, _plain: plain })
+        platform.set(carriers.clone());
+        Ok(Self { platform, engines: engines.into(), carriers, _plain: plain })
     }
+
+    /// Keeps the versions of the list at those of the engines.
+    pub fn list_versions(&self) -> impl Future<Output = ()> + Send + 'static {
+        let (platform, engines) = (Arc::clone(&self.platform), Arc::clone(&self.engines));
+        let mut listed = self.carriers.clone();
+        async move {
+            loop {
+                tokio::time::sleep(LISTED_EVERY).await;
+                let current = with_versions(&listed, &engines);
+                if current != listed {
+                    listed = current;
+                    platform.set(listed.clone());
+                }
+            }
+        }
+    }
+}
+
+/// The list of servers with the present versions of the engines.
+fn with_versions(carriers: &[Carrier], engines: &[EngineServer]) -> Vec<Carrier> {
+    let mut carriers = carriers.to_vec();
+    for engine in engines {
+        let entry = carriers.iter_mut().find(|carrier| carrier.address == engine.address());
+        entry
+            .into_iter()
+            .flat_map(|entry| &mut entry.models)
+            .for_each(|model| model.version = engine.version());
+    }
+    carriers
 }
 
 fn server_id() -> Arc<str> {
