--- a/crates/data-plane/src/front.rs
+++ b/crates/data-plane/src/front.rs
@@ -18,18 +18,21 @@
 
 use crate::answer::Answer;
 use crate::call::{end_to_end, Call, ATTEMPT_ID, TIME_LEFT};
+use crate::connections;
 use crate::sender::Sender;
 
 /// Calls on batch jobs and their items.
 const JOB_PREFIXES: [&str; 2] = ["/api/lots/", "/api/items/"];
 /// Where the platform asks whether the node is ready.
 const READY_PATH: &str = "/api/ready";
-/// After the end was asked for, new connections still come until the platform has seen two misses.
-const STILL_COMING: Duration = Duration::from_millis(2500);
+/// What is held is finished so long before the end of the time that the node is given.
+const END_MARGIN: Duration = Duration::from_millis(300);
 /// When a client is asked to come back while there is no configuration.
 const COME_BACK: Duration = Duration::from_millis(200);
-/// A connection without traffic is closed after this time; operators' limits are below it.
-const IDLE_MOST: Duration = Duration::from_secs(60);
+/// A connection may rest for this long at least, as the operator's limit may rise while it is open.
+const IDLE_LEAST: Duration = Duration::from_secs(30);
+/// A connection may rest for so many times the operator's limit.
+const IDLE_MARGIN: f64 = 1.25;
 /// Bytes of a line of the head beside name and value.
 const HEADER_OVERHEAD: usize = 4;
 
@@ -50,6 +53,9 @@
     pub is_ready: Condition,
     /// Whether the configuration is known to be the newest; only then is a path without route answered 404.
     pub is_confirmed: Condition,
+    /// After the call of [`Front::drain`], new connections are taken for this long, as they still come until the
+    /// platform has seen two misses; 2.5 s where it asks once a second.
+    pub still_coming: Duration,
     /// The time from the call of [`Front::drain`] until every answer must be out.
     pub grace: Duration,
 }
@@ -85,17 +91,24 @@
     ///
     /// When the listener fails for good.
     pub async fn serve(&self, listener: TcpListener) -> io::Result<()> {
-        let finish = self.shared.settings.grace.saturating_sub(STILL_COMING);
+        let settings = &self.shared.settings;
+        let still_coming = settings.still_coming;
+        let finish = settings.grace.saturating_sub(still_coming + END_MARGIN);
         let mut draining = self.shared.draining.subscribe();
         let stop_accepting = async move {
             // The sender lives as long as this front.
             let _ = draining.wait_for(|draining| *draining).await;
-            sleep(STILL_COMING).await;
+            sleep(still_coming).await;
         };
-        Server::new_with_acceptor(TcpAcceptor::from_tokio(listener)?)
-            .idle_timeout(IDLE_MOST)
-            .run_with_graceful_shutdown(FrontEndpoint(self.clone()), stop_accepting, Some(finish))
-            .await
+        let idle = || self.idle_time();
+        connections::serve(listener, FrontEndpoint(self.clone()), idle, stop_accepting, finish).await
+    }
+
+    /// How long a new connection may rest.
+    fn idle_time(&self) -> Duration {
+        let configuration = self.shared.sender.configuration();
+        let told = configuration.map_or(Duration::ZERO, |configuration| configuration.limits().idle);
+        told.mul_f64(IDLE_MARGIN).max(IDLE_LEAST)
     }
 
     /// Serves the platform's question whether the node is ready, until the process ends.
@@ -152,7 +165,10 @@
         };
         match route.kind {
             Kind::Stream => self.shared.sender.stream(route, call, deadline).await,
-            _ => self.shared.sender.plain(route, call, deadline).await.answer,
+            _ => {
+                let may_repeat = route.kind == Kind::Safe;
+                self.shared.sender.plain(route, call, may_repeat, deadline).await.answer
+            }
         }
     }
 }
@@ -179,7 +195,12 @@
     let body = read_body(&mut request, limits, deadline).await?;
     let target = request.uri().path_and_query().map_or("/", |target| target.as_str()).to_owned();
     let headers = end_to_end(request.headers());
-    Ok(Call { method: request.method().clone(), target, headers, body })
+    let call = Call { method: request.method().clone(), target, headers, body };
+    if call.is_sendable() {
+        Ok(call)
+    } else {
+        Err(StatusCode::BAD_REQUEST)
+    }
 }
 
 fn head_bytes(request: &Request) -> u64 {
--- a/crates/data-plane/src/item.rs
+++ b/crates/data-plane/src/item.rs
@@ -20,6 +20,9 @@
 /// When an item may be tried again if no server names a time.
 const COME_BACK: Duration = Duration::from_millis(50);
 
+/// A server that is silent for this long, before the first event or between two, is thought gone.
+const SILENCE_MOST: Duration = Duration::from_millis(3000);
+
 /// One run of an item.
 #[derive(Clone, Debug)]
 pub struct ItemCall {
@@ -109,6 +112,7 @@
             deadline: item.deadline,
             version: known.filter(|_| item.route.single_version),
             last_event_id: item.progress.last_event_id,
+            silence_most: Some(SILENCE_MOST),
         };
         let opened = match open(ticket, &call, extra).await {
             Ok(opened) => opened,
@@ -131,14 +135,20 @@
             Some(version) => VersionNeed::Exactly(*version),
             None => VersionNeed::AtLeast(item.oldest_version),
         };
+        let favourite = item.group.as_ref().and_then(|group| self.state().favourites.of(group));
         let need = Need {
             targets: &item.route.targets,
             model: item.model.as_deref(),
             version,
             tried: &[],
+            favourite: favourite.as_ref(),
             with_room: true,
         };
-        self.choose(&need)
+        let ticket = self.choose(&need)?;
+        if let Some(group) = &item.group {
+            self.state().favourites.note(group, &ticket.choice.id);
+        }
+        Some(ticket)
     }
 }
 
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -6,7 +6,9 @@
 mod answer;
 mod attempt;
 mod call;
+mod connections;
 mod event_stream;
+mod favourites;
 mod front;
 mod item;
 mod links;
--- a/crates/data-plane/src/reward.rs
+++ b/crates/data-plane/src/reward.rs
@@ -17,8 +17,11 @@
 pub enum RewardEnd {
     /// The stamp of the 2xx.
     Graded(String),
-    /// As many servers as the route's tries allow answered 500.
-    Failed,
+    /// Servers answered 500 and none answered otherwise.
+    Failed {
+        /// How many answers of 500 there were.
+        answers: u32,
+    },
     /// It did not run, or its answer was lost: it may be repeated.
     Again,
     /// No route is there for it.
@@ -44,12 +47,12 @@
             return RewardEnd::NoRoute;
         };
         let call = Arc::new(Call { method: Method::POST, target: path.to_owned(), headers, body });
-        let end = self.plain(route, call, Instant::now() + deadline).await;
+        let end = self.plain(route, call, true, Instant::now() + deadline).await;
         let status = end.answer.status;
         let stamp = end.answer.headers.get(POSTMARK).and_then(|stamp| stamp.to_str().ok());
         match stamp {
             Some(stamp) if end.is_servers && status.is_success() => RewardEnd::Graded(stamp.to_owned()),
-            _ if end.errors >= route.tries.max(1) => RewardEnd::Failed,
+            _ if end.errors > 0 => RewardEnd::Failed { answers: end.errors },
             _ => RewardEnd::Again,
         }
     }
--- a/crates/store-plane/src/lib.rs
+++ b/crates/store-plane/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod runner;
 mod runner_end;
 mod runner_job;
+pub mod runner_owned;
 pub mod runner_ports;
 pub mod runner_sender;
 mod runner_start;
--- a/crates/store-plane/src/replication/tend.rs
+++ b/crates/store-plane/src/replication/tend.rs
@@ -9,7 +9,8 @@
 
 use super::copies::copies_of;
 use super::messages::{Call, MovedReply, TAKE_OVER_PATH};
-use super::store::{has_end, results, Shared, State};
+use super::state::{has_end, results, Owned, State};
+use super::store::Shared;
 
 /// How often an owner tells that it is alive.
 const TICK: Duration = Duration::from_millis(300);
@@ -23,8 +24,8 @@
 const LEASE_LOST: Duration = Duration::from_secs(3);
 /// Claims of one tick; more would only slow each other.
 const CLAIMS_PER_TICK: usize = 16;
-/// A batch job is kept this much longer than results must be readable.
-const KEPT_MARGIN: Duration = Duration::from_secs(60);
+/// A batch job is kept longer than results must be readable by this part of that time.
+const KEPT_MARGIN_DIVISOR: u32 = 2;
 /// A batch job with all results that nobody ended is kept this many times as long.
 const KEPT_UNENDED: u32 = 8;
 /// Batch jobs are written anew once the ring is this full.
@@ -98,13 +99,13 @@
     fn give_up_stale(&self) {
         let now = Instant::now();
         let mut state = self.lock();
-        let is_stale = |owned: &super::store::Owned| {
+        let is_stale = |owned: &Owned| {
             let since = now - owned.since;
             let lease_lost = !owned.ownership.holds_lease(self.time(now), LEASE_LOST);
             match owned.ownership.phase() {
                 Phase::Claiming => since > CLAIM_MOST,
                 Phase::Leading => since > LEASE_LOST && (lease_lost || owned.ownership.log().is_empty()),
-                Phase::Lost(_) => true,
+                Phase::Lost(_) => lease_lost,
             }
         };
         let stale: Vec<JobId> =
@@ -185,7 +186,7 @@
 
     /// Drops batch jobs that are over and whose results need not be readable any more.
     fn drop_old(self: &Arc<Self>) {
-        let kept = self.limits.results_kept + KEPT_MARGIN;
+        let kept = self.limits.results_kept + self.limits.results_kept / KEPT_MARGIN_DIVISOR;
         let old: Vec<(JobId, Vec<StoreId>, ReplicaRequest)> = {
             let state = self.lock();
             let over = state.owned.iter().filter(|(job, owned)| {
--- /dev/null
+++ b/crates/store-plane/src/runner_owned.rs
@@ -0,0 +1,54 @@
+//! The runner of the batch jobs that a [`JobStore`](crate::JobStore) owns.
+
+use std::sync::Arc;
+
+use batch::ItemResult;
+use data_plane::Sender;
+use tokio::sync::{mpsc, watch};
+
+use crate::runner::{Runner, RunnerSettings};
+use crate::runner_ports::{Deposed, JobLog, JobState, RunnableJob};
+use crate::runner_sender::SenderExecutor;
+use crate::OwnedJob;
+
+impl JobLog for OwnedJob {
+    async fn append(&self, results: Vec<ItemResult>) -> Result<(), Deposed> {
+        Self::append(self, results).await
+    }
+
+    fn state(&self) -> watch::Receiver<JobState> {
+        Self::state(self)
+    }
+}
+
+impl From<OwnedJob> for RunnableJob<OwnedJob> {
+    fn from(mut owned: OwnedJob) -> Self {
+        Self {
+            id: Arc::clone(&owned.id),
+            job: Arc::clone(&owned.job),
+            host: Arc::clone(&owned.host),
+            path: Arc::clone(&owned.path),
+            age: owned.age,
+            listed: std::mem::take(&mut owned.listed),
+            log: owned,
+        }
+    }
+}
+
+/// Runs the items of all batch jobs that come from `owned` by `sender`, until there can come no more.
+pub async fn run_owned_jobs(
+    mut owned: mpsc::UnboundedReceiver<OwnedJob>,
+    sender: Sender,
+    settings: RunnerSettings,
+) {
+    let (runner, handle) = Runner::new(Arc::new(SenderExecutor::new(sender)), settings);
+    let forward = async {
+        while let Some(job) = owned.recv().await {
+            handle.take_over(job.into());
+        }
+    };
+    tokio::select! {
+        () = runner.run() => {}
+        () = forward => {}
+    }
+}
--- a/crates/store-plane/src/runner_ports.rs
+++ b/crates/store-plane/src/runner_ports.rs
@@ -1,17 +1,18 @@
 //! What the runner needs of the parts around it: something that carries out requests, and the log of a batch job.
 
 use std::collections::BTreeSet;
-use std::fmt;
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
 use batch::{Item, ItemResult, Job, JobId, RewardRequest};
 use bytes::Bytes;
-pub use data_plane::{ItemEnd, ItemProgress};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+pub use crate::replication::{Deposed, JobState};
+pub use data_plane::{ItemEnd, ItemProgress};
+
 /// What the route of a batch job demands of its items.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RouteTerms {
@@ -102,29 +103,6 @@
     ) -> impl Future<Output = RewardEnd> + Send;
 }
 
-/// Whether a batch job may be run by its holder.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum JobState {
-    /// It may.
-    Open,
-    /// The trainer has ended it.
-    Ended,
-    /// Another store owns it now.
-    Deposed,
-}
-
-/// Another store owns the batch job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Deposed;
-
-impl fmt::Display for Deposed {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("another store owns the batch job")
-    }
-}
-
-impl std::error::Error for Deposed {}
-
 /// The replicated log of a batch job, as its owner uses it.
 pub trait JobLog: Send + Sync + 'static {
     /// Lists results; returns when they are committed.
