--- a/crates/local-fleet/src/configuration_file.rs
+++ b/crates/local-fleet/src/configuration_file.rs
@@ -246,14 +246,14 @@
 
 /// Items to add or to replace.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Load {
+pub struct LoadItems {
     /// Routes.
     pub routes: Vec<RouteEntry>,
 }
 
 /// Names to remove.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Strike {
+pub struct StrikeItems {
     /// Routes.
     pub routes: Vec<String>,
 }
@@ -266,9 +266,9 @@
     pub version: u64,
     /// What is added or replaced.
     #[serde(rename = "loadIn")]
-    pub load: Load,
+    pub load: LoadItems,
     /// What is removed.
-    pub strike: Strike,
+    pub strike: StrikeItems,
 }
 
 impl ConfigurationFile {
--- a/crates/local-fleet/src/lib.rs
+++ b/crates/local-fleet/src/lib.rs
@@ -35,21 +35,22 @@
 
 pub use client::{Client, ClientCounts};
 pub use configuration_file::{
-    ConfigurationFile, ConfigurationPatch, Limits, Names, RouteEntry, ServiceEntry,
+    ConfigurationFile, ConfigurationPatch, Limits, LoadItems, Names, RouteEntry, ServiceEntry, StrikeItems,
 };
 pub use engine_server::{EngineOptions, EngineServer};
 pub use entry::Entry;
 pub use fleet::{Fleet, FleetError};
 pub use layout::Layout;
 pub use ledger::{Answer, Arrival, EventRecord, Expected, Ledger, OrderRecord, RunId};
+pub use listing::Listing;
 pub use operator::{Operator, OperatorError};
 pub use plain_server::{PlainOptions, PlainServer};
 pub use platform::{LaggingList, Platform, PlatformOptions, RateLimit};
 pub use report::Report;
 pub use run::{run, LocalError, LocalOptions};
-pub use settings_file::{MachineClass, SettingsFile};
+pub use settings_file::{MachineClass, SettingsFile, Timetable};
 pub use slots::{Full, Load, Slot, Slots};
-pub use steps::{StepPlan, StepTerms};
+pub use steps::{Group, StepPlan, StepTerms};
 pub use trainer::{StepOutcome, Trainer, TrainerError};
 pub use trouble::{NoTrouble, Trouble, TroubleKind};
 pub use verify::{check_result, EventData, ItemTerms, JobTerms};
--- a/crates/local-fleet/src/listing.rs
+++ b/crates/local-fleet/src/listing.rs
@@ -25,7 +25,7 @@
 
     /// Results that were read.
     #[must_use]
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.results.len()
     }
 
@@ -58,7 +58,7 @@
                 format!("batch job {job}: {} results from {from}, next {}", page.results.len(), page.next);
             broken.push(Violation::new(Rule::Mixed, seen));
         }
-        if page.results.is_empty() && from < self.len() {
+        if page.results.is_empty() && from < self.count() {
             broken
                 .push(Violation::new(Rule::Lost, format!("batch job {job} has nothing at position {from}")));
         }
--- a/crates/local-fleet/src/run.rs
+++ b/crates/local-fleet/src/run.rs
@@ -10,7 +10,7 @@
 
 use crate::client::Client;
 use crate::configuration_file::{
-    ConfigurationFile, ConfigurationPatch, Limits, Load, Names, RouteEntry, ServiceEntry, Strike,
+    ConfigurationFile, ConfigurationPatch, Limits, LoadItems, Names, RouteEntry, ServiceEntry, StrikeItems,
 };
 use crate::entry::Entry;
 use crate::fleet::{Fleet, FleetError};
@@ -115,6 +115,8 @@
     Fleet(FleetError),
     /// The first configuration was not taken.
     NotConfigured(OperatorError),
+    /// Signals cannot be listened for, or one came before the end.
+    Interrupted,
     /// Not all nodes got ready in time.
     NotReady {
         /// Nodes that are ready.
@@ -132,6 +134,7 @@
             Self::Http(error) => write!(f, "no HTTP client: {error}"),
             Self::Fleet(error) => error.fmt(f),
             Self::NotConfigured(error) => write!(f, "the first configuration was not taken: {error}"),
+            Self::Interrupted => f.write_str("interrupted"),
             Self::NotReady { ready, nodes } => write!(f, "only {ready} of {nodes} nodes got ready in time"),
         }
     }
@@ -320,8 +323,11 @@
         let built_on = self.configuration.version;
         // Versions climb in uneven steps.
         let version = built_on + 1 + step % 3;
-        let patch =
-            ConfigurationPatch { version, load: Load { routes: vec![route] }, strike: Strike::default() };
+        let patch = ConfigurationPatch {
+            version,
+            load: LoadItems { routes: vec![route] },
+            strike: StrikeItems::default(),
+        };
         match self.operator.patch(&patch, built_on, ORDER_WITHIN).await {
             Ok(()) => {
                 tell(&format!("configuration {version} adds the route {prefix}"));
--- a/crates/local-fleet/src/trainer.rs
+++ b/crates/local-fleet/src/trainer.rs
@@ -181,7 +181,7 @@
 
     async fn wait_for_groups(&self, job: &mut TakenJob, accepted: Instant) -> bool {
         loop {
-            let from = if fastrand::u32(..REREAD_ONE_IN) == 0 { 0 } else { job.listing.len() };
+            let from = if fastrand::u32(..REREAD_ONE_IN) == 0 { 0 } else { job.listing.count() };
             self.read(job, from, accepted).await;
             if enough(job, self.terms.wanted) {
                 return true;
@@ -196,7 +196,7 @@
     /// Reads results from a position on; tells whether some node answered with them.
     async fn read(&self, job: &mut TakenJob, from: usize, accepted: Instant) -> bool {
         let call = self.call(Method::GET, format!("/api/lots/{}?after={from}", job.plan.id));
-        let hold = if from < job.listing.len() { Duration::ZERO } else { HOLD };
+        let hold = if from < job.listing.count() { Duration::ZERO } else { HOLD };
         let call = call.header(header::HOLD, hold.as_millis().to_string()).timeout(HOLD + HOLD_MARGIN);
         let reply = match self.caller.once(self.entry.pick(), &call).await {
             Ok(reply) => reply,
@@ -264,7 +264,7 @@
     }
 
     async fn read_all(&self, job: &mut TakenJob) {
-        let (sent, known) = (job.sent, job.listing.len());
+        let (sent, known) = (job.sent, job.listing.count());
         let until = Instant::now() + ORDER_WITHIN;
         let mut from = 0;
         while from < known {
@@ -301,7 +301,7 @@
         groups_whole: whole.iter().filter(|whole| **whole).count(),
         wanted,
         done,
-        results: job.listing.len(),
+        results: job.listing.count(),
         took,
         left: left.collect(),
     }
--- /dev/null
+++ b/crates/local-fleet/tests/files.rs
@@ -0,0 +1,102 @@
+//! What the fleet writes and sends is what the system reads.
+
+use std::path::Path;
+
+use configuration::Configuration;
+use local_fleet::{
+    ConfigurationFile, ConfigurationPatch, Layout, Limits, LoadItems, Names, RouteEntry, ServiceEntry,
+    SettingsFile, StrikeItems, Trouble, TroubleKind,
+};
+use settings::Settings;
+use yare::parameterized;
+
+fn layout(nodes: u8, stores: u8) -> Layout {
+    Layout { subnet: 7, nodes, stores, plain_servers: 1, engines: 1 }
+}
+
+fn read(file: &SettingsFile) -> Settings {
+    Settings::parse(&file.to_toml().expect("text")).expect("settings that are in order")
+}
+
+#[test]
+fn given_the_settings_of_a_node_when_read_then_it_has_posts_seeds_and_a_disk() {
+    let settings = read(&SettingsFile::node(&layout(4, 3), 1, Path::new("files")));
+    assert_eq!(settings.station, "counter-zone-b-2");
+    assert_eq!(settings.seeds, ["127.10.7.1:8146", "127.10.7.2:8146", "127.10.7.3:8146"]);
+    assert_eq!(settings.data_dir.as_deref(), Some(Path::new("files/data")));
+    assert!(settings.first_start);
+}
+
+#[test]
+fn given_a_fourth_node_when_its_settings_are_read_then_it_has_no_disk() {
+    assert_eq!(read(&SettingsFile::node(&layout(4, 3), 3, Path::new("files"))).data_dir, None);
+}
+
+#[parameterized(
+    three_of_each = { 3, 3, 1 },
+    one_store = { 3, 1, 0 },
+    one_node = { 1, 3, 0 },
+)]
+fn given_machines_when_settings_of_a_store_are_read_then_they_tell_what_may_be_lost(
+    nodes: u8,
+    stores: u8,
+    lost: u32,
+) {
+    let settings = read(&SettingsFile::store(&layout(nodes, stores), 0, Path::new("files")));
+    assert_eq!(settings.station, "vault-zone-a-1");
+    assert_eq!(u64::from(settings.withstand.machines), u64::from(lost));
+}
+
+fn configuration(names: &Names) -> ConfigurationFile {
+    ConfigurationFile {
+        version: 2,
+        routes: vec![
+            RouteEntry::safe(names, "/a/"),
+            RouteEntry::reward(names, "/b/"),
+            RouteEntry::rollout(names, "/c/", true),
+        ],
+        services: vec![
+            ServiceEntry::engines(&names.engine_service, &names.model, 8, 1000),
+            ServiceEntry::plain(&names.plain_service),
+        ],
+        limits: Limits::default(),
+    }
+}
+
+#[test]
+fn given_the_first_configuration_when_read_then_it_is_valid() {
+    let json = serde_json::to_vec(&configuration(&Names::draw())).expect("JSON");
+    assert_eq!(Configuration::parse(&json).expect("a valid configuration").routes().len(), 3);
+}
+
+#[test]
+fn given_a_change_when_made_then_routes_are_added_replaced_and_removed() {
+    let names = Names::draw();
+    let mut replaced = RouteEntry::safe(&names, "/b/");
+    replaced.tries = 9;
+    let added = RouteEntry::safe(&names, "/d/");
+    let load = LoadItems { routes: vec![replaced.clone(), added.clone()] };
+    let patch = ConfigurationPatch { version: 5, load, strike: StrikeItems { routes: vec!["r-a".into()] } };
+    let patched = configuration(&names).patched(&patch);
+    assert_eq!(patched.version, 5);
+    assert_eq!(patched.routes, [replaced, RouteEntry::rollout(&names, "/c/", true), added]);
+}
+
+#[parameterized(
+    kill = { "1:kill:node-1", TroubleKind::Kill, "node-1" },
+    wipe = { "1:wipe:store-2", TroubleKind::Wipe, "store-2" },
+    stop = { "1:stop:node-1", TroubleKind::Stop, "node-1" },
+    kill_all = { "1:kill-all", TroubleKind::KillAll, "" },
+)]
+fn given_the_text_of_a_trouble_when_read_then_it_is_that_trouble(
+    text: &str,
+    kind: TroubleKind,
+    process: &str,
+) {
+    assert_eq!(text.parse(), Ok(Trouble { after_step: 1, kind, process: process.into() }));
+}
+
+#[parameterized(empty = { "" }, no_step = { "kill:node-1" }, no_process = { "1:kill" }, unknown = { "1:melt:node-1" })]
+fn given_a_text_that_names_no_trouble_when_read_then_it_is_refused(text: &str) {
+    assert!(text.parse::<Trouble>().is_err());
+}
--- a/crates/rushrudder/src/local.rs
+++ b/crates/rushrudder/src/local.rs
@@ -7,6 +7,7 @@
 use local_fleet::{LocalError, LocalOptions, Report, Trouble};
 
 use crate::logging;
+use crate::signals::Signals;
 
 /// Options of `local`.
 #[derive(Debug, Options)]
@@ -66,7 +67,15 @@
     let options = options(command)?;
     eprintln!("files of the processes, with their logs: {}", options.directory.display());
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(local_fleet::run(options, |line| eprintln!("{line}")))
+    runtime.block_on(async {
+        let mut signals = Signals::listen().map_err(|_| LocalError::Interrupted)?;
+        // When the run is dropped, its processes end.
+        tokio::select! {
+            ended = local_fleet::run(options, |line| eprintln!("{line}")) => ended,
+            _ = signals.next() => Err(LocalError::Interrupted),
+            _ = tokio::signal::ctrl_c() => Err(LocalError::Interrupted),
+        }
+    })
 }
 
 fn options(command: &LocalCommand) -> Result<LocalOptions, LocalError> {
--- /dev/null
+++ b/crates/rushrudder/tests/local.rs
@@ -0,0 +1,49 @@
+//! The whole path: real processes of the system between the stand-ins of `local-fleet`.
+
+use std::path::{Path, PathBuf};
+
+use local_fleet::{LocalOptions, Report, Trouble};
+
+/// A fleet with its files in a folder of its own, at addresses of its own.
+fn options(subnet: u8, steps: u64, troubles: &[&str]) -> LocalOptions {
+    let executable = PathBuf::from(env!("CARGO_BIN_EXE_rushrudder"));
+    let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("local-{subnet}"));
+    let troubles = troubles.iter().map(|text| text.parse::<Trouble>().expect("a trouble")).collect();
+    LocalOptions { subnet, steps, troubles, ..LocalOptions::new(executable, directory) }
+}
+
+async fn run(options: LocalOptions) -> Report {
+    local_fleet::run(options, |line| println!("{line}")).await.expect("a fleet that comes up")
+}
+
+fn assert_clean(report: &Report, steps: u64) {
+    assert_eq!(report.violations, Vec::<String>::new());
+    assert_eq!((report.steps_done, report.steps_failed), (steps, 0), "{report}");
+    assert_eq!(report.newest_version, steps + 1, "each step names the next version");
+}
+
+#[tokio::test]
+async fn given_a_calm_fleet_when_steps_go_through_then_all_are_done_and_no_rule_is_broken() {
+    let report = run(options(21, 3, &[])).await;
+    assert_clean(&report, 3);
+    assert!(report.requests_served > 0);
+    assert_eq!(report.requests_served, report.requests_sent, "{report}");
+}
+
+#[tokio::test]
+async fn given_cut_texts_of_any_versions_when_steps_go_through_then_texts_are_whole() {
+    let options = LocalOptions { cut_every: 4, single_version: false, ..options(22, 3, &[]) };
+    assert_clean(&run(options).await, 3);
+}
+
+#[tokio::test]
+async fn given_killed_processes_when_steps_go_through_then_nothing_acknowledged_is_lost() {
+    let troubles = ["0:kill:node-1", "1:wipe:store-1", "2:kill-all"];
+    assert_clean(&run(options(23, 5, &troubles)).await, 5);
+}
+
+#[tokio::test]
+async fn given_processes_that_are_told_to_end_when_steps_go_through_then_no_request_is_lost() {
+    let report = run(options(24, 4, &["0:stop:node-2", "1:stop:store-3", "2:stop:node-3"])).await;
+    assert_clean(&report, 4);
+}
