--- a/crates/data-plane/src/attempt.rs
+++ b/crates/data-plane/src/attempt.rs
@@ -235,10 +235,12 @@
 
 fn not_run(ticket: &mut Ticket, call: &Call, extra: Extra, response: &reqwest::Response) -> Failure {
     ticket.outcome = Outcome::Full;
-    let is_full = text(response.headers(), &LOAD).and_then(load).is_none_or(|[running, waiting, slots]| {
-        running + waiting >= slots
-    });
-    if let Some(model) = call.model().filter(|_| !is_full && response.status() == StatusCode::SERVICE_UNAVAILABLE) {
+    let is_full = text(response.headers(), &LOAD)
+        .and_then(load)
+        .is_none_or(|[running, waiting, slots]| running + waiting >= slots);
+    if let Some(model) =
+        call.model().filter(|_| !is_full && response.status() == StatusCode::SERVICE_UNAVAILABLE)
+    {
         let now = ticket.sender.now();
         ticket.sender.state().dispatcher.model_loading(now, &ticket.choice.id, &model);
         ticket.outcome = Outcome::Withdrawn;
--- a/crates/data-plane/src/sender.rs
+++ b/crates/data-plane/src/sender.rs
@@ -65,7 +65,8 @@
     #[must_use]
     pub fn room(&self, targets: &[Target], model: Option<&str>, oldest_version: u64) -> usize {
         let version = VersionNeed::AtLeast(oldest_version);
-        let need = Need { targets, model, version, tried: &[], favourite: None, with_room: true, idle_usable: None };
+        let need =
+            Need { targets, model, version, tried: &[], favourite: None, with_room: true, idle_usable: None };
         let now = self.now();
         self.state().dispatcher.room(now, &need)
     }
--- a/crates/rushrudder/src/control.rs
+++ b/crates/rushrudder/src/control.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use control_plane::{
-    paths, AcceptorService, Announcement, Capability, Distribution, FirstStart, Identity, Leadership, Platform,
-    PollRequest, Proposer, ViewCell, LEASE_TTL,
+    paths, AcceptorService, Announcement, Capability, Distribution, FirstStart, Identity, Leadership,
+    Platform, PollRequest, Proposer, ViewCell, LEASE_TTL,
 };
 use error_stack::{Report, ResultExt};
 use lease::{Grantor, GrantorId, LeaseRelease, LeaseRequest};
@@ -60,7 +60,9 @@
 
 /// The internal addresses of the seeds, which are told by the operator's addresses on the same machines.
 pub fn seed_addresses(settings: &Settings) -> Vec<String> {
-    let of = |seed: &String| seed.parse::<SocketAddr>().ok().map(|at| format!("{}:{}", at.ip(), settings.inner_ports.0));
+    let of = |seed: &String| {
+        seed.parse::<SocketAddr>().ok().map(|at| format!("{}:{}", at.ip(), settings.inner_ports.0))
+    };
     settings.seeds.iter().filter_map(of).collect()
 }
 
@@ -69,13 +71,18 @@
     let Some(directory) = &settings.data_dir else { return Ok(None) };
     let (journal, recovered) = storage::Journal::open(directory, options).change_context(RoleError)?;
     let incarnation = Incarnation(recovered.incarnation);
-    log::info!("disk: incarnation {incarnation:?}, {} records, fresh {}", recovered.records.len(), recovered.fresh);
+    log::info!(
+        "disk: incarnation {incarnation:?}, {} records, fresh {}",
+        recovered.records.len(),
+        recovered.fresh
+    );
     Ok(Some(Disk { journal, records: recovered.records, incarnation }))
 }
 
 /// Tells the grantor who the grantors are, before a value that changes them is answered for.
 fn observe(grantor: &Mutex<Grantor>, state: &ControlState) {
-    let grantors: Vec<GrantorId> = state.acceptors.iter().map(|member| GrantorId(member.incarnation.0)).collect();
+    let grantors: Vec<GrantorId> =
+        state.acceptors.iter().map(|member| GrantorId(member.incarnation.0)).collect();
     grantor.lock().unwrap_or_else(PoisonError::into_inner).observe(state.revision, &grantors);
 }
 
@@ -168,7 +175,8 @@
             async move { Some(()) }
         };
         let grant = move |request: LeaseRequest| {
-            let reply = grantor.lock().unwrap_or_else(PoisonError::into_inner).handle(started.elapsed(), &request);
+            let reply =
+                grantor.lock().unwrap_or_else(PoisonError::into_inner).handle(started.elapsed(), &request);
             async move { Some(reply) }
         };
         routes
@@ -224,7 +232,16 @@
             (Arc::clone(&self.view), self.client.clone(), Arc::clone(&self.first_start));
         let (address, machines_lost) = (self.address.clone(), settings.withstand.machines as usize);
         tokio::spawn(async move {
-            control_plane::start_first(identity, &seeds, &address, machines_lost, &first_start, &view, &client).await;
+            control_plane::start_first(
+                identity,
+                &seeds,
+                &address,
+                machines_lost,
+                &first_start,
+                &view,
+                &client,
+            )
+            .await;
         });
     }
 
--- a/crates/rushrudder/src/jobs.rs
+++ b/crates/rushrudder/src/jobs.rs
@@ -138,7 +138,8 @@
 }
 
 fn page_reply(page: &Page) -> Response {
-    let deliveries = std::str::from_utf8(&page.deliveries).ok().and_then(|text| serde_json::from_str(text).ok());
+    let deliveries =
+        std::str::from_utf8(&page.deliveries).ok().and_then(|text| serde_json::from_str(text).ok());
     let Some(deliveries) = deliveries else {
         return failure(StatusCode::INTERNAL_SERVER_ERROR, "the results cannot be read");
     };
--- a/crates/rushrudder/src/node.rs
+++ b/crates/rushrudder/src/node.rs
@@ -41,11 +41,8 @@
     serve_operator(&settings, &control).await?;
     let front = serve_clients(&settings, &control).await?;
     log::info!("{} serves", settings.station);
-    loop {
-        match signals.next().await {
-            Told::Reload => log::info!("settings are read again"),
-            Told::Terminate => break,
-        }
+    while signals.next().await == Told::Reload {
+        log::info!("settings are read again");
     }
     log::info!("{} ends", settings.station);
     front.drain().await;
@@ -88,9 +85,13 @@
         FrontSettings {
             jobs: Arc::new(Jobs::new(control)),
             is_ready: Box::new(move || {
-                ready.confirmed_age().is_some() && ready.servers_age().is_some() && ready.view().configuration.is_some()
+                ready.confirmed_age().is_some()
+                    && ready.servers_age().is_some()
+                    && ready.view().configuration.is_some()
+            }),
+            is_confirmed: Box::new(move || {
+                confirmed.confirmed_age().is_some_and(|age| age < CONFIRMED_AGE_MOST)
             }),
-            is_confirmed: Box::new(move || confirmed.confirmed_age().is_some_and(|age| age < CONFIRMED_AGE_MOST)),
             still_coming: STILL_COMING,
             grace: settings.timetable.grace().saturating_sub(GRACE_KEPT),
         },
--- a/crates/rushrudder/src/store.rs
+++ b/crates/rushrudder/src/store.rs
@@ -48,7 +48,11 @@
     let sender = Sender::new(control.view.subscribe(), settings.zone.as_str().into());
     tokio::spawn(run_owned_jobs(owned, sender, RunnerSettings::default()));
     tokio::spawn(store.run());
-    tokio::spawn(report_moves(control.client.clone(), control.address.clone(), Arc::clone(&control.distribution)));
+    tokio::spawn(report_moves(
+        control.client.clone(),
+        control.address.clone(),
+        Arc::clone(&control.distribution),
+    ));
     log::info!("{} serves", settings.station);
     while signals.next().await != Told::Terminate {}
     log::info!("{} ends", settings.station);
--- a/crates/store-plane/src/lib.rs
+++ b/crates/store-plane/src/lib.rs
@@ -11,6 +11,6 @@
 pub mod runner_texts;
 
 pub use replication::{
-    copies_of, Appended, BodyOutcome, Deposed, EndOutcome, JobClient, JobState, JobStore, JournalFailed, Limits,
-    MovedReply, OwnedJob, Page, ReadOutcome, RecordJournal, SubmitOutcome, MOVED_PATH,
+    copies_of, Appended, BodyOutcome, Deposed, EndOutcome, JobClient, JobState, JobStore, JournalFailed,
+    Limits, MovedReply, OwnedJob, Page, ReadOutcome, RecordJournal, SubmitOutcome, MOVED_PATH,
 };
--- a/crates/store-plane/src/replication/copies.rs
+++ b/crates/store-plane/src/replication/copies.rs
@@ -6,7 +6,14 @@
 use batch::rendezvous_score;
 use state::{StoreMember, StoreSet};
 
-/// The stores that keep a batch job, in the order in which they are asked: by rendezvous hashing, zones spread.
+/// Orders the copies of all batch jobs alike, so that batch jobs that share copies share an owner.
+const OWNER_KEY: &str = "owner";
+
+/// The stores that keep a batch job, chosen by rendezvous hashing with zones spread.
+///
+/// They stand in the order in which they are asked and may own it. The order is the same for all batch jobs: one
+/// owner of many batch jobs knows the load of their servers by its own sends, and keeps its connections in use.
+/// With more stores than copies the first store of all owns the part of the batch jobs that it keeps.
 #[must_use]
 pub fn copies_of<'a>(set: &'a StoreSet, job: &str) -> Vec<&'a StoreMember> {
     let mut candidates: Vec<&StoreMember> = set.members.iter().collect();
@@ -21,5 +28,6 @@
         *in_zone.entry(&store.zone).or_default() += 1;
         copies.push(store);
     }
+    copies.sort_by_cached_key(|store| Reverse(rendezvous_score(&store.member.station, OWNER_KEY)));
     copies
 }
