--- a/crates/data-plane/tests/items.rs
+++ b/crates/data-plane/tests/items.rs
@@ -216,10 +216,10 @@
 }
 
 #[tokio::test]
-async fn given_fewer_servers_than_tries_when_all_fail_a_reward_then_their_answers_are_counted() {
+async fn given_one_server_that_fails_all_tries_of_a_reward_then_each_answer_is_counted() {
     let server = StandIn::start("a", |_, _| answer(500, "Postmark: stamp\r\n", "")).await;
     let (sender, _changes) = sender(&[&server]);
-    assert_eq!(reward(&sender, "/safe/r").await, RewardEnd::Failed { answers: 1 });
+    assert_eq!(reward(&sender, "/safe/r").await, RewardEnd::Failed { answers: 3 });
 }
 
 #[tokio::test]
