--- a/crates/rushrudder/src/control.rs
+++ b/crates/rushrudder/src/control.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use control_plane::{
-    paths, AcceptorService, Announcement, Capability, Distribution, FirstStart, Identity, Leadership, Platform,
-    PollRequest, Proposer, ViewCell, LEASE_TTL,
+    paths, AcceptorService, Announcement, Capability, Distribution, FirstStart, Identity, Leadership,
+    Platform, PollRequest, Proposer, ViewCell, LEASE_TTL,
 };
 use error_stack::{Report, ResultExt};
-use lease::{Grantor, LeaseRelease, LeaseRequest};
+use lease::{Grantor, GrantorId, LeaseRelease, LeaseRequest};
 use poem::Route;
 use register::{AcceptorRequest, Incarnation, Member, Versioned};
 use settings::Settings;
@@ -60,7 +60,9 @@
 
 /// The internal addresses of the seeds, which are told by the operator's addresses on the same machines.
 pub fn seed_addresses(settings: &Settings) -> Vec<String> {
-    let of = |seed: &String| seed.parse::<SocketAddr>().ok().map(|at| format!("{}:{}", at.ip(), settings.inner_ports.0));
+    let of = |seed: &String| {
+        seed.parse::<SocketAddr>().ok().map(|at| format!("{}:{}", at.ip(), settings.inner_ports.0))
+    };
     settings.seeds.iter().filter_map(of).collect()
 }
 
@@ -69,10 +71,21 @@
     let Some(directory) = &settings.data_dir else { return Ok(None) };
     let (journal, recovered) = storage::Journal::open(directory, options).change_context(RoleError)?;
     let incarnation = Incarnation(recovered.incarnation);
-    log::info!("disk: incarnation {incarnation:?}, {} records, fresh {}", recovered.records.len(), recovered.fresh);
+    log::info!(
+        "disk: incarnation {incarnation:?}, {} records, fresh {}",
+        recovered.records.len(),
+        recovered.fresh
+    );
     Ok(Some(Disk { journal, records: recovered.records, incarnation }))
 }
 
+/// Tells the grantor who the grantors are, before a value that changes them is answered for.
+fn observe(grantor: &Mutex<Grantor>, state: &ControlState) {
+    let grantors: Vec<GrantorId> =
+        state.acceptors.iter().map(|member| GrantorId(member.incarnation.0)).collect();
+    grantor.lock().unwrap_or_else(PoisonError::into_inner).observe(state.revision, &grantors);
+}
+
 impl Control {
     /// The control plane of a process; one with a `disk` for it has an acceptor.
     pub fn new(settings: &Settings, disk: Option<Disk>) -> Self {
@@ -80,6 +93,10 @@
         let client = rpc::Client::new();
         let proposer = Proposer::new(Arc::clone(&view), client.clone());
         let acceptor = disk.map(|disk| AcceptorService::new(disk.journal, disk.incarnation, &disk.records));
+        let grantor = Mutex::new(Grantor::new(Duration::ZERO, LEASE_TTL));
+        if let Some(accepted) = acceptor.as_ref().and_then(|acceptor| acceptor.accepted()) {
+            observe(&grantor, &accepted.value);
+        }
         if let Some(known) = acceptor.as_ref().and_then(|acceptor| acceptor.committed()) {
             view.adopt_control(&known);
         }
@@ -92,7 +109,7 @@
             address: internal_address(settings),
             first_start: Arc::new(FirstStart::default()),
             acceptor,
-            grantor: Arc::new(Mutex::new(Grantor::new(Duration::ZERO, LEASE_TTL))),
+            grantor: Arc::new(grantor),
             started: std::time::Instant::now(),
         }
     }
@@ -132,11 +149,18 @@
     fn acceptor_routes(&self, routes: Route, acceptor: &Arc<AcceptorService>) -> Route {
         let (register, first) = (Arc::clone(acceptor), Arc::clone(acceptor));
         let (view, grantor, started) = (Arc::clone(&self.view), Arc::clone(&self.grantor), self.started);
+        let observer = Arc::clone(&grantor);
         let learn = move |request: AcceptorRequest<ControlState>| {
             let (register, view) = (Arc::clone(&register), Arc::clone(&view));
+            let observer = Arc::clone(&observer);
             async move {
-                if let AcceptorRequest::Learn(committed) = &request {
-                    view.adopt_control(committed);
+                match &request {
+                    AcceptorRequest::Learn(committed) => {
+                        view.adopt_control(committed);
+                        observe(&observer, &committed.value);
+                    }
+                    AcceptorRequest::Accept(proposed) => observe(&observer, &proposed.value),
+                    _ => {}
                 }
                 register.handle(request).await
             }
@@ -151,7 +175,8 @@
             async move { Some(()) }
         };
         let grant = move |request: LeaseRequest| {
-            let reply = grantor.lock().unwrap_or_else(PoisonError::into_inner).handle(started.elapsed(), &request);
+            let reply =
+                grantor.lock().unwrap_or_else(PoisonError::into_inner).handle(started.elapsed(), &request);
             async move { Some(reply) }
         };
         routes
@@ -207,7 +232,16 @@
             (Arc::clone(&self.view), self.client.clone(), Arc::clone(&self.first_start));
         let (address, machines_lost) = (self.address.clone(), settings.withstand.machines as usize);
         tokio::spawn(async move {
-            control_plane::start_first(identity, &seeds, &address, machines_lost, &first_start, &view, &client).await;
+            control_plane::start_first(
+                identity,
+                &seeds,
+                &address,
+                machines_lost,
+                &first_start,
+                &view,
+                &client,
+            )
+            .await;
         });
     }
 
