--- a/crates/rushrudder/src/store.rs
+++ b/crates/rushrudder/src/store.rs
@@ -20,6 +20,8 @@
 const SEGMENT_BYTES: u64 = 16 * 1024 * 1024;
 /// Segments at most; fewer where the disk is small.
 const SEGMENTS_MOST: u64 = 20;
+/// After its batch jobs were handed over, a store still answers for this long: successors read its copies.
+const LAST_ANSWERS: Duration = Duration::from_millis(600);
 /// How often the progress of a move to a new store set is looked at.
 const MOVE_LOOK_EVERY: Duration = Duration::from_millis(300);
 
@@ -47,7 +49,7 @@
     control.start(&settings, Some(member), Capability::Store);
     let sender = Sender::new(control.view.subscribe(), settings.zone.as_str().into());
     tokio::spawn(run_owned_jobs(owned, sender, RunnerSettings::default()));
-    tokio::spawn(store.run());
+    tokio::spawn(store.clone().run());
     tokio::spawn(report_moves(
         control.client.clone(),
         control.address.clone(),
@@ -56,6 +58,8 @@
     log::info!("{} serves", settings.station);
     while signals.next().await != Told::Terminate {}
     log::info!("{} ends", settings.station);
+    store.resign().await;
+    tokio::time::sleep(LAST_ANSWERS).await;
     Ok(())
 }
 
--- a/crates/store-plane/src/replication/answers.rs
+++ b/crates/store-plane/src/replication/answers.rs
@@ -12,8 +12,8 @@
 
 use super::copies::copies_of;
 use super::messages::{
-    Answer, Call, Heartbeat, Page, ReadRequest, Submission, SubmitReply, BODY_PATH, END_PATH, HEARTBEAT_PATH,
-    MOVED_PATH, READ_PATH, REPLICATE_PATH, SUBMIT_PATH, TAKE_OVER_PATH,
+    Answer, Call, Heartbeat, Page, ReadRequest, Submission, SubmitReply, TakeOver, BODY_PATH, END_PATH,
+    HEARTBEAT_PATH, MOVED_PATH, READ_PATH, REPLICATE_PATH, SUBMIT_PATH, TAKE_OVER_PATH,
 };
 use super::owned::JobState;
 use super::state::{has_end, results, Owned};
@@ -61,8 +61,8 @@
         let heartbeat = with_shared(shared, |shared, beat: Heartbeat| async move {
             (beat.to == shared.id()).then(|| shared.answer_heartbeat(&beat))
         });
-        let take_over = on_call(shared, |shared, job, ()| async move {
-            shared.take_over(&job);
+        let take_over = on_call(shared, |shared, job, request: TakeOver| async move {
+            shared.take_over(&job, request);
             Some(())
         });
         let submit =
--- a/crates/store-plane/src/replication/messages.rs
+++ b/crates/store-plane/src/replication/messages.rs
@@ -31,6 +31,13 @@
     pub age_ms: u64,
 }
 
+/// A store is asked to own a batch job.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(super) struct TakeOver {
+    /// The owner that gives it up, if one does.
+    pub resigned: Option<StoreId>,
+}
+
 /// An owner tells another store which batch jobs it owns.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct Heartbeat {
--- a/crates/store-plane/src/replication/mod.rs
+++ b/crates/store-plane/src/replication/mod.rs
@@ -8,6 +8,7 @@
 mod messages;
 mod owned;
 mod owner;
+mod resign;
 mod state;
 mod store;
 mod tend;
--- a/crates/store-plane/src/replication/owner.rs
+++ b/crates/store-plane/src/replication/owner.rs
@@ -31,6 +31,9 @@
         if state.owned.contains_key(job) {
             return true;
         }
+        if state.is_leaving {
+            return false;
+        }
         let Some(ownership) = self.new_claim(&state, &view, job, copies) else { return false };
         state.next_token += 1;
         let owned = Owned {
--- a/crates/store-plane/src/replication/state.rs
+++ b/crates/store-plane/src/replication/state.rs
@@ -28,6 +28,8 @@
 /// All that changes.
 pub(super) struct State {
     pub replica: Replica,
+    /// The process is about to end: it owns nothing any more.
+    pub is_leaving: bool,
     pub owned: HashMap<JobId, Owned>,
     /// When another owner of a batch job was last heard of.
     pub heard: HashMap<JobId, Instant>,
@@ -60,6 +62,7 @@
     ) -> Self {
         let mut state = Self {
             replica: Replica::default(),
+            is_leaving: false,
             owned: HashMap::new(),
             heard: HashMap::new(),
             first_seen: HashMap::new(),
--- a/crates/store-plane/src/replication/store.rs
+++ b/crates/store-plane/src/replication/store.rs
@@ -62,6 +62,11 @@
         (Self { shared: Arc::new(shared), queue }, handed_out)
     }
 
+    /// Hands all batch jobs over to other stores, before the process ends. It goes on keeping its copies.
+    pub async fn resign(&self) {
+        self.shared.resign().await;
+    }
+
     /// Writes records, takes over batch jobs whose owner is silent, renews ownership, moves batch jobs to new
     /// store sets. Runs until dropped.
     pub async fn run(self) {
--- a/crates/store-plane/src/replication/tend.rs
+++ b/crates/store-plane/src/replication/tend.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, MissedTickBehavior};
 
 use super::copies::copies_of;
-use super::messages::{Call, MovedReply, TAKE_OVER_PATH};
+use super::messages::{Call, MovedReply, TakeOver, TAKE_OVER_PATH};
 use super::state::{has_end, results, Owned, State};
 use super::store::Shared;
 
@@ -167,16 +167,20 @@
             let shared = Arc::clone(self);
             tokio::spawn(async move {
                 let address = shared.address_of(store)?;
-                let call = Call { to: store, job, request: () };
+                let call = Call { to: store, job, request: TakeOver { resigned: None } };
                 shared.rpc.call::<_, ()>(&address, TAKE_OVER_PATH, &call, HINT_TIMEOUT).await.ok()
             });
         }
     }
 
     /// Takes over a batch job that this store is to keep and that another one told of.
-    pub(super) fn take_over(self: &Arc<Self>, job: &JobId) {
+    pub(super) fn take_over(self: &Arc<Self>, job: &JobId, request: TakeOver) {
         let is_owned_elsewhere = {
-            let state = self.lock();
+            let mut state = self.lock();
+            let owner = state.replica.log(job).map(|log| log.promised.owner);
+            if request.resigned.is_some() && owner == request.resigned {
+                state.heard.remove(job);
+            }
             state.heard.get(job).is_some_and(|heard| heard.elapsed() < OWNER_SILENT)
         };
         if !is_owned_elsewhere {
--- a/crates/store-plane/tests/fleet/mod.rs
+++ b/crates/store-plane/tests/fleet/mod.rs
@@ -83,6 +83,8 @@
     kill: oneshot::Sender<()>,
     /// The process stands still from a message here until the sender in it is dropped.
     freeze: mpsc::UnboundedSender<std::sync::mpsc::Receiver<()>>,
+    /// The store hands its batch jobs over; the sender in the message is told when it has.
+    resign: mpsc::UnboundedSender<oneshot::Sender<()>>,
 }
 
 /// A store that stands still until this is dropped.
@@ -148,12 +150,13 @@
         let (member, disk) = (store.member.clone(), store.disk.clone());
         let (ready, is_ready) = std::sync::mpsc::channel();
         let (freeze, freezes) = mpsc::unbounded_channel();
-        let signals = Signals { killed, freezes };
+        let (resign, resigns) = mpsc::unbounded_channel();
+        let signals = Signals { killed, freezes, resigns };
         let limits = self.limits;
         let thread =
             std::thread::spawn(move || run_store(member, disk, limits, view, owned, signals, &ready));
         is_ready.recv().expect("the store starts");
-        store.process = Some(Process { thread, kill, freeze });
+        store.process = Some(Process { thread, kill, freeze, resign });
     }
 
     /// Stops a store's thread; its sockets stay open.
@@ -165,6 +168,15 @@
         Frozen { _thaw: thaw }
     }
 
+    /// Lets a store hand its batch jobs over.
+    pub async fn resign(&self, index: usize) {
+        let (done, is_done) = oneshot::channel();
+        if let Some(process) = &self.stores[index].process {
+            process.resign.send(done).expect("the store runs");
+        }
+        tokio::time::timeout(PATIENCE, is_done).await.expect("in time").expect("the store runs");
+    }
+
     /// Ends a store at once.
     pub fn kill(&mut self, index: usize) {
         if let Some(process) = self.stores[index].process.take() {
@@ -279,6 +291,7 @@
 struct Signals {
     killed: oneshot::Receiver<()>,
     freezes: mpsc::UnboundedReceiver<std::sync::mpsc::Receiver<()>>,
+    resigns: mpsc::UnboundedReceiver<oneshot::Sender<()>>,
 }
 
 fn run_store(
@@ -314,8 +327,16 @@
                 let _ = thawed.recv();
             }
         };
+        let resigning = store.clone();
+        let resigned = async {
+            while let Some(done) = signals.resigns.recv().await {
+                resigning.resign().await;
+                let _ = done.send(());
+            }
+        };
         tokio::select! {
             _ = signals.killed => {}
+            () = resigned => {}
             () = frozen => {}
             _ = served => {}
             () = async { tokio::join!(store.run(), forwarded); } => {}
--- a/crates/store-plane/tests/replication.rs
+++ b/crates/store-plane/tests/replication.rs
@@ -83,6 +83,29 @@
     });
 }
 
+#[test]
+fn given_an_owner_that_is_about_to_end_when_it_resigns_then_the_next_store_owns_its_batch_jobs_at_once() {
+    in_runtime(async {
+        let mut fleet = Fleet::start(3);
+        fleet.submit_until_accepted("job").await;
+        let first = fleet.next_owned().await;
+        first.append(vec![result(0), result(1)]).await.expect("it is owned");
+        let leaving = fleet.index_of(&first);
+
+        let began = std::time::Instant::now();
+        fleet.resign(leaving).await;
+        let second = fleet.next_owned().await;
+
+        assert!(began.elapsed() < Duration::from_millis(500), "sooner than its silence is noticed");
+        assert_ne!(fleet.index_of(&second), leaving);
+        assert_eq!(second.listed, [result(0), result(1)]);
+        assert_eq!(*first.state().borrow(), JobState::Deposed);
+        fleet.submit_until_accepted("another").await;
+        let another = fleet.next_owned().await;
+        assert_ne!(fleet.index_of(&another), leaving, "a store that is leaving owns nothing any more");
+    });
+}
+
 #[test]
 fn given_results_when_all_stores_lose_power_at_once_then_they_are_read_again() {
     in_runtime(async {
