--- /dev/null
+++ b/crates/emulator/src/control.rs
@@ -0,0 +1,529 @@
+//! The control plane of a process: register, lease, first start, upkeep and orders to servers.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lease::{Action, Candidate, Grantor, GrantorId};
+use register::{
+    Acceptor, AcceptorRequest, Ballot, Confirmation, Member, Outcome as Shown, Verdict, Versioned,
+};
+use rollout::{Answer, Pacing, Planner};
+use state::change::{
+    change_digest, first_state, may_order_at_once, next_upkeep, with_acceptor, with_configuration,
+    with_draining, with_fence, with_order_holder, with_store, with_version, ChangeKind, Declined,
+    Observation,
+};
+use state::{ControlState, DrainState, StoreMember};
+
+use crate::messages::{Endpoint, OperatorOrder, Reply, Request};
+use crate::process::{Context, Purpose};
+use crate::proposing::{Outcome, Proposing, Wanted};
+
+/// How long a grant of the lease lasts.
+pub(crate) const LEASE_TTL: Duration = Duration::from_millis(1500);
+/// The time that must lie between the orders of two holders, and how long an order may be under way.
+const BETWEEN_HOLDERS: Duration = Duration::from_millis(3000 + 300 + 1000);
+const POLL_EVERY: Duration = Duration::from_millis(250);
+const CONFIRM_EVERY: Duration = Duration::from_millis(400);
+const PING_EVERY: Duration = Duration::from_millis(700);
+const ROUND_MOST: Duration = Duration::from_millis(2400);
+const COLLECT: Duration = Duration::from_millis(2500);
+const SEED_STEP: Duration = Duration::from_millis(4000);
+const JOIN_EVERY: Duration = Duration::from_millis(1500);
+const FIRST_BALLOT: Ballot = Ballot { round: 1, proposer: 0 };
+
+/// Who a process is.
+#[derive(Clone)]
+pub(crate) struct Identity {
+    pub(crate) member: Member,
+    pub(crate) is_store: bool,
+    pub(crate) first_start: bool,
+    pub(crate) machines_lost: usize,
+    /// The machines that are seeds.
+    pub(crate) seeds: Vec<usize>,
+}
+
+/// A change of the register that this process wants.
+pub(crate) enum Change {
+    Operator(OperatorOrder),
+    Fence,
+    OrderHolder(u64),
+    JoinAcceptors,
+    JoinStores,
+    Upkeep(u64, Observation),
+    Settle,
+}
+
+#[derive(Clone, Copy)]
+struct Held {
+    fence: u64,
+    until: Duration,
+    orders_from: Duration,
+    is_noted: bool,
+}
+
+/// Moments at which something was last done.
+#[derive(Default)]
+struct LastDone(BTreeMap<&'static str, Duration>);
+
+impl LastDone {
+    fn is_due(&mut self, now: Duration, what: &'static str, every: Duration) -> bool {
+        let is_due = self.0.get(what).is_none_or(|last| now >= *last + every);
+        if is_due {
+            self.0.insert(what, now);
+        }
+        is_due
+    }
+}
+
+/// The control plane of a process.
+pub(crate) struct Control {
+    identity: Identity,
+    started: Duration,
+    pub(crate) committed: Option<Versioned<ControlState>>,
+    acceptor: Option<Acceptor<ControlState>>,
+    grantor: Grantor,
+    candidate: Candidate,
+    held: Option<Held>,
+    planner: Option<(u64, Planner)>,
+    proposing: Proposing<Change>,
+    confirmation: Option<(u64, Confirmation<ControlState>)>,
+    confirmations: u64,
+    announced: BTreeMap<String, (Member, bool)>,
+    shown: Vec<Option<Versioned<ControlState>>>,
+    offered: Option<(Versioned<ControlState>, usize)>,
+    observed: Observation,
+    answered: BTreeMap<Member, u64>,
+    last_round: Duration,
+    last: LastDone,
+}
+
+impl Control {
+    pub(crate) fn new(
+        identity: Identity,
+        acceptor: Option<Acceptor<ControlState>>,
+        now: Duration,
+        random: u64,
+    ) -> Self {
+        let name = format!("{}#{random:x}", identity.member.station);
+        Self {
+            committed: acceptor.as_ref().and_then(|acceptor| acceptor.state().committed.clone()),
+            acceptor,
+            grantor: Grantor::new(now, LEASE_TTL),
+            candidate: Candidate::new(name, LEASE_TTL),
+            held: None,
+            planner: None,
+            proposing: Proposing::new(random),
+            confirmation: None,
+            confirmations: 0,
+            announced: BTreeMap::new(),
+            shown: Vec::new(),
+            offered: None,
+            observed: Observation::default(),
+            answered: BTreeMap::new(),
+            last_round: now,
+            last: LastDone::default(),
+            started: now,
+            identity,
+        }
+    }
+
+    pub(crate) fn state(&self) -> Option<&Arc<ControlState>> {
+        self.committed.as_ref().map(|committed| &committed.value)
+    }
+
+    /// The stores that keep a batch job, the first to own it first.
+    pub(crate) fn copies(&self, job: &str) -> Vec<Member> {
+        self.state().map_or(Vec::new(), |state| crate::stores::copies_of(&state.stores, job))
+    }
+
+    fn adopt(&mut self, newer: &Versioned<ControlState>) {
+        if self.committed.as_ref().is_none_or(|known| known.ballot < newer.ballot) {
+            self.committed = Some(newer.clone());
+        }
+    }
+
+    fn holds(&self, now: Duration) -> Option<Held> {
+        self.held.filter(|held| now < held.until)
+    }
+
+    /// Looks at all that is due.
+    pub(crate) fn tick(&mut self, context: &mut Context<'_>) {
+        let now = context.now;
+        if self.identity.first_start && self.committed.is_none() {
+            self.start_first(context);
+        }
+        if self.last.is_due(now, "poll", POLL_EVERY) {
+            self.poll(context);
+        }
+        if let Some(done) = self.proposing.tick(context, self.committed.as_ref()) {
+            self.done(context, done);
+        }
+        self.join(now);
+        if self.acceptor.is_none() {
+            return;
+        }
+        if self.last.is_due(now, "confirm", CONFIRM_EVERY) {
+            self.confirm(context);
+        }
+        self.seek_lease(context);
+        if self.holds(now).is_some() {
+            self.note_order_holder(now);
+            self.give_orders(context);
+            if self.last.is_due(now, "ping", PING_EVERY) {
+                self.upkeep(context);
+            }
+        } else {
+            (self.observed, self.planner, self.last_round) = (Observation::default(), None, now);
+        }
+    }
+
+    /// Answers a request.
+    pub(crate) fn request(&mut self, context: &mut Context<'_>, from: (Endpoint, u64), request: Request) {
+        let now = context.now;
+        match request {
+            Request::Register(request) => {
+                if let AcceptorRequest::Learn(committed) = &request {
+                    self.adopt(committed);
+                }
+                let Some(acceptor) = &mut self.acceptor else { return };
+                let handled = acceptor.handle(request);
+                if handled.must_persist {
+                    context.disk().keep_acceptor(acceptor.state());
+                }
+                context.answer(from, Reply::Register(handled.reply));
+            }
+            Request::First(first) => {
+                let Some(acceptor) = &mut self.acceptor else { return };
+                if acceptor.initialise(first).must_persist {
+                    context.disk().keep_acceptor(acceptor.state());
+                }
+                context.answer(from, Reply::Value(acceptor.state().accepted.clone()));
+            }
+            Request::Lease(request) => context.answer(from, Reply::Lease(self.grantor.handle(now, &request))),
+            Request::Release(release) => self.grantor.release(&release),
+            Request::Poll(ballot) => {
+                let newer = self.committed.clone().filter(|known| known.ballot > ballot);
+                context.answer(from, Reply::Value(newer));
+            }
+            Request::Announce(member, is_store) => {
+                self.announced.insert(member.station.clone(), (member, is_store));
+                context.answer(from, Reply::Status(200));
+            }
+            Request::Operator(order) => self.proposing.want(now, Change::Operator(order), Some(from)),
+            other => unreachable!("the control plane is not asked {other:?}"),
+        }
+    }
+
+    /// Takes the reply to a call.
+    pub(crate) fn returned(&mut self, context: &mut Context<'_>, purpose: Purpose, reply: Option<Reply>) {
+        let now = context.now;
+        match (purpose, reply) {
+            (Purpose::Change(number, member), Some(Reply::Register(reply))) => {
+                let Self { proposing, identity, .. } = self;
+                let decide = |change: &Change, state: &ControlState| decide(identity, change, state);
+                if let Some(done) = proposing.reply(context, number, &member, reply, decide) {
+                    self.done(context, done);
+                }
+            }
+            (Purpose::Confirm(round, member), Some(Reply::Register(reply))) => {
+                let Some((_, confirmation)) = self.confirmation.as_mut().filter(|(now, _)| *now == round)
+                else {
+                    return;
+                };
+                match confirmation.on_reply(&member, reply) {
+                    Verdict::Newer(value) => self.adopt(&value),
+                    Verdict::Undecided(_)
+                        if !self.proposing.has(|change| matches!(change, Change::Settle)) =>
+                    {
+                        self.proposing.want(now, Change::Settle, None);
+                    }
+                    _ => {}
+                }
+            }
+            (Purpose::Lease(term, grantor), Some(Reply::Lease(reply))) => {
+                self.candidate.on_reply(term, grantor, &reply);
+                if self.candidate.holds(now) {
+                    self.hold(now);
+                }
+            }
+            (Purpose::Poll, Some(Reply::Value(Some(newer)))) => self.adopt(&newer),
+            (Purpose::Ping(member), Some(Reply::Pong(settled))) => {
+                self.answered.insert(member, settled);
+            }
+            (Purpose::ReadFirst, Some(Reply::Register(reply))) => {
+                if let Shown::Current { accepted, .. } = reply.outcome {
+                    self.shown.push(accepted);
+                }
+            }
+            (Purpose::OfferFirst, Some(Reply::Value(Some(stands)))) => self.first_taken(&stands),
+            (Purpose::Load(server), reply) => {
+                self.told(|planner| planner.answered(now, &server, answer_of(reply)))
+            }
+            (Purpose::Report(server), Some(Reply::Report(report))) => {
+                self.told(|planner| planner.reported(now, &server, &report));
+            }
+            (Purpose::Report(server), _) => self.told(|planner| planner.not_reported(now, &server)),
+            _ => {}
+        }
+    }
+
+    fn told(&mut self, tell: impl FnOnce(&mut Planner)) {
+        if let Some((_, planner)) = &mut self.planner {
+            tell(planner);
+        }
+    }
+
+    /// Announces this machine to the seeds; a seed whose turn it is forms the first value.
+    fn start_first(&mut self, context: &mut Context<'_>) {
+        let now = context.now;
+        if self.last.is_due(now, "announce", POLL_EVERY) {
+            for seed in self.identity.seeds.clone() {
+                let request = Request::Announce(self.identity.member.clone(), self.identity.is_store);
+                context.call(Endpoint::Machine(seed), request, Purpose::Announce);
+            }
+        }
+        let Some(rank) = self.identity.seeds.iter().position(|seed| *seed == context.this) else { return };
+        let turn = COLLECT + SEED_STEP * u32::try_from(rank).expect("there are few seeds");
+        if now >= self.started + turn && self.last.is_due(now, "form", JOIN_EVERY) {
+            self.offer_first(context);
+        }
+    }
+
+    /// What an earlier collector began with is taken up; that is told by the reads of the turn before.
+    fn offer_first(&mut self, context: &mut Context<'_>) {
+        let of = |is_store: bool| {
+            let announced = self.announced.values().filter(move |(_, store)| *store == is_store);
+            announced.map(|(member, _)| member.clone())
+        };
+        let acceptors: Vec<Member> = of(false).collect();
+        let stores = of(true).map(|member| StoreMember { zone: "zone".into(), member }).collect();
+        let Some(own) = first_state(acceptors.clone(), stores, self.identity.machines_lost) else { return };
+        let shown = std::mem::take(&mut self.shown);
+        if shown.len() * 2 > acceptors.len() {
+            let own = Versioned { ballot: FIRST_BALLOT, value: Arc::new(own) };
+            let first = shown.into_iter().flatten().max_by_key(|stands| stands.ballot).unwrap_or(own);
+            for member in &first.value.acceptors {
+                context.call_member(member, Request::First(first.clone()), Purpose::OfferFirst);
+            }
+            self.offered = Some((first, 0));
+        }
+        for member in &acceptors {
+            context.call_member(member, Request::Register(AcceptorRequest::Read), Purpose::ReadFirst);
+        }
+    }
+
+    fn first_taken(&mut self, stands: &Versioned<ControlState>) {
+        let Some((first, taken)) = self.offered.as_mut().filter(|(first, _)| first == stands) else { return };
+        *taken += 1;
+        if *taken * 2 > first.value.acceptors.len() {
+            let first = first.clone();
+            self.adopt(&first);
+        }
+    }
+
+    fn poll(&mut self, context: &mut Context<'_>) {
+        let known = self.state().map_or(Vec::new(), |state| state.acceptors.clone());
+        let mut peers: Vec<usize> = known.iter().filter_map(|member| member.address.parse().ok()).collect();
+        peers.extend(&self.identity.seeds);
+        let peer = peers[context.random.usize(..peers.len())];
+        let ballot = self.committed.as_ref().map_or(Ballot::default(), |known| known.ballot);
+        context.call(Endpoint::Machine(peer), Request::Poll(ballot), Purpose::Poll);
+    }
+
+    fn join(&mut self, now: Duration) {
+        let Some(state) = self.state() else { return };
+        let is_joining = |change: &Change| matches!(change, Change::JoinAcceptors | Change::JoinStores);
+        let change = if self.identity.is_store { Change::JoinStores } else { Change::JoinAcceptors };
+        let wants = decide(&self.identity, &change, state).is_ok() && !self.proposing.has(is_joining);
+        if wants && self.last.is_due(now, "join", JOIN_EVERY) {
+            self.proposing.want(now, change, None);
+        }
+    }
+
+    fn confirm(&mut self, context: &mut Context<'_>) {
+        let Some(known) = self.committed.clone() else { return };
+        let (confirmation, requests) = Confirmation::start(known);
+        self.confirmations += 1;
+        self.confirmation = Some((self.confirmations, confirmation));
+        for (member, request) in requests {
+            let purpose = Purpose::Confirm(self.confirmations, member.clone());
+            context.call_member(&member, Request::Register(request), purpose);
+        }
+    }
+
+    fn seek_lease(&mut self, context: &mut Context<'_>) {
+        let Some(state) = self.state().cloned() else { return };
+        match self.candidate.next_action(context.now) {
+            Action::Wait(_) => {}
+            Action::Ask if !state.acceptors.contains(&self.identity.member) => {}
+            Action::Ask => {
+                let id = |member: &Member| GrantorId(member.incarnation.0);
+                let grantors: Vec<GrantorId> = state.acceptors.iter().map(id).collect();
+                let request = self.candidate.begin(context.now, &grantors);
+                for member in &state.acceptors {
+                    let purpose = Purpose::Lease(request.term, id(member));
+                    context.call_member(member, Request::Lease(request.clone()), purpose);
+                }
+            }
+            Action::GiveUp => {
+                let release = self.candidate.give_up(context.now);
+                for (member, release) in state.acceptors.iter().zip(release.iter().cycle()) {
+                    context.call_member(member, Request::Release(release.clone()), Purpose::Nothing);
+                }
+            }
+        }
+    }
+
+    fn hold(&mut self, now: Duration) {
+        if let Some(held) = self.holds(now) {
+            self.held = Some(Held { until: self.candidate.held_until(), ..held });
+        } else if !self.proposing.has(|change| matches!(change, Change::Fence)) {
+            self.held = None;
+            self.proposing.want(now, Change::Fence, None);
+        }
+    }
+
+    fn note_order_holder(&mut self, now: Duration) {
+        let Some(held) = self.holds(now).filter(|held| !held.is_noted && now >= held.orders_from) else {
+            return;
+        };
+        if !self.proposing.has(|change| matches!(change, Change::OrderHolder(_))) {
+            self.proposing.want(now, Change::OrderHolder(held.fence), None);
+        }
+    }
+
+    fn give_orders(&mut self, context: &mut Context<'_>) {
+        let now = context.now;
+        let may_order = |held: &Held| held.is_noted && now >= held.orders_from;
+        let Some(held) = self.holds(now).filter(may_order) else { return };
+        let Some(state) = self.state().cloned() else { return };
+        if self.planner.as_ref().is_none_or(|(fence, _)| *fence != held.fence) {
+            self.planner = Some((held.fence, Planner::new(Pacing::default())));
+        }
+        let Some((fence, planner)) = &mut self.planner else { return };
+        for (model, version) in &state.named_versions {
+            planner.set_named(now, model, *version);
+        }
+        planner.set_servers(context.servers.iter().cloned());
+        for action in planner.decide(now) {
+            match action {
+                rollout::Action::Ask(ask) => {
+                    context.call_server(&ask.server, Request::Report, Purpose::Report(ask.server.clone()));
+                }
+                rollout::Action::Order(order) => {
+                    let holder = self.identity.member.station.clone();
+                    let request =
+                        Request::Load { holder, fence: *fence, model: order.model, version: order.version };
+                    context.call_server(&order.server, request, Purpose::Load(order.server.clone()));
+                }
+            }
+        }
+    }
+
+    /// Judges the answers of the last round, and begins the next.
+    fn upkeep(&mut self, context: &mut Context<'_>) {
+        let (Some(state), Some(held)) = (self.state().cloned(), self.holds(context.now)) else { return };
+        let answered = std::mem::take(&mut self.answered);
+        let heard: Vec<Member> = answered.keys().cloned().collect();
+        if !heard.is_empty() {
+            self.observed.settled =
+                answered.iter().map(|(member, epoch)| (member.incarnation, *epoch)).collect();
+            self.observed.reachability.round(&state, &heard, context.now - self.last_round, ROUND_MOST);
+        }
+        self.last_round = context.now;
+        let is_wanted = next_upkeep(&state, held.fence, &self.observed).is_some();
+        if is_wanted && !self.proposing.has(|change| matches!(change, Change::Upkeep(..))) {
+            self.proposing.want(context.now, Change::Upkeep(held.fence, self.observed.clone()), None);
+        }
+        for member in Observation::to_ping(&state) {
+            context.call_member(&member, Request::Ping, Purpose::Ping(member.clone()));
+        }
+    }
+
+    fn done(&mut self, context: &mut Context<'_>, (wanted, outcome): (Wanted<Change>, Outcome)) {
+        if let Outcome::Committed(value) | Outcome::Declined(_, value) = &outcome {
+            self.adopt(value);
+        }
+        match (&wanted.change, &outcome) {
+            (Change::Fence, Outcome::Committed(value)) => {
+                let station = &self.identity.member.station;
+                let wait =
+                    if may_order_at_once(&value.value, station) { Duration::ZERO } else { BETWEEN_HOLDERS };
+                self.held = Some(Held {
+                    fence: value.value.fence,
+                    until: self.candidate.held_until(),
+                    orders_from: context.now + wait,
+                    is_noted: value.value.order_holder.as_ref() == Some(station),
+                });
+            }
+            (Change::OrderHolder(fence), Outcome::Committed(_)) => {
+                if let Some(held) = self.held.as_mut().filter(|held| held.fence == *fence) {
+                    held.is_noted = true;
+                }
+            }
+            (Change::Operator(order), outcome) => {
+                if let Some(asker) = wanted.asker {
+                    context.answer(asker, answer_to(order, outcome));
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn decide(identity: &Identity, change: &Change, state: &ControlState) -> Result<ControlState, Declined> {
+    let member = &identity.member;
+    match change {
+        Change::Operator(OperatorOrder::Put { expected, body }) => {
+            let digest = change_digest(ChangeKind::Replace, *expected, body.as_bytes());
+            with_configuration(state, ChangeKind::Replace, *expected, digest, body.as_bytes())
+        }
+        Change::Operator(OperatorOrder::Name { model, version }) => with_version(state, model, *version),
+        Change::Operator(OperatorOrder::Retire(station)) => with_draining(state, station),
+        Change::Operator(OperatorOrder::Read | OperatorOrder::ReadRetire(_)) | Change::Settle => {
+            Err(Declined::Unchanged)
+        }
+        Change::Fence => Ok(with_fence(state, &member.station)),
+        Change::OrderHolder(fence) => {
+            with_order_holder(state, &member.station, *fence).map_err(|_| Declined::Unchanged)
+        }
+        Change::JoinAcceptors => with_acceptor(state, member).map_err(|_| Declined::Unchanged),
+        Change::JoinStores => {
+            let store = StoreMember { member: member.clone(), zone: "zone".into() };
+            with_store(state, &store).map_err(|_| Declined::Unchanged)
+        }
+        Change::Upkeep(fence, observed) => next_upkeep(state, *fence, observed).ok_or(Declined::Unchanged),
+    }
+}
+
+fn answer_to(order: &OperatorOrder, outcome: &Outcome) -> Reply {
+    match (order, outcome) {
+        (_, Outcome::Unclear) => Reply::Status(503),
+        (OperatorOrder::Read, Outcome::Declined(_, value)) => {
+            Reply::Configuration(value.value.edition, value.value.configuration.clone())
+        }
+        (OperatorOrder::ReadRetire(station), Outcome::Declined(_, value)) => {
+            Reply::Status(match value.value.draining.get(station) {
+                Some(DrainState::Delivered) => 200,
+                Some(DrainState::Rolling) => 102,
+                None => 404,
+            })
+        }
+        (_, Outcome::Committed(_) | Outcome::Declined(Declined::AlreadyTaken | Declined::Unchanged, _)) => {
+            Reply::Status(200)
+        }
+        (_, Outcome::Declined(Declined::OtherVersion(_), _)) => Reply::Status(412),
+        (_, Outcome::Declined(Declined::Invalid(_), _)) => Reply::Status(400),
+        (_, Outcome::Declined(Declined::Unknown, _)) => Reply::Status(404),
+        (_, Outcome::Declined(Declined::TooFew, _)) => Reply::Status(409),
+    }
+}
+
+fn answer_of(reply: Option<Reply>) -> Answer {
+    match reply {
+        Some(Reply::Status(status)) => Answer::from_status(status),
+        _ => Answer::Unclear,
+    }
+}
--- /dev/null
+++ b/crates/emulator/tests/stories.rs
@@ -0,0 +1,237 @@
+//! Stories from the first start to results that are read back, with each loss that the operators' pages name.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{assert_status, document, Story, CLEAR};
+use emulator::{Fleet, OperatorOrder, Reply, Shape};
+use yare::parameterized;
+
+const SEEDS: std::ops::Range<u64> = 0..12;
+const FIVE: Shape = Shape { nodes: 5, stores: 5, servers: 6, machines_lost: 2 };
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// What befalls a fleet; it has had time to catch up when this returns.
+type Trouble = fn(&mut Fleet);
+
+fn nothing(_: &mut Fleet) {}
+
+fn a_node_is_replaced(fleet: &mut Fleet) {
+    fleet.replace(1);
+    fleet.run(seconds(12));
+}
+
+fn the_leader_is_replaced(fleet: &mut Fleet) {
+    let leader = fleet.leader().expect("somebody leads");
+    fleet.replace(leader);
+    fleet.run(seconds(12));
+}
+
+fn a_store_is_replaced(fleet: &mut Fleet) {
+    fleet.replace(fleet.nodes().end);
+    fleet.run(seconds(15));
+}
+
+fn a_node_loses_its_disk(fleet: &mut Fleet) {
+    fleet.lose_disk(0);
+}
+
+fn a_store_loses_its_disk(fleet: &mut Fleet) {
+    fleet.lose_disk(fleet.nodes().end + 1);
+}
+
+fn all_nodes_are_killed(fleet: &mut Fleet) {
+    fleet.nodes().for_each(|node| fleet.kill(node));
+}
+
+fn all_are_killed(fleet: &mut Fleet) {
+    fleet.machines().for_each(|machine| fleet.kill(machine));
+}
+
+fn all_lose_power(fleet: &mut Fleet) {
+    fleet.machines().for_each(|machine| fleet.lose_power(machine));
+}
+
+fn one_of_each_loses_its_disk_while_all_others_lose_power(fleet: &mut Fleet) {
+    let lost = [2, fleet.nodes().end + 2];
+    fleet.machines().filter(|machine| !lost.contains(machine)).for_each(|machine| fleet.lose_power(machine));
+    lost.into_iter().for_each(|machine| fleet.lose_disk(machine));
+}
+
+fn the_leader_freezes(fleet: &mut Fleet) {
+    let leader = fleet.leader().expect("somebody leads");
+    fleet.freeze(leader);
+    fleet.run(seconds(8));
+    fleet.thaw(leader);
+}
+
+fn the_leader_is_cut_off(fleet: &mut Fleet) {
+    let leader = fleet.leader().expect("somebody leads");
+    fleet.network.cut_off(leader, fleet.machines().end);
+    fleet.run(seconds(8));
+    fleet.network.heal();
+}
+
+fn the_leader_is_heard_by_nobody(fleet: &mut Fleet) {
+    let leader = fleet.leader().expect("somebody leads");
+    for other in fleet.machines().filter(|other| *other != leader) {
+        fleet.network.cut_one_way(leader, other);
+    }
+    fleet.run(seconds(8));
+    fleet.network.heal();
+}
+
+fn the_leader_hears_nobody(fleet: &mut Fleet) {
+    let leader = fleet.leader().expect("somebody leads");
+    for other in fleet.machines().filter(|other| *other != leader) {
+        fleet.network.cut_one_way(other, leader);
+    }
+    fleet.run(seconds(8));
+    fleet.network.heal();
+}
+
+fn a_store_freezes(fleet: &mut Fleet) {
+    let store = fleet.nodes().end;
+    fleet.freeze(store);
+    fleet.run(seconds(8));
+    fleet.thaw(store);
+}
+
+fn the_network_is_bad(fleet: &mut Fleet) {
+    (fleet.network.lost_per_mille, fleet.network.repeated_per_mille) = (100, 100);
+}
+
+#[parameterized(
+    quiet = { nothing },
+    node_replaced = { a_node_is_replaced },
+    leader_replaced = { the_leader_is_replaced },
+    store_replaced = { a_store_is_replaced },
+    node_loses_disk = { a_node_loses_its_disk },
+    store_loses_disk = { a_store_loses_its_disk },
+    core_killed = { all_nodes_are_killed },
+    all_killed = { all_are_killed },
+    power_lost = { all_lose_power },
+    power_and_disks_lost = { one_of_each_loses_its_disk_while_all_others_lose_power },
+    leader_frozen = { the_leader_freezes },
+    leader_cut_off = { the_leader_is_cut_off },
+    leader_not_heard = { the_leader_is_heard_by_nobody },
+    leader_hears_nobody = { the_leader_hears_nobody },
+    store_frozen = { a_store_freezes },
+    bad_network = { the_network_is_bad },
+)]
+fn given_a_running_system_when_trouble_comes_right_after_an_acknowledgement_then_all_of_it_stays(
+    trouble: Trouble,
+) {
+    for shape in [Shape::default(), FIVE] {
+        for seed in SEEDS {
+            println!("seed {seed}, {} nodes", shape.nodes);
+            let mut story = Story::begin(seed, shape);
+            story.name_version();
+            story.submit("first");
+            match seed % 4 {
+                0 => story.roll_out(),
+                1 => story.change_configuration(),
+                2 => story.read_all(),
+                _ => {}
+            }
+            trouble(&mut story.fleet);
+            story.go_on();
+        }
+    }
+}
+
+#[test]
+fn given_two_losses_at_a_time_when_two_may_be_lost_then_all_of_it_stays() {
+    for seed in SEEDS {
+        let mut story = Story::begin(seed, FIVE);
+        story.submit("first");
+        for lost in [0, 1, 5, 6] {
+            story.fleet.lose_disk(lost);
+        }
+        story.go_on();
+        for lost in [2, 3, 7, 8] {
+            story.fleet.replace(lost);
+        }
+        story.fleet.run(seconds(25));
+        story.go_on();
+    }
+}
+
+#[test]
+fn given_a_replaced_machine_when_it_has_caught_up_then_the_former_is_no_member() {
+    for seed in SEEDS {
+        let mut story = Story::begin(seed, Shape::default());
+        story.fleet.replace(1);
+        story.fleet.replace(4);
+        let is_done = |fleet: &Fleet| {
+            fleet.state(0).is_some_and(|state| {
+                let has = |station: &str| state.acceptors.iter().any(|member| member.station == station);
+                let stores = &state.stores.members;
+                let has_store = |station: &str| stores.iter().any(|store| store.member.station == station);
+                has("node-6") && !has("node-1") && has_store("store-7") && !has_store("store-4")
+            })
+        };
+        assert!(story.fleet.run_until(seconds(40), is_done), "seed {seed}: {:?}", story.fleet.state(0));
+    }
+}
+
+#[test]
+fn given_enough_stores_when_one_is_retired_then_it_is_taken_away_without_loss() {
+    for seed in SEEDS {
+        let mut story = Story::begin(seed, Shape { stores: 4, ..Shape::default() });
+        story.submit("first");
+        story.read_all();
+        let retired = 3 + (seed as usize) % 4;
+        let station = format!("store-{retired}");
+        assert_status(&story.fleet.order(CLEAR, &OperatorOrder::Retire(station.clone())), 200);
+        let ask = OperatorOrder::ReadRetire(station);
+        let until = story.fleet.now + seconds(30);
+        while !matches!(story.fleet.order(CLEAR, &ask), Reply::Status(200)) {
+            assert!(story.fleet.now < until, "seed {seed}: it is not emptied");
+            story.fleet.run(seconds(1));
+        }
+        story.fleet.remove(retired);
+        story.go_on();
+    }
+}
+
+#[test]
+fn given_two_operators_when_both_build_on_one_version_then_one_wins() {
+    for seed in SEEDS {
+        let mut story = Story::begin(seed, Shape::default());
+        let order = |body: String| OperatorOrder::Put { expected: 3, body };
+        let [one, other] = [order(document(9)), order(document(9).replace("/r/", "/q/"))];
+        assert_status(&story.fleet.order(CLEAR, &one), 200);
+        assert_status(&story.fleet.order(CLEAR, &other), 412);
+        assert_status(&story.fleet.order(CLEAR, &one), 200);
+    }
+}
+
+#[test]
+fn given_a_collector_that_dies_amid_the_first_start_when_another_takes_over_then_the_system_starts() {
+    for seed in 0..40 {
+        let mut fleet = Fleet::start(seed, Shape::default());
+        fleet.run(Duration::from_millis(2400 + 60 * seed));
+        fleet.remove(0);
+        let order = OperatorOrder::Put { expected: 0, body: document(1) };
+        assert_status(&fleet.order(seconds(40), &order), 200);
+        let revisions =
+            fleet.machines().filter_map(|machine| fleet.state(machine)).map(|state| &state.acceptors);
+        assert!(revisions.collect::<Vec<_>>().windows(2).all(|pair| pair[0] == pair[1]), "seed {seed}");
+    }
+}
+
+#[test]
+fn given_a_minority_when_an_order_is_sent_there_then_it_is_not_acknowledged() {
+    let mut story = Story::begin(1, Shape::default());
+    story.fleet.network.cut_off(2, 6);
+    story.fleet.run(seconds(2));
+    let order = OperatorOrder::Put { expected: 3, body: document(9) };
+    let reply = story.fleet.call(2, emulator::Request::Operator(order));
+    assert!(matches!(reply, None | Some(Reply::Status(503))), "{reply:?}");
+    story.fleet.network.heal();
+}
