Share the held lease and the choice of the first value between control plane and emulator

Both are pure now and tested with explicit time: a frozen holder holds nothing and cannot renew; a collector goes on with what an earlier one began.

--- a/crates/control-plane/src/bootstrap.rs
+++ b/crates/control-plane/src/bootstrap.rs
@@ -6,7 +6,7 @@
 
 use futures_util::future::join_all;
 use register::{AcceptorReply, AcceptorRequest, Ballot, Member, Outcome, Versioned};
-use state::change::{first_state, with_acceptor, with_store};
+use state::change::{choose_first, first_state, with_acceptor, with_store};
 use state::{ControlState, StoreMember};
 
 use crate::messages::{paths, Announcement, Capability};
@@ -117,11 +117,10 @@
 async fn form(own: Versioned<ControlState>, view: &ViewCell, client: &rpc::Client) {
     let reads = own.value.acceptors.iter().map(|member| read(client, member));
     let shown: Vec<_> = join_all(reads).await.into_iter().flatten().collect();
-    if shown.len() * 2 <= own.value.acceptors.len() {
-        log::info!("first value: only {} of {} acceptors answer", shown.len(), own.value.acceptors.len());
+    let Some(first) = choose_first(own, shown) else {
+        log::info!("first value: too few acceptors answer");
         return;
-    }
-    let first = shown.into_iter().flatten().max_by_key(|standing| standing.ballot).unwrap_or(own);
+    };
     let acceptors = &first.value.acceptors;
     let offers = acceptors.iter().map(|member| offer(client, member, &first));
     let taken = join_all(offers).await.into_iter().filter(|stands| stands.as_ref() == Some(&first)).count();
--- a/crates/control-plane/src/leader.rs
+++ b/crates/control-plane/src/leader.rs
@@ -6,7 +6,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use lease::{Action, Candidate, GrantorId, LeaseReply, LeaseRequest};
 use register::Member;
-use state::change::{may_order_at_once, with_fence, with_order_holder};
+use state::change::{with_fence, with_order_holder, HeldLease};
 use state::ControlState;
 
 use crate::messages::paths;
@@ -23,46 +23,40 @@
 const FENCE_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// Whether this process leads, told to all its parts.
-#[derive(Default)]
 pub struct Leadership {
-    held: Mutex<Option<Held>>,
+    began: Instant,
+    held: Mutex<Option<HeldLease>>,
 }
 
-#[derive(Clone, Copy)]
-struct Held {
-    fence: u64,
-    until: Instant,
-    orders_from: Instant,
-    /// The register holds that this station sends orders.
-    is_noted: bool,
+impl Default for Leadership {
+    fn default() -> Self {
+        Self { began: Instant::now(), held: Mutex::new(None) }
+    }
 }
 
 impl Leadership {
     /// The fencing token, while the lease is held.
     #[must_use]
     pub fn fence(&self) -> Option<u64> {
-        self.held().filter(|held| Instant::now() < held.until).map(|held| held.fence)
+        self.held()?.fence_at(self.now())
     }
 
     /// The fencing token, once no order of another holder can have been sent within the time that must lie between.
     #[must_use]
     pub fn fence_for_orders(&self) -> Option<u64> {
-        let now = Instant::now();
-        let may_order = |held: &Held| held.is_noted && now < held.until && now >= held.orders_from;
-        self.held().filter(may_order).map(|held| held.fence)
+        self.held()?.order_fence_at(self.now())
     }
 
-    fn note_order_holder(&self, fence: u64) {
-        if let Some(held) = self.lock().as_mut().filter(|held| held.fence == fence) {
-            held.is_noted = true;
-        }
+    /// The steady clock of the lease.
+    fn now(&self) -> Duration {
+        self.began.elapsed()
     }
 
-    fn held(&self) -> Option<Held> {
+    fn held(&self) -> Option<HeldLease> {
         *self.lock()
     }
 
-    fn lock(&self) -> MutexGuard<'_, Option<Held>> {
+    fn lock(&self) -> MutexGuard<'_, Option<HeldLease>> {
         self.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -78,7 +72,7 @@
     proposer: Arc<Proposer>,
     client: rpc::Client,
 ) {
-    let began = Instant::now();
+    let began = leadership.began;
     let name = format!("{station}#{:016x}", fastrand::u64(..));
     let mut candidate = Candidate::new(name, LEASE_TTL);
     loop {
@@ -94,7 +88,7 @@
                     continue;
                 }
                 ask_all(&mut candidate, began, acceptors, &client).await;
-                let until = began + candidate.held_until();
+                let until = candidate.held_until();
                 if candidate.holds(began.elapsed()) {
                     hold(&leadership, until, between_holders, &proposer, &station).await;
                     note_order_holder(&leadership, &proposer, &station).await;
@@ -134,39 +128,33 @@
 /// Notes that the lease is held; at the first time raises the fencing token.
 async fn hold(
     leadership: &Leadership,
-    until: Instant,
+    until: Duration,
     between_holders: Duration,
     proposer: &Proposer,
     station: &str,
 ) {
-    let renewed = leadership.held().filter(|held| Instant::now() < held.until);
-    if let Some(held) = renewed {
-        *leadership.lock() = Some(Held { until, ..held });
+    let renewed = leadership.held().and_then(|held| held.renewed(leadership.now(), until));
+    *leadership.lock() = renewed;
+    if renewed.is_some() {
         return;
     }
-    *leadership.lock() = None;
-    let raised = proposer
-        .change(Instant::now() + FENCE_TIMEOUT, |state| Ok::<_, ()>(with_fence(state, station)))
-        .await;
-    let Ok(value) = raised else { return };
-    let orders_from = match may_order_at_once(&value.value, station) {
-        true => Instant::now(),
-        false => Instant::now() + between_holders + ORDER_TIMEOUT,
-    };
+    let raise = |state: &ControlState| Ok::<_, ()>(with_fence(state, station));
+    let Ok(value) = proposer.change(Instant::now() + FENCE_TIMEOUT, raise).await else { return };
     log::info!("leads with fencing token {}", value.value.fence);
-    let is_noted = value.value.order_holder.as_deref() == Some(station);
-    *leadership.lock() = Some(Held { fence: value.value.fence, until, orders_from, is_noted });
+    let wait = between_holders + ORDER_TIMEOUT;
+    *leadership.lock() = Some(HeldLease::won(&value.value, station, leadership.now(), until, wait));
 }
 
 /// Once the time between two holders is over, notes in the register that this station sends orders. Only then does
 /// it send any, so that a later holder knows whether it must wait for this one.
 async fn note_order_holder(leadership: &Leadership, proposer: &Proposer, station: &str) {
-    let now = Instant::now();
-    let due = |held: &Held| !held.is_noted && now < held.until && now >= held.orders_from;
-    let Some(held) = leadership.held().filter(due) else { return };
-    let note = |state: &ControlState| with_order_holder(state, station, held.fence);
-    if proposer.change(now + FENCE_TIMEOUT, note).await.is_ok() {
-        leadership.note_order_holder(held.fence);
+    let due = leadership.held().and_then(|held| held.order_holder_due(leadership.now()));
+    let Some(fence) = due else { return };
+    let note = |state: &ControlState| with_order_holder(state, station, fence);
+    if proposer.change(Instant::now() + FENCE_TIMEOUT, note).await.is_ok() {
+        if let Some(held) = leadership.lock().as_mut() {
+            held.note_order_holder(fence);
+        }
     }
 }
 
--- a/crates/emulator/src/control.rs
+++ b/crates/emulator/src/control.rs
@@ -8,15 +8,12 @@
 use register::{
     Acceptor, AcceptorRequest, Ballot, Confirmation, Member, Outcome as Shown, Verdict, Versioned,
 };
-use rollout::{Answer, Pacing, Planner};
-use state::change::{
-    change_digest, first_state, may_order_at_once, next_upkeep, with_acceptor, with_configuration,
-    with_draining, with_fence, with_order_holder, with_store, with_version, ChangeKind, Declined,
-    Observation,
-};
-use state::{ControlState, DrainState, StoreMember};
+use rollout::{Pacing, Planner};
+use state::change::{choose_first, first_state, next_upkeep, HeldLease, Observation};
+use state::{ControlState, StoreMember};
 
-use crate::messages::{Endpoint, OperatorOrder, Reply, Request};
+use crate::changes::{answer_of, answer_to, decide, Change, Identity};
+use crate::messages::{Endpoint, Reply, Request};
 use crate::process::{Context, Purpose};
 use crate::proposing::{Outcome, Proposing, Wanted};
 
@@ -33,36 +30,6 @@
 const JOIN_EVERY: Duration = Duration::from_millis(1500);
 const FIRST_BALLOT: Ballot = Ballot { round: 1, proposer: 0 };
 
-/// Who a process is.
-#[derive(Clone)]
-pub(crate) struct Identity {
-    pub(crate) member: Member,
-    pub(crate) is_store: bool,
-    pub(crate) first_start: bool,
-    pub(crate) machines_lost: usize,
-    /// The machines that are seeds.
-    pub(crate) seeds: Vec<usize>,
-}
-
-/// A change of the register that this process wants.
-pub(crate) enum Change {
-    Operator(OperatorOrder),
-    Fence,
-    OrderHolder(u64),
-    JoinAcceptors,
-    JoinStores,
-    Upkeep(u64, Observation),
-    Settle,
-}
-
-#[derive(Clone, Copy)]
-struct Held {
-    fence: u64,
-    until: Duration,
-    orders_from: Duration,
-    is_noted: bool,
-}
-
 /// Moments at which something was last done.
 #[derive(Default)]
 struct LastDone(BTreeMap<&'static str, Duration>);
@@ -85,7 +52,7 @@
     acceptor: Option<Acceptor<ControlState>>,
     grantor: Grantor,
     candidate: Candidate,
-    held: Option<Held>,
+    held: Option<HeldLease>,
     planner: Option<(u64, Planner)>,
     proposing: Proposing<Change>,
     confirmation: Option<(u64, Confirmation<ControlState>)>,
@@ -144,8 +111,8 @@
         }
     }
 
-    fn holds(&self, now: Duration) -> Option<Held> {
-        self.held.filter(|held| now < held.until)
+    fn fence(&self, now: Duration) -> Option<u64> {
+        self.held?.fence_at(now)
     }
 
     /// Looks at all that is due.
@@ -168,7 +135,7 @@
             self.confirm(context);
         }
         self.seek_lease(context);
-        if self.holds(now).is_some() {
+        if self.fence(now).is_some() {
             self.note_order_holder(now);
             self.give_orders(context);
             if self.last.is_due(now, "ping", PING_EVERY) {
@@ -301,9 +268,8 @@
         let stores = of(true).map(|member| StoreMember { zone: "zone".into(), member }).collect();
         let Some(own) = first_state(acceptors.clone(), stores, self.identity.machines_lost) else { return };
         let shown = std::mem::take(&mut self.shown);
-        if shown.len() * 2 > acceptors.len() {
-            let own = Versioned { ballot: FIRST_BALLOT, value: Arc::new(own) };
-            let first = shown.into_iter().flatten().max_by_key(|stands| stands.ballot).unwrap_or(own);
+        let own = Versioned { ballot: FIRST_BALLOT, value: Arc::new(own) };
+        if let Some(first) = choose_first(own, shown) {
             for member in &first.value.acceptors {
                 context.call_member(member, Request::First(first.clone()), Purpose::OfferFirst);
             }
@@ -377,32 +343,27 @@
     }
 
     fn hold(&mut self, now: Duration) {
-        if let Some(held) = self.holds(now) {
-            self.held = Some(Held { until: self.candidate.held_until(), ..held });
-        } else if !self.proposing.has(|change| matches!(change, Change::Fence)) {
-            self.held = None;
+        self.held = self.held.and_then(|held| held.renewed(now, self.candidate.held_until()));
+        if self.held.is_none() && !self.proposing.has(|change| matches!(change, Change::Fence)) {
             self.proposing.want(now, Change::Fence, None);
         }
     }
 
     fn note_order_holder(&mut self, now: Duration) {
-        let Some(held) = self.holds(now).filter(|held| !held.is_noted && now >= held.orders_from) else {
-            return;
-        };
+        let Some(fence) = self.held.and_then(|held| held.order_holder_due(now)) else { return };
         if !self.proposing.has(|change| matches!(change, Change::OrderHolder(_))) {
-            self.proposing.want(now, Change::OrderHolder(held.fence), None);
+            self.proposing.want(now, Change::OrderHolder(fence), None);
         }
     }
 
     fn give_orders(&mut self, context: &mut Context<'_>) {
         let now = context.now;
-        let may_order = |held: &Held| held.is_noted && now >= held.orders_from;
-        let Some(held) = self.holds(now).filter(may_order) else { return };
+        let Some(fence) = self.held.and_then(|held| held.order_fence_at(now)) else { return };
         let Some(state) = self.state().cloned() else { return };
-        if self.planner.as_ref().is_none_or(|(fence, _)| *fence != held.fence) {
-            self.planner = Some((held.fence, Planner::new(Pacing::default())));
+        if self.planner.as_ref().is_none_or(|(of, _)| *of != fence) {
+            self.planner = Some((fence, Planner::new(Pacing::default())));
         }
-        let Some((fence, planner)) = &mut self.planner else { return };
+        let Some((_, planner)) = &mut self.planner else { return };
         for (model, version) in &state.named_versions {
             planner.set_named(now, model, *version);
         }
@@ -414,8 +375,7 @@
                 }
                 rollout::Action::Order(order) => {
                     let holder = self.identity.member.station.clone();
-                    let request =
-                        Request::Load { holder, fence: *fence, model: order.model, version: order.version };
+                    let request = Request::Load { holder, fence, model: order.model, version: order.version };
                     context.call_server(&order.server, request, Purpose::Load(order.server.clone()));
                 }
             }
@@ -424,7 +384,7 @@
 
     /// Judges the answers of the last round, and begins the next.
     fn upkeep(&mut self, context: &mut Context<'_>) {
-        let (Some(state), Some(held)) = (self.state().cloned(), self.holds(context.now)) else { return };
+        let (Some(state), Some(fence)) = (self.state().cloned(), self.fence(context.now)) else { return };
         let answered = std::mem::take(&mut self.answered);
         let heard: Vec<Member> = answered.keys().cloned().collect();
         if !heard.is_empty() {
@@ -433,9 +393,9 @@
             self.observed.reachability.round(&state, &heard, context.now - self.last_round, ROUND_MOST);
         }
         self.last_round = context.now;
-        let is_wanted = next_upkeep(&state, held.fence, &self.observed).is_some();
+        let is_wanted = next_upkeep(&state, fence, &self.observed).is_some();
         if is_wanted && !self.proposing.has(|change| matches!(change, Change::Upkeep(..))) {
-            self.proposing.want(context.now, Change::Upkeep(held.fence, self.observed.clone()), None);
+            self.proposing.want(context.now, Change::Upkeep(fence, self.observed.clone()), None);
         }
         for member in Observation::to_ping(&state) {
             context.call_member(&member, Request::Ping, Purpose::Ping(member.clone()));
@@ -448,19 +408,12 @@
         }
         match (&wanted.change, &outcome) {
             (Change::Fence, Outcome::Committed(value)) => {
-                let station = &self.identity.member.station;
-                let wait =
-                    if may_order_at_once(&value.value, station) { Duration::ZERO } else { BETWEEN_HOLDERS };
-                self.held = Some(Held {
-                    fence: value.value.fence,
-                    until: self.candidate.held_until(),
-                    orders_from: context.now + wait,
-                    is_noted: value.value.order_holder.as_ref() == Some(station),
-                });
+                let (station, until) = (&self.identity.member.station, self.candidate.held_until());
+                self.held = Some(HeldLease::won(&value.value, station, context.now, until, BETWEEN_HOLDERS));
             }
             (Change::OrderHolder(fence), Outcome::Committed(_)) => {
-                if let Some(held) = self.held.as_mut().filter(|held| held.fence == *fence) {
-                    held.is_noted = true;
+                if let Some(held) = &mut self.held {
+                    held.note_order_holder(*fence);
                 }
             }
             (Change::Operator(order), outcome) => {
@@ -472,58 +425,3 @@
         }
     }
 }
-
-fn decide(identity: &Identity, change: &Change, state: &ControlState) -> Result<ControlState, Declined> {
-    let member = &identity.member;
-    match change {
-        Change::Operator(OperatorOrder::Put { expected, body }) => {
-            let digest = change_digest(ChangeKind::Replace, *expected, body.as_bytes());
-            with_configuration(state, ChangeKind::Replace, *expected, digest, body.as_bytes())
-        }
-        Change::Operator(OperatorOrder::Name { model, version }) => with_version(state, model, *version),
-        Change::Operator(OperatorOrder::Retire(station)) => with_draining(state, station),
-        Change::Operator(OperatorOrder::Read | OperatorOrder::ReadRetire(_)) | Change::Settle => {
-            Err(Declined::Unchanged)
-        }
-        Change::Fence => Ok(with_fence(state, &member.station)),
-        Change::OrderHolder(fence) => {
-            with_order_holder(state, &member.station, *fence).map_err(|_| Declined::Unchanged)
-        }
-        Change::JoinAcceptors => with_acceptor(state, member).map_err(|_| Declined::Unchanged),
-        Change::JoinStores => {
-            let store = StoreMember { member: member.clone(), zone: "zone".into() };
-            with_store(state, &store).map_err(|_| Declined::Unchanged)
-        }
-        Change::Upkeep(fence, observed) => next_upkeep(state, *fence, observed).ok_or(Declined::Unchanged),
-    }
-}
-
-fn answer_to(order: &OperatorOrder, outcome: &Outcome) -> Reply {
-    match (order, outcome) {
-        (_, Outcome::Unclear) => Reply::Status(503),
-        (OperatorOrder::Read, Outcome::Declined(_, value)) => {
-            Reply::Configuration(value.value.edition, value.value.configuration.clone())
-        }
-        (OperatorOrder::ReadRetire(station), Outcome::Declined(_, value)) => {
-            Reply::Status(match value.value.draining.get(station) {
-                Some(DrainState::Delivered) => 200,
-                Some(DrainState::Rolling) => 102,
-                None => 404,
-            })
-        }
-        (_, Outcome::Committed(_) | Outcome::Declined(Declined::AlreadyTaken | Declined::Unchanged, _)) => {
-            Reply::Status(200)
-        }
-        (_, Outcome::Declined(Declined::OtherVersion(_), _)) => Reply::Status(412),
-        (_, Outcome::Declined(Declined::Invalid(_), _)) => Reply::Status(400),
-        (_, Outcome::Declined(Declined::Unknown, _)) => Reply::Status(404),
-        (_, Outcome::Declined(Declined::TooFew, _)) => Reply::Status(409),
-    }
-}
-
-fn answer_of(reply: Option<Reply>) -> Answer {
-    match reply {
-        Some(Reply::Status(status)) => Answer::from_status(status),
-        _ => Answer::Unclear,
-    }
-}
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -8,7 +8,8 @@
 use state::ControlState;
 use storage::simulated::{RandomFates, SimulatedDisk};
 
-use crate::control::{Control, Identity};
+use crate::changes::Identity;
+use crate::control::Control;
 use crate::disk::Disk;
 use crate::messages::{Body, Endpoint, Envelope, JobCall, OperatorOrder, Reply, Request};
 use crate::network::Network;
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -1,6 +1,7 @@
 //! An in-memory fleet in simulated time: a seeded network, disks, clocks, model servers and an operator around the
 //! state machines of register, lease, batch jobs and rollout. No sockets, no threads, no real time.
 
+mod changes;
 mod control;
 mod disk;
 mod fleet;
--- a/crates/emulator/tests/stories.rs
+++ b/crates/emulator/tests/stories.rs
@@ -225,6 +225,24 @@
     }
 }
 
+#[test]
+fn given_a_collector_that_reached_only_some_when_another_takes_over_then_it_goes_on_with_the_same_value() {
+    for seed in SEEDS {
+        let mut fleet = Fleet::start(seed, Shape::default());
+        for store in 3..6 {
+            fleet.network.cut_one_way(store, 0);
+        }
+        fleet.network.cut_one_way(0, 2);
+        fleet.run(Duration::from_millis(5600));
+        fleet.remove(0);
+        fleet.network.heal();
+        let order = OperatorOrder::Put { expected: 0, body: document(1) };
+        assert_status(&fleet.order(seconds(40), &order), 200);
+        let all_joined = |fleet: &Fleet| fleet.state(2).is_some_and(|state| state.stores.members.len() == 3);
+        assert!(fleet.run_until(seconds(40), all_joined), "seed {seed}: {:?}", fleet.state(2));
+    }
+}
+
 #[test]
 fn given_a_minority_when_an_order_is_sent_there_then_it_is_not_acknowledged() {
     let mut story = Story::begin(1, Shape::default());
--- a/crates/state/src/change/leader.rs
+++ b/crates/state/src/change/leader.rs
@@ -1,8 +1,67 @@
 //! Changes by the holder of the leader lease.
 
+use std::time::Duration;
+
 use super::successor;
 use crate::ControlState;
 
+/// The leader lease as its holder has it, on the holder's own steady clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldLease {
+    fence: u64,
+    until: Duration,
+    orders_from: Duration,
+    /// The register holds that this station sends orders.
+    is_order_holder: bool,
+}
+
+impl HeldLease {
+    /// The lease of a station that has just raised the fencing token to what `state` holds. Where another station
+    /// may have sent orders, this one sends none for the time `between_holders`.
+    #[must_use]
+    pub fn won(
+        state: &ControlState,
+        station: &str,
+        now: Duration,
+        until: Duration,
+        between_holders: Duration,
+    ) -> Self {
+        let wait = if may_order_at_once(state, station) { Duration::ZERO } else { between_holders };
+        let is_order_holder = state.order_holder.as_deref() == Some(station);
+        Self { fence: state.fence, until, orders_from: now + wait, is_order_holder }
+    }
+
+    /// The same lease until a later moment; `None` where it has run out before it was renewed.
+    #[must_use]
+    pub fn renewed(self, now: Duration, until: Duration) -> Option<Self> {
+        self.fence_at(now).map(|_| Self { until: until.max(self.until), ..self })
+    }
+
+    /// The fencing token, while the lease is held.
+    #[must_use]
+    pub fn fence_at(&self, now: Duration) -> Option<u64> {
+        (now < self.until).then_some(self.fence)
+    }
+
+    /// The fencing token for orders to servers: no other station can have sent any within the time between holders,
+    /// and the register holds that this one does.
+    #[must_use]
+    pub fn order_fence_at(&self, now: Duration) -> Option<u64> {
+        self.fence_at(now).filter(|_| self.is_order_holder && now >= self.orders_from)
+    }
+
+    /// The fencing token with which [`with_order_holder`] is due.
+    #[must_use]
+    pub fn order_holder_due(&self, now: Duration) -> Option<u64> {
+        self.fence_at(now).filter(|_| !self.is_order_holder && now >= self.orders_from)
+    }
+
+    /// The register holds that the holder of this fencing token sends orders.
+    pub fn note_order_holder(&mut self, fence: u64) {
+        self.is_order_holder |= self.fence == fence;
+    }
+}
+
 /// Another process has raised the fencing token since.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Superseded;
--- a/crates/state/src/change/members.rs
+++ b/crates/state/src/change/members.rs
@@ -1,6 +1,6 @@
 //! Who is an acceptor of the register, and who keeps batch jobs.
 
-use register::{with_member, without_member, Member};
+use register::{with_member, without_member, Member, Versioned};
 
 use super::successor;
 use crate::{ControlState, StoreMember, StoreSet};
@@ -29,6 +29,20 @@
     })
 }
 
+/// The first value that a collector offers, after `shown` is what its acceptors hold: what an earlier collector began
+/// with, otherwise its `own`. `None` unless a majority answers, so that a value that a majority has taken is found.
+#[must_use]
+pub fn choose_first(
+    own: Versioned<ControlState>,
+    shown: Vec<Option<Versioned<ControlState>>>,
+) -> Option<Versioned<ControlState>> {
+    if shown.len() * 2 <= own.value.acceptors.len() {
+        return None;
+    }
+    let standing = shown.into_iter().flatten().max_by_key(|standing| standing.ballot);
+    Some(standing.unwrap_or(own))
+}
+
 /// Adds an acceptor; then removes its former self, where its disk was lost. One step at a time.
 ///
 /// # Errors
--- a/crates/state/tests/members.rs
+++ b/crates/state/tests/members.rs
@@ -2,13 +2,14 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use common::{member, store, system};
-use register::Member;
+use register::{Ballot, Member, Versioned};
 use state::change::{
-    first_state, may_order_at_once, next_upkeep, with_acceptor, with_draining, with_fence, with_order_holder,
-    with_store, AlreadyMember, Observation, Reachability, Superseded,
+    choose_first, first_state, may_order_at_once, next_upkeep, with_acceptor, with_draining, with_fence,
+    with_order_holder, with_store, AlreadyMember, HeldLease, Observation, Reachability, Superseded,
 };
 use state::{ControlState, DrainState};
 use yare::parameterized;
@@ -185,3 +186,64 @@
     assert_eq!(with_order_holder(&state, "a", 1), Err(Superseded));
     assert!(may_order_at_once(&with_order_holder(&state, "b", 3).expect("it holds the token"), "b"));
 }
+
+const BETWEEN: Duration = Duration::from_secs(4);
+
+fn at(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+#[test]
+fn given_the_first_holder_when_it_leads_then_it_sends_orders_once_the_register_says_so() {
+    let state = with_fence(&system(3), "a");
+    let mut held = HeldLease::won(&state, "a", at(100), at(1400), BETWEEN);
+    assert_eq!((held.fence_at(at(100)), held.order_fence_at(at(100))), (Some(1), None));
+    assert_eq!(held.order_holder_due(at(100)), Some(1));
+    held.note_order_holder(7);
+    assert_eq!(held.order_fence_at(at(100)), None, "that was another lease");
+    held.note_order_holder(1);
+    assert_eq!((held.order_fence_at(at(100)), held.order_holder_due(at(100))), (Some(1), None));
+}
+
+#[test]
+fn given_another_holder_before_when_a_station_leads_then_it_waits_before_its_first_order() {
+    let state = with_order_holder(&with_fence(&system(3), "a"), "a", 1).expect("it holds the token");
+    let held = HeldLease::won(&with_fence(&state, "b"), "b", at(0), at(60_000), BETWEEN);
+    assert_eq!(held.order_holder_due(at(3999)), None);
+    assert_eq!(held.order_holder_due(at(4000)), Some(2));
+}
+
+#[test]
+fn given_a_holder_that_was_frozen_when_it_thaws_then_it_holds_nothing_and_cannot_renew() {
+    let state = with_order_holder(&with_fence(&system(3), "a"), "a", 1).expect("it holds the token");
+    let held = HeldLease::won(&state, "a", at(0), at(1350), BETWEEN);
+    assert_eq!(held.order_fence_at(at(1349)), Some(1));
+    assert_eq!((held.fence_at(at(1350)), held.order_fence_at(at(9000))), (None, None));
+    assert_eq!(held.renewed(at(9000), at(10_000)), None);
+    let renewed = held.renewed(at(500), at(1850)).expect("it is held");
+    assert_eq!(renewed.order_fence_at(at(1849)), Some(1));
+    assert_eq!(renewed.renewed(at(600), at(700)), Some(renewed), "it never gets shorter");
+}
+
+fn first(stores: u64) -> Versioned<ControlState> {
+    Versioned { ballot: Ballot { round: 1, proposer: 0 }, value: Arc::new(system(stores)) }
+}
+
+#[test]
+fn given_a_collector_that_died_midway_when_another_takes_over_then_it_goes_on_with_the_first_value() {
+    let chosen = choose_first(first(3), vec![None, Some(first(2))]);
+    assert_eq!(chosen, Some(first(2)));
+}
+
+#[parameterized(
+    all_empty = { 3, true },
+    majority = { 2, true },
+    minority = { 1, false },
+    nobody = { 0, false },
+)]
+fn given_empty_acceptors_when_a_majority_answers_then_the_collector_offers_its_own(
+    answers: usize,
+    offers: bool,
+) {
+    assert_eq!(choose_first(first(3), vec![None; answers]), offers.then(|| first(3)));
+}
