--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -10,4 +10,4 @@
 pub use log::{rendezvous_score, Ballot, Entry, HandedIn, Record, StoreId};
 pub use ownership::{Copies, Ownership, Phase};
 pub use replica::{Replica, ReplicaLog, ReplicaReply, ReplicaRequest};
-pub use schedule::{Candidate, ItemIndex, ItemPhase, JobOrder, Precedence, Urgency};
+pub use schedule::{Candidate, ItemIndex, ItemPhase, JobOrder, Outlook, Precedence, Urgency};
--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -151,6 +151,13 @@
         })
     }
 
+    /// Items that the trainer waits for and whose text is not whole.
+    #[must_use]
+    pub fn needed_left(&self) -> usize {
+        let (ranked, needed) = self.ranked_groups();
+        ranked.iter().take(needed).map(|&group| self.groups[group].unfinished).sum()
+    }
+
     /// The next time after `now` at which a waiting item may start.
     #[must_use]
     pub fn next_retry(&self, now: Duration) -> Option<Duration> {
@@ -221,26 +228,50 @@
     Surplus,
 }
 
+/// What the rest of a batch job takes, as far as is known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Outlook {
+    /// When it is due.
+    pub due: Duration,
+    /// Items that the trainer waits for and whose text is not whole.
+    pub needed_left: usize,
+    /// Items that stream already.
+    pub streaming: usize,
+    /// When an item that starts now is presumably finished.
+    pub item_finished: Duration,
+    /// When the last of the needed items is presumably finished, if nothing else is run.
+    pub all_finished: Duration,
+}
+
 /// Orders the next items of several batch jobs; the smallest starts first.
+///
+/// Among batch jobs that have time enough, the one with the least left goes first: trainers go on soonest so. One
+/// that may come too late goes before these, the earliest due first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Precedence {
     /// What the start is worth.
     pub urgency: Urgency,
+    /// Whether the batch job has time enough.
+    pub has_time: bool,
+    /// Needed items left, where there is time enough.
+    pub left: usize,
     /// When the batch job is due.
     pub due: Duration,
-    /// Items of the batch job that stream already: of two that are due alike, the one with fewer goes first.
+    /// Of two that are alike so far, the one with fewer streaming items goes first.
     pub streaming: usize,
 }
 
 impl Precedence {
-    /// The precedence of an item that will presumably be `finished` then, of a batch job that is due at `due`.
+    /// The precedence of the next item of a batch job with this outlook.
     #[must_use]
-    pub fn new(candidate: Candidate, due: Duration, streaming: usize, finished: Duration) -> Self {
+    pub fn new(candidate: Candidate, outlook: Outlook) -> Self {
         let urgency = match candidate.needed {
             false => Urgency::Surplus,
-            true if finished <= due + DUE_TOLERANCE => Urgency::InTime,
+            true if outlook.item_finished <= outlook.due + DUE_TOLERANCE => Urgency::InTime,
             true => Urgency::Late,
         };
-        Self { urgency, due, streaming }
+        let has_time = urgency == Urgency::InTime && outlook.all_finished <= outlook.due;
+        let left = if has_time { outlook.needed_left } else { 0 };
+        Self { urgency, has_time, left, due: outlook.due, streaming: outlook.streaming }
     }
 }
--- a/crates/batch/tests/schedule.rs
+++ b/crates/batch/tests/schedule.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use batch::{Candidate, Item, ItemIndex, ItemPhase, Job, JobOrder, Precedence, Urgency};
+use batch::{Candidate, Item, ItemIndex, ItemPhase, Job, JobOrder, Outlook, Precedence, Urgency};
 use yare::parameterized;
 
 const START: Duration = Duration::ZERO;
@@ -183,9 +183,10 @@
     not_needed = { false, 10, Urgency::Surplus },
 )]
 fn given_an_item_when_ranked_then_by_need_and_due_time(needed: bool, due: u64, urgency: Urgency) {
-    let finished = Duration::from_millis(9_500);
+    let item_finished = Duration::from_millis(9_500);
+    let outlook = Outlook { due: seconds(due), item_finished, ..Outlook::default() };
 
-    let precedence = Precedence::new(Candidate { index: 0, needed }, seconds(due), 0, finished);
+    let precedence = Precedence::new(Candidate { index: 0, needed }, outlook);
 
     assert_eq!(precedence.urgency, urgency);
 }
@@ -193,7 +194,9 @@
 #[test]
 fn given_items_of_several_jobs_when_ranked_then_in_time_then_due_then_fewer_streams() {
     let precedence = |needed, due, streaming| {
-        Precedence::new(Candidate { index: 0, needed }, seconds(due), streaming, seconds(5))
+        let outlook =
+            Outlook { due: seconds(due), streaming, item_finished: seconds(5), ..Outlook::default() };
+        Precedence::new(Candidate { index: 0, needed }, outlook)
     };
 
     let mut ranked =
@@ -206,3 +209,36 @@
     assert_eq!(ranked[..4], expected);
     assert_eq!(ranked[4].urgency, Urgency::Surplus);
 }
+
+#[test]
+fn given_jobs_with_time_enough_when_ranked_then_the_one_with_the_least_left_goes_first() {
+    let precedence = |due, needed_left, all_finished| {
+        let outlook = Outlook {
+            due: seconds(due),
+            needed_left,
+            item_finished: seconds(1),
+            all_finished: seconds(all_finished),
+            ..Outlook::default()
+        };
+        Precedence::new(Candidate { index: 0, needed: true }, outlook)
+    };
+    let (short, long) = (precedence(12, 40, 3), precedence(8, 160, 6));
+    let (late, later) = (precedence(5, 200, 6), precedence(7, 10, 8));
+
+    let mut ranked = vec![long, later, short, late];
+    ranked.sort();
+
+    assert_eq!(ranked, [late, later, short, long]);
+}
+
+#[test]
+fn given_a_job_when_groups_become_whole_then_only_the_groups_still_wanted_are_left() {
+    let mut order = JobOrder::new(&job(4, 3, Some(2)));
+    assert_eq!(order.needed_left(), 6);
+
+    (0..3).for_each(|item| order.set_phase(item, ItemPhase::Listed));
+    assert_eq!(order.needed_left(), 3);
+
+    (3..6).for_each(|item| order.set_phase(item, ItemPhase::Listed));
+    assert_eq!(order.needed_left(), 0);
+}
