Count a server not heard of by own attempts and the others' part, at nodes of few

In the median refusal four of the nine servers had none of the node's attempts and a report older than 100 ms: they had looked busy once, and when that report had faded they stood at the level, which is that of the servers in use. The node filled the other five. Ruled out: servers taken out (none of the candidates was, pressure 0), the budget of retries (10 of 12375), resends without a place (16), failures (0.3%, unsafe requests that were spoilt). The test fails without it (102 requests until the server is met again, 43 and 53 with it).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -507,6 +507,10 @@
             true => self.level.now(now, self.aim),
             false => counts().sum::<f64>() / counts().count().max(1) as f64,
         };
+        // A node of few sends a good part of all that a server holds: its own attempts there are known, and
+        // only the other nodes' part of the level is a guess. The level is that of the servers in use. Guards
+        // against leaving alone a server that looked busy once.
+        let others = 1.0 - 1.0 / self.settings.nodes as f64;
         // A request that may have run is bound to its group, wherever that is; any other to the subset.
         let may = |home, slot: &usize| may_move(class.effect, home, &self.servers.slots[*slot].entry);
         let slots = home.map_or(subset, |home| {
@@ -539,7 +543,11 @@
                 // What an old report told is likely over: what it says beyond the level counts for less.
                 let fades = |at: f64| 0.5_f64.powf((now - at) / (REPORT_LASTS * self.aim));
                 let fresh = server.reported_at.map_or(if told { 0.0 } else { 1.0 }, fades);
-                (mean + (count - mean) * fresh, server.pace.or(now, PACE_LASTS * self.aim, lasting))
+                let unheard = match told && self.settings.nodes as f64 <= SHARERS {
+                    true => server.out as f64 + mean * others,
+                    false => mean,
+                };
+                (unheard + (count - unheard) * fresh, server.pace.or(now, PACE_LASTS * self.aim, lasting))
             } else {
                 (count, server.pace.or(now, half_life, all))
             };
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -296,3 +296,31 @@
         assert!(met, "{nodes} nodes: left alone for twelve requests");
     }
 }
+
+/// The earlier day of spoilt answers: of nine servers each of two nodes left four alone, as they had once reported a
+/// queue, and refused requests because those in use were full. What a node of few does not send, few others do.
+#[test]
+fn given_a_server_left_alone_when_the_others_stay_busy_then_it_is_soon_met_again() {
+    for nodes in [2, 3] {
+        let rounds: u64 = (0..40).map(|seed| rounds_until_met_again(nodes, seed)).sum();
+        assert!(rounds <= 40 * 70, "{nodes} nodes: met again after {rounds} requests, over forty seeds");
+    }
+}
+
+/// Requests until a server is met again that reported a queue once, where the others go on reporting as much.
+fn rounds_until_met_again(nodes: usize, seed: u64) -> u64 {
+    let mut settings = of_many();
+    settings.nodes = nodes;
+    let mut node = Node::new(settings, seed);
+    node.servers(ready(0..3));
+    refusals(&mut node, 0..60, 25.0, 1.0);
+    let alone = node.sent_to(1_000);
+    node.report(1_000, 0, 50.0, Ending::Served, Some(4.0));
+    let met = (2_000..).position(|id| {
+        node.now += 33.0;
+        let Some(at) = send_of(&node.request(id, 0, 390.0)) else { return false };
+        node.report(id, 0, 50.0, Ending::Served, Some(2.0));
+        at == alone
+    });
+    met.expect("endless") as u64
+}
