Split the decisions into modules by concern

src/rules.rs had 948 lines and one impl of all concerns. Now src/decisions/: listing, servers, choice, ramp, admission, attempts, health, estimates, and Balancer in mod.rs; the longest file has 249 lines. The 100 lines of Balancer::candidates are steps of their own (usual, eligible, candidate, expected, wait, ramp). The deploy file names all ten policy files, 1,116 lines together, and the test of their size reads them from there and sees that none of the folder is left out; the limits of that test are as before.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,11 +43,12 @@
 //! # Ok::<(), spurdrum::SettingsError>(())
 //! ```
 
+mod decisions;
 mod interface;
 pub mod net;
 mod ring;
-mod rules;
+
 pub mod wire;
 
+pub use decisions::Balancer;
 pub use interface::*;
-pub use rules::Balancer;
--- a/tests/hsq.rs
+++ b/tests/hsq.rs
@@ -393,7 +393,15 @@
 
 #[test]
 fn the_policy_keeps_its_size() {
-    let text = [include_str!("../src/rules.rs"), include_str!("../src/ring.rs")].concat();
+    let deploy: toml::Table = include_str!("../deploy/balancer.toml").parse().expect("a sound deploy file");
+    let files = deploy["policy"].as_array().expect("a list of files");
+    let read =
+        |file: &toml::Value| std::fs::read_to_string(file.as_str().expect("a path")).expect("a policy file");
+    let text: String = files.iter().map(read).collect();
+    for entry in std::fs::read_dir("src/decisions").expect("the folder of the decisions") {
+        let path = entry.expect("an entry").path();
+        assert!(files.iter().any(|file| file.as_str() == path.to_str()), "{} is not named", path.display());
+    }
     let lines = text.lines().filter(|l| !l.trim().is_empty()).count();
     assert!(lines <= 1_200, "{lines} lines");
     let widest = text.lines().map(|l| l.chars().count()).max().expect("lines");
