--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -1,8 +1,8 @@
 //! A model of the fleet that the node serves in: a stand-in discovery, hollow servers and hollow nodes on loopback
 //! addresses of one process, driven by a scenario; and measures of single quantities against size.
 //!
-//! Hollow nodes run the project's own decisions ([`spurdrum::Balancer`]) and its own discovery client
-//! ([`spurdrum::net::discovery`]). What is hollow: clients, the work of the servers, and the node's own sockets to
+//! Hollow nodes run the project's own decisions ([`balancer::Balancer`]) and its own discovery client
+//! ([`balancer::net::discovery`]). What is hollow: clients, the work of the servers, and the node's own sockets to
 //! clients. All figures are those of the machine that the emulator runs on.
 
 pub mod build;
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -10,18 +10,18 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use balancer::net::config::{load_report, List, Phase};
+use balancer::net::discovery::{self, Subscriber};
+use balancer::net::list::Decoder;
+use balancer::{
+    wire, Action, Availability, Balancer, Ending, Event, Listing, Outcome, Report, Request, RequestId,
+    ServerEntry, ServerId, Settings,
+};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::StatusCode;
 use hyper_util::rt::TokioIo;
-use spurdrum::net::config::{load_report, List, Phase};
-use spurdrum::net::discovery::{self, Subscriber};
-use spurdrum::net::list::Decoder;
-use spurdrum::{
-    wire, Action, Availability, Balancer, Ending, Event, Listing, Outcome, Report, Request, RequestId,
-    ServerEntry, ServerId, Settings,
-};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch, Notify, Semaphore};
 use tokio::task::AbortHandle;
@@ -167,7 +167,7 @@
 }
 
 impl HollowNode {
-    fn new(crew: &Rc<Crew>, number: usize) -> Result<Rc<Self>, spurdrum::SettingsError> {
+    fn new(crew: &Rc<Crew>, number: usize) -> Result<Rc<Self>, balancer::SettingsError> {
         let size = crew.plan.size;
         let zone = size.zone(number);
         let mut settings = crew.plan.settings.clone();
@@ -422,7 +422,7 @@
 /// A list as the decisions take it.
 #[must_use]
 pub fn listing(list: &List, zones: &[String]) -> Listing {
-    let entry = |member: &spurdrum::net::config::Member| {
+    let entry = |member: &balancer::net::config::Member| {
         Some(ServerEntry {
             server: ServerId(catalogue::number(&member.id)?),
             availability: match member.phase {
--- a/fleet/src/play.rs
+++ b/fleet/src/play.rs
@@ -8,8 +8,8 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use balancer::{Class, Effect, Settings};
 use serde::Serialize;
-use spurdrum::{Class, Effect, Settings};
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 use tokio::time::{sleep, sleep_until};
@@ -72,7 +72,7 @@
     Setup(#[from] io::Error),
     /// The nodes' settings make no sense.
     #[error("the nodes' settings: {0}")]
-    Settings(#[from] spurdrum::SettingsError),
+    Settings(#[from] balancer::SettingsError),
     /// Nodes got no list.
     #[error("{without} of {nodes} nodes had no list within {within_s} s, in which discovery sent {whole_lists} whole lists, {sent_bytes} bytes: is the list over the client's limit?")]
     NeverListed {
--- a/fleet/src/slopes.rs
+++ b/fleet/src/slopes.rs
@@ -10,16 +10,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use clap::ValueEnum;
-use serde::{Deserialize as _, Serialize};
-use serde_json::json;
-use spurdrum::net::config::{Config, List, Names};
-use spurdrum::net::discovery::{first, Subscriber};
-use spurdrum::net::node::Node;
-use spurdrum::{
+use balancer::net::config::{Config, List, Names};
+use balancer::net::discovery::{first, Subscriber};
+use balancer::net::node::Node;
+use balancer::{
     wire, Action, Balancer, Class, Effect, Ending, Event, Listing, Outcome, Report, Request, RequestId,
     ServerEntry, Settings,
 };
+use clap::ValueEnum;
+use serde::{Deserialize as _, Serialize};
+use serde_json::json;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::LocalSet;
 
@@ -564,7 +564,7 @@
         let mut measure = |_| {
             let mut changed = entries[random.usize(..entries.len())].clone();
             let back = changed.clone();
-            changed.availability = spurdrum::Availability::Draining;
+            changed.availability = balancer::Availability::Draining;
             let begun = Instant::now();
             balancer.handle(1_000.0, Event::Servers(Listing::Changes(vec![changed])), &mut actions);
             balancer.handle(1_000.0, Event::Servers(Listing::Changes(vec![back])), &mut actions);
--- a/fleet/tests/catalogue.rs
+++ b/fleet/tests/catalogue.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use balancer::net::config::List;
+use balancer::net::discovery::{first, follow, Subscriber};
 use fleet::catalogue::{name, number, Catalogue, Phase, Reach, Size};
 use fleet::discovery::{serve, Ask};
 use fleet::world::{listen, World};
-use spurdrum::net::config::List;
-use spurdrum::net::discovery::{first, follow, Subscriber};
 use tokio::sync::{mpsc, Notify};
 use tokio::task::LocalSet;
 
--- a/src/bin/spurdrum-simhost.rs
+++ b/src/bin/balancer-simhost.rs
@@ -5,8 +5,8 @@
 use std::panic::{self, AssertUnwindSafe};
 use std::process::ExitCode;
 
-use spurdrum::wire::{one_line, Dialect, Line, Member, WireError};
-use spurdrum::{Action, Balancer};
+use balancer::wire::{one_line, Dialect, Line, Member, WireError};
+use balancer::{Action, Balancer};
 
 /// One instance: its balancer and the names only it has been told.
 struct Instance {
@@ -106,7 +106,7 @@
 
     fn note(&mut self, what: &str, why: &str) {
         if self.passed_over.insert(what.to_owned()) {
-            eprintln!("spurdrum-simhost: {why}: {}", one_line(what));
+            eprintln!("balancer-simhost: {why}: {}", one_line(what));
         }
     }
 }
@@ -122,7 +122,7 @@
             Ok(0) => return ExitCode::SUCCESS,
             Ok(_) => {}
             Err(error) => {
-                eprintln!("spurdrum-simhost: line {number}: {error}");
+                eprintln!("balancer-simhost: line {number}: {error}");
                 return ExitCode::FAILURE;
             }
         }
@@ -135,14 +135,14 @@
             Ok(Step::EndOfBatch) => {
                 let written = output.write_all(adapter.reply.as_bytes()).and_then(|()| output.flush());
                 if let Err(error) = written {
-                    eprintln!("spurdrum-simhost: line {number}: cannot reply: {error}");
+                    eprintln!("balancer-simhost: line {number}: cannot reply: {error}");
                     return ExitCode::FAILURE;
                 }
                 adapter.reply.clear();
             }
             Err(error) => {
                 let message = line.split(' ').next().unwrap_or_default();
-                eprintln!("spurdrum-simhost: line {number}: {message}: {error}");
+                eprintln!("balancer-simhost: line {number}: {message}: {error}");
                 return ExitCode::FAILURE;
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,7 @@
 //! A node's event loop calls [`Balancer::handle`] and carries out what it is told:
 //!
 //! ```
-//! use spurdrum::{
+//! use balancer::{
 //!     Action, Availability, Balancer, Class, Effect, Ending, Event, Listing, Outcome, Request,
 //!     RequestId, ServerEntry, ServerId, Settings,
 //! };
@@ -40,7 +40,7 @@
 //! };
 //! balancer.handle(19.5, Event::Outcome(outcome), &mut actions);
 //! # let _ = server;
-//! # Ok::<(), spurdrum::SettingsError>(())
+//! # Ok::<(), balancer::SettingsError>(())
 //! ```
 
 mod decisions;
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,13 +8,13 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::LocalSet;
 
-use spurdrum::net::{config::Config, discovery, frontend, node::Node};
+use balancer::net::{config::Config, discovery, frontend, node::Node};
 
 fn main() -> ExitCode {
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("spurdrum: {}", spurdrum::wire::one_line(&why));
+            eprintln!("balancer-node: {}", balancer::wire::one_line(&why));
             ExitCode::FAILURE
         }
     }
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -7,8 +7,8 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 
+use balancer::*;
 use common::*;
-use spurdrum::*;
 
 /// Requests a second of a warm server.
 const CAPACITY: f64 = 40.0;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! What the tests of the module share: short ways to build events, and to feed a balancer.
 #![allow(dead_code)]
 
-use spurdrum::*;
+use balancer::*;
 
 pub struct Node {
     pub balancer: Balancer,
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -9,10 +9,10 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+use balancer::net::discovery::{self, Subscriber};
+use balancer::net::list::{Decoder, List, ListError};
 use net::*;
 use serde_json::{json, Value};
-use spurdrum::net::discovery::{self, Subscriber};
-use spurdrum::net::list::{Decoder, List, ListError};
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
+use balancer::*;
 use common::*;
-use spurdrum::*;
 
 const AIM: f64 = 80.0;
 
--- a/tests/hsq.rs
+++ b/tests/hsq.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 
-use spurdrum::*;
+use balancer::*;
 
 /// Settings whose aim is so far off that nothing is refused.
 fn patient() -> Settings {
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
+use balancer::*;
 use common::*;
-use spurdrum::*;
 
 /// Two nodes of the same seed hear the same, one of them by changes and the other by whole lists: they send alike.
 #[test]
--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -244,7 +244,7 @@
 pub fn command(config: &str, address: SocketAddr, discovery: SocketAddr) -> Command {
     let path = config_path(address);
     std::fs::write(&path, config).expect("written");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_spurdrum"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_balancer-node"));
     command.env("GW_NAME", "n0").env("GW_LISTEN", address.to_string());
     command.env("GW_DISCOVERY", discovery.to_string()).env("GW_CONFIG", path);
     command
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use spurdrum::*;
+use balancer::*;
 
 // ---- Edges
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -6,7 +6,7 @@
 const BOOT: &str = r#"BOOT node=node-1 seed=7 facts={"classes": [{"deadline_ms": 800.0, "promise_ms": 400.0, "effect": "retryable", "name": "a"}], "n_instances": 1, "stats": {"fields": ["waiting", "active"], "source": "inline"}}"#;
 
 fn adapter(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_spurdrum-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_balancer-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -222,7 +222,7 @@
 fn the_source_and_the_fields_of_reports_come_from_the_settings() {
     let told = |stats: serde_json::Value| {
         let facts = serde_json::json!({"classes": [{"deadline_ms": 800.0}], "stats": stats});
-        let settings = spurdrum::wire::read_settings(&facts).expect("sound");
+        let settings = balancer::wire::read_settings(&facts).expect("sound");
         (settings.answers_report, settings.probes_report)
     };
     let stats = |source, fields| serde_json::json!({"source": source, "fields": fields});
