Let the connections to servers not know the node

net/node.rs and net/upstream.rs imported each other. Attempts and probes take the Upstream that they need, which knows the time that a dial may take already; Reply::none stands beside Reply.

--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use crate::{
-    wire, Action, Availability, Balancer, Discovery, Ending, Event, Listing, Outcome, Request, RequestId,
+    wire, Action, Availability, Balancer, Discovery, Event, Listing, Outcome, Request, RequestId,
     ServerEntry, ServerId,
 };
 use bytes::Bytes;
@@ -164,14 +164,15 @@
                 let (node, forward) = (Rc::clone(self), Rc::clone(&held.forward));
                 tokio::task::spawn_local(async move {
                     let begun = Instant::now();
-                    let reply = upstream::attempt(&node, server, &forward, send_by, &stage, given_up).await;
+                    let reply =
+                        upstream::attempt(&node.upstream, server, &forward, send_by, &stage, given_up).await;
                     node.ended(request, attempt, begun.elapsed(), reply);
                 });
             }
             Action::Probe { server } => {
                 let node = Rc::clone(self);
                 tokio::task::spawn_local(async move {
-                    let reply = upstream::probe(&node, server).await;
+                    let reply = upstream::probe(&node.upstream, server).await;
                     node.handle(Event::Probed { server, ending: reply.ending, report: reply.report });
                 });
             }
@@ -515,10 +516,3 @@
         }
     }
 }
-
-impl Reply {
-    /// An end without an answer.
-    pub fn none(ending: Ending) -> Self {
-        Self { ending, report: None, body: None }
-    }
-}
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -23,7 +23,6 @@
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 use super::config::{load_report, Config};
-use super::node::Node;
 use super::socket::{self, has_input, Io};
 
 /// Bodies hold this much at most.
@@ -93,6 +92,13 @@
     pub body: Option<Bytes>,
 }
 
+impl Reply {
+    /// An end without an answer.
+    pub fn none(ending: Ending) -> Self {
+        Self { ending, report: None, body: None }
+    }
+}
+
 /// A place in the budget of sockets, free again when the socket is closed.
 struct Slot(Rc<Cell<usize>>);
 
@@ -314,7 +320,7 @@
 /// One attempt of a request, from choosing a connection to the whole answer. `stage` tells how far it has come.
 /// Where it has not been sent by `send_by`, it is not sent at all. When it returns, nothing of it is out any more.
 pub async fn attempt(
-    node: &Node,
+    upstream: &Upstream,
     server: ServerId,
     forward: &Forward,
     send_by: Option<Instant>,
@@ -325,16 +331,16 @@
     // The exchange holds the connection; it is dropped, and that closed, before this returns.
     tokio::select! {
         biased;
-        reply = exchange(node, server, Some((forward, send_by)), stage) => reply,
+        reply = exchange(upstream, server, Some((forward, send_by)), stage) => reply,
         Ok(()) = given_up => unless_sent(Ending::Cancelled),
         () = sleep_until(forward.gives_up_at) => unless_sent(Ending::TimedOut),
     }
 }
 
 /// Asks a server for its load report.
-pub async fn probe(node: &Node, server: ServerId) -> Reply {
+pub async fn probe(upstream: &Upstream, server: ServerId) -> Reply {
     let stage = Cell::new(Stage::Unsent);
-    let reply = timeout(node.config.dial_timeout, exchange(node, server, None, &stage)).await;
+    let reply = timeout(upstream.dial_timeout, exchange(upstream, server, None, &stage)).await;
     let mut reply = reply.unwrap_or_else(|_| Reply::none(Ending::TimedOut));
     if let Some(body) = reply.body.take() {
         reply.report = std::str::from_utf8(&body).ok().and_then(load_report).or(reply.report);
@@ -344,13 +350,12 @@
 
 /// Sends a request, or a probe where there is none, and reads the answer.
 async fn exchange(
-    node: &Node,
+    upstream: &Upstream,
     server: ServerId,
     request: Option<(&Forward, Option<Instant>)>,
     stage: &Cell<Stage>,
 ) -> Reply {
     let (forward, send_by) = request.map_or((None, None), |(forward, send_by)| (Some(forward), send_by));
-    let upstream = &node.upstream;
     // It may have gone since the decision.
     let Some(server) = upstream.servers.borrow().get(&server).cloned() else {
         return Reply::none(Ending::NotSent);
@@ -361,7 +366,7 @@
         let patience = forward.map_or(REST, |forward| left(forward).mul_f64(REST_PART));
         let (mut connection, kept) = match server.idle(upstream.keep, patience) {
             Some(connection) => (connection, true),
-            None => match upstream.connect(&server, dial_most(node, forward, send_by), dials).await {
+            None => match upstream.connect(&server, dial_most(upstream, forward, send_by), dials).await {
                 Ok(connection) => (connection, false),
                 Err(ending) => return Reply::none(ending),
             },
@@ -403,10 +408,10 @@
     }
 }
 
-fn dial_most(node: &Node, forward: Option<&Forward>, send_by: Option<Instant>) -> Duration {
+fn dial_most(upstream: &Upstream, forward: Option<&Forward>, send_by: Option<Instant>) -> Duration {
     let left = forward.map(|f| f.gives_up_at.saturating_duration_since(Instant::now()).mul_f64(DIAL_PART));
     let by = send_by.map(|by| by.saturating_duration_since(Instant::now()));
-    [left, by].into_iter().flatten().fold(node.config.dial_timeout, Duration::min)
+    [left, by].into_iter().flatten().fold(upstream.dial_timeout, Duration::min)
 }
 
 fn forward_request(forward: &Forward) -> Request<Full<Bytes>> {
