--- a/fleet/src/build.rs
+++ b/fleet/src/build.rs
@@ -11,7 +11,7 @@
 
 use serde_json::Value;
 
-use crate::slopes::Quantity;
+use crate::quantity::Quantity;
 
 /// A measure that takes longer is ended.
 const MEASURE_MOST: Duration = Duration::from_secs(120);
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fit;
 pub mod node;
 pub mod play;
+pub mod quantity;
 pub mod report;
 pub mod scenario;
 pub mod server;
--- a/fleet/src/main.rs
+++ b/fleet/src/main.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand, ValueEnum};
+use fleet::quantity::Quantity;
 use fleet::report::{self, Report};
 use fleet::scenario::Scenario;
 use fleet::usage::{self, Memory};
@@ -48,7 +49,7 @@
 struct SlopesArguments {
     /// What is measured; repeat it for several. All, where none is named.
     #[arg(long = "quantity", value_enum)]
-    quantities: Vec<slopes::Quantity>,
+    quantities: Vec<Quantity>,
     /// The sizes, separated by commas; each quantity has its own where none are named.
     #[arg(long, value_delimiter = ',')]
     sizes: Vec<usize>,
--- a/fleet/src/slopes.rs
+++ b/fleet/src/slopes.rs
@@ -28,6 +28,7 @@
 use crate::discovery;
 use crate::fit::{fit, Fit};
 use crate::node::{listing, read_list};
+use crate::quantity::Quantity;
 use crate::traffic::Sums;
 use crate::usage::{self, thread_time, Memory, TooFewDescriptors};
 use crate::world::{listen, World};
@@ -51,91 +52,6 @@
 /// Whole lists served for one measure.
 const LISTS: u32 = 20;
 
-/// What can be measured.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, ValueEnum)]
-#[serde(rename_all = "kebab-case")]
-pub enum Quantity {
-    /// Memory of a node's settings, by tenants.
-    TenantMemory,
-    /// Memory of the decisions, by servers.
-    BalancerMemory,
-    /// Memory of a node with nothing in hand, by servers.
-    NodeMemory,
-    /// Time in which a node's settings are read and its decisions made ready, by tenants.
-    TenantStart,
-    /// Time in which a node starts from the list that it last knew, read already, by servers.
-    NodeStart,
-    /// Time in which the decisions take a whole list, by servers.
-    WholeList,
-    /// Time in which they take one change, by servers.
-    OneChange,
-    /// Time in which they take a request and its outcome, by servers.
-    Request,
-    /// Bytes of the whole list, by servers.
-    ListBytes,
-    /// Bytes of one change, by servers.
-    ChangeBytes,
-    /// Processor time of the discovery client for one whole list, by servers.
-    ReadList,
-    /// Time from its call until it has that list, by servers.
-    ReadListTime,
-    /// Processor time in which discovery makes the whole list, once a version, by servers.
-    MakeList,
-    /// Processor time of discovery to send a whole list that is made, by servers.
-    ServeList,
-    /// Processor time of discovery to tell all watches of one change, by watches.
-    ServeChange,
-    /// Bytes that discovery sends then, by watches.
-    ServeChangeBytes,
-    /// Servers that a node of one service talks to within a minute, by servers.
-    Connections,
-    /// Servers that a node talks to within a minute, with a list for each service, by services.
-    ServiceConnections,
-}
-
-impl Quantity {
-    fn is_memory(self) -> bool {
-        matches!(self, Self::TenantMemory | Self::BalancerMemory | Self::NodeMemory)
-    }
-
-    /// What it is a measure of; `us` is what differs from run to run.
-    #[must_use]
-    pub fn unit(self) -> &'static str {
-        match self {
-            Self::TenantMemory | Self::BalancerMemory | Self::NodeMemory => "bytes",
-            Self::ListBytes | Self::ChangeBytes | Self::ServeChangeBytes => "bytes",
-            Self::Connections | Self::ServiceConnections => "servers",
-            _ => "us",
-        }
-    }
-
-    /// What its size counts.
-    #[must_use]
-    pub fn against(self) -> &'static str {
-        match self {
-            Self::TenantMemory | Self::TenantStart => "tenants",
-            Self::ServeChange | Self::ServeChangeBytes => "watches",
-            Self::ServiceConnections => "services",
-            _ => "servers",
-        }
-    }
-
-    fn usual_sizes(self) -> &'static [usize] {
-        match self.against() {
-            "tenants" => &[100, 1_000, 10_000, 53_000],
-            "watches" => &[100, 500, 1_000, 2_000],
-            "services" => &[1, 10, 100, 660],
-            _ => &[200, 1_000, 2_000, 8_000, 21_000],
-        }
-    }
-
-    /// As the command line names it.
-    #[must_use]
-    pub fn name(self) -> String {
-        self.to_possible_value().map_or_else(String::new, |value| value.get_name().to_owned())
-    }
-}
-
 /// What is measured, and how.
 #[derive(Clone, Debug, Serialize)]
 pub struct Options {
