--- a/src/decisions/admission.rs
+++ b/src/decisions/admission.rs
@@ -1,7 +1,7 @@
 //! Admission: whether a request is taken, and which answer it may wait for.
 
 use super::attempts::Held;
-use super::estimates::RECENT;
+use super::estimates::{PRESSURE_LASTS, RECENT};
 use super::Balancer;
 use crate::interface::*;
 
@@ -23,9 +23,7 @@
 /// Requests that may wait at a server, beside those in work, for the part above of the whole aim.
 const WAITING_MOST: f64 = 3.0;
 
-/// ... half of what servers turned away is forgotten in this: they slow down where the pressure stays, ...
-pub(super) const PRESSURE_LASTS: f64 = 20.0;
-
+/// The power by which the part of attempts that was not turned away tightens the bound of admission.
 const PRESSURE: f64 = 2.0;
 
 /// How far to the whole aim the bound of admission moves where counts were just asked for.
--- a/src/decisions/attempts.rs
+++ b/src/decisions/attempts.rs
@@ -1,23 +1,22 @@
 //! The attempts of a request that was taken, until its final answer.
 
-use super::admission::PRESSURE_LASTS;
-use super::choice::EASY;
+use super::estimates::{EASY, PRESSURE_LASTS};
 use super::Balancer;
 use crate::interface::*;
 
 /// Part of the window for repeats within which a resend is made: it must arrive in it, too.
 const WINDOW_PART: f64 = 0.8;
 
-/// ... and within which it must have got its connection.
+/// Part of the window for repeats within which a resend must have got its connection.
 const WINDOW_LATEST: f64 = 0.9;
 
-/// An attempt may be cut after so many of its aims. Sooner, more work is done twice than is won by it ...
+/// An attempt may be cut after so many of its aims. Sooner, more work is done twice than is won.
 const CUT_AIMS: f64 = 1.5;
 
-/// ... and after so many times the answer expected of its server, where that has said nothing meanwhile ...
+/// It may be cut after so many times the answer expected of its server, which has said nothing since.
 const CUT_WAITS: f64 = 3.0;
 
-/// ... to so many attempts.
+/// Attempts of the node that a server leaves unanswered, before one of them may be cut.
 const CUT_OUT: usize = 3;
 
 pub(super) struct Attempt {
--- a/src/decisions/choice.rs
+++ b/src/decisions/choice.rs
@@ -2,21 +2,19 @@
 //! count, and `report` lets a fresh report overwrite its server's count.
 
 use super::attempts::{Attempt, Held};
-use super::estimates::{Level, RECENT};
+use super::estimates::{Level, EASY, RECENT};
 use super::servers::Server;
 use super::{Balancer, HALF_LIFE, PACE_LASTS, SHARERS};
 use crate::interface::*;
 
-/// ... but not sooner than in so many usual gaps between requests, each of an aim at most.
+/// Recent outcomes lose half their weight in so many usual gaps between requests at the least, of an aim each
+/// at most.
 const GAPS: f64 = 2.0;
 
-/// Part of a mean aim that answers are thought to take at the most where nothing recent is known.
-pub(super) const EASY: f64 = 0.25;
-
 /// A server expected to take this many times the best one's time is not picked. Over 2: counts decide.
 const BACKED_UP: f64 = 2.5;
 
-/// At one node of many, in mean aims: half of what a report told beyond the level is forgotten in this, ...
+/// Among several nodes, in mean aims: half of what a report told beyond the level is forgotten in this.
 const REPORT_LASTS: f64 = 12.0;
 
 /// Servers of each part of the ring, near and far, that one request is offered at the most.
--- a/src/decisions/estimates.rs
+++ b/src/decisions/estimates.rs
@@ -6,14 +6,21 @@
 /// Outcomes that the knowledge of all servers weighs as much as.
 const PRIOR: f64 = 4.0;
 
-/// ... the level itself follows new reports in this, though by a part at the least, ...
+/// In mean aims: the level follows new reports in this, though by a part at the least.
 const LEVEL_FOLLOWS: f64 = 2.0;
 
 const LEVEL_LEAST: f64 = 0.15;
 
-/// ... falls by half to an idle fleet's in this where none come, so that refusals end by themselves, ...
+/// In mean aims: where no reports come the level falls by half to an idle fleet's in this: refusals end.
 const LEVEL_LASTS: f64 = 6.0;
 
+/// Part of a mean aim that answers are thought to take at the most where nothing recent is known.
+pub(super) const EASY: f64 = 0.25;
+
+/// In mean aims: half of the part of attempts that servers turned away is forgotten in this. They slow down
+/// where the pressure stays.
+pub(super) const PRESSURE_LASTS: f64 = 20.0;
+
 /// Running means of the latency, and of how many requests the server held meanwhile.
 #[derive(Clone, Copy, Default)]
 pub(super) struct Pace {
--- a/src/decisions/health.rs
+++ b/src/decisions/health.rs
@@ -16,8 +16,7 @@
 const SPARSE_STRIKES: u32 = 1;
 const SPARSE_EJECT: f64 = 30.0;
 
-/// Attempts over which the part that was turned away is told, and the power by which the rest tightens the
-/// bound of admission.
+/// Attempts over which the part that was turned away is told.
 const PRESSURE_OVER: f64 = 6.0;
 
 impl Balancer {
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -33,7 +33,7 @@
 /// Outcomes lose half their weight in this part of a mean aim: what is not confirmed is soon forgotten.
 const HALF_LIFE: f64 = 0.25;
 
-/// ... and half of what was seen of a server's speed is forgotten after this.
+/// Among several nodes, in mean aims: half of what was seen of a server's speed is forgotten after this.
 const PACE_LASTS: f64 = 40.0;
 
 /// Nodes that share a server, about: connections stay few and warm, and each node meets its servers often.
