--- a/crates/store-plane/src/runner.rs
+++ b/crates/store-plane/src/runner.rs
@@ -42,9 +42,9 @@
     fn default() -> Self {
         Self {
             items_at_once: 64,
-            surplus_reserve: 24,
-            run_least: Duration::from_millis(2500),
-            run_most: Duration::from_secs(10),
+            surplus_reserve: 48,
+            run_least: Duration::from_secs(12),
+            run_most: Duration::from_secs(20),
             reward_deadline: Duration::from_millis(1500),
             kept_bytes: 8 * 1024 * 1024,
         }
--- a/crates/store-plane/src/runner_job.rs
+++ b/crates/store-plane/src/runner_job.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use batch::{Candidate, Condition, Item, ItemIndex, ItemPhase, ItemResult, Job, JobId, JobOrder, Precedence};
+use batch::{
+    Candidate, Condition, Item, ItemIndex, ItemPhase, ItemResult, Job, JobId, JobOrder, Outlook, Precedence,
+};
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
@@ -16,6 +18,8 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 /// Doublings after which the pause is longest for certain.
 const DOUBLINGS_MOST: u32 = 6;
+/// The longest item of a batch job takes about so many usual runs.
+const TAIL_RUNS: f64 = 2.5;
 /// An item is given up this much later than its route allows, since clocks of stores differ.
 const SHELF_LIFE_MARGIN: Duration = Duration::from_secs(1);
 
@@ -126,10 +130,25 @@
     }
 
     /// The next item with its precedence among those of all batch jobs.
-    pub(crate) fn next(&self, now: Duration, usual_run: Duration) -> Option<(Precedence, Candidate)> {
-        let due = (self.taken_over + self.terms?.delivery_due).saturating_sub(self.age);
+    ///
+    /// A run takes `usual_run`, and `places` run at once.
+    pub(crate) fn next(
+        &self,
+        now: Duration,
+        usual_run: Duration,
+        places: usize,
+    ) -> Option<(Precedence, Candidate)> {
         let candidate = self.order.next(now)?;
-        Some((Precedence::new(candidate, due, self.order.streaming(), now + usual_run), candidate))
+        let needed_left = self.order.needed_left();
+        let rounds = needed_left as f64 / places.max(1) as f64;
+        let outlook = Outlook {
+            due: (self.taken_over + self.terms?.delivery_due).saturating_sub(self.age),
+            needed_left,
+            streaming: self.order.streaming(),
+            item_finished: now + usual_run,
+            all_finished: now + usual_run.mul_f64(rounds + TAIL_RUNS),
+        };
+        Some((Precedence::new(candidate, outlook), candidate))
     }
 
     /// Puts an item back until `pause` has passed.
