--- /dev/null
+++ b/crates/control-plane/tests/acceptor.rs
@@ -0,0 +1,73 @@
+//! The acceptor of the register on its disk.
+
+mod support;
+
+use std::sync::Arc;
+
+use register::{AcceptorReply, AcceptorRequest, Ballot, Incarnation, Member, Outcome, Versioned};
+use state::ControlState;
+use storage::simulated::{LoseEverything, SimulatedDisk};
+use support::{acceptor, first};
+
+fn start_value(incarnation: Incarnation) -> Versioned<ControlState> {
+    first(vec![Member { station: "a".into(), incarnation, address: "a:1".into() }], Vec::new())
+}
+
+fn next(value: &Versioned<ControlState>, round: u64) -> Versioned<ControlState> {
+    let state = ControlState { edition: round, ..ControlState::clone(&value.value) };
+    Versioned { ballot: Ballot { round, proposer: 7 }, value: Arc::new(state) }
+}
+
+fn accepted(reply: &AcceptorReply<ControlState>) -> Option<Versioned<ControlState>> {
+    match &reply.outcome {
+        Outcome::Current { accepted, .. } => accepted.clone(),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[tokio::test]
+async fn given_a_first_value_when_another_is_offered_then_the_first_stands_also_after_power_was_lost() {
+    let disk = SimulatedDisk::new(1);
+    let (service, incarnation) = acceptor(&disk);
+    let value = start_value(incarnation);
+    assert_eq!(service.initialise(value.clone()).await, Some(value.clone()));
+    disk.lose_power(&mut LoseEverything);
+    let (service, again) = acceptor(&disk);
+    assert_eq!((again, service.is_initialised()), (incarnation, true));
+    let other = Versioned { ballot: value.ballot, value: Arc::clone(&next(&value, 9).value) };
+    assert_eq!(service.initialise(other).await, Some(value.clone()));
+    assert_eq!(service.committed(), Some(value));
+}
+
+#[tokio::test]
+async fn given_a_promise_and_an_acceptance_when_power_is_lost_then_both_are_kept() {
+    let disk = SimulatedDisk::new(2);
+    let (service, incarnation) = acceptor(&disk);
+    let value = start_value(incarnation);
+    service.initialise(value.clone()).await;
+    let newer = next(&value, 5);
+    service.handle(AcceptorRequest::Accept(newer.clone())).await.expect("it is durable");
+    service.handle(AcceptorRequest::Prepare(Ballot { round: 8, proposer: 7 })).await.expect("it is durable");
+    disk.lose_power(&mut LoseEverything);
+    let (service, _) = acceptor(&disk);
+    let shown = service.handle(AcceptorRequest::Read).await.expect("it answers");
+    assert_eq!(accepted(&shown), Some(newer));
+    let refused = service.handle(AcceptorRequest::Accept(next(&value, 7))).await.expect("it answers");
+    assert!(matches!(refused.outcome, Outcome::Rejected(ballot) if ballot.round == 8), "{refused:?}");
+}
+
+#[tokio::test]
+async fn given_a_disk_that_failed_when_the_same_acceptance_comes_again_then_it_is_durable_before_the_reply() {
+    let disk = SimulatedDisk::new(3);
+    let (service, incarnation) = acceptor(&disk);
+    let value = start_value(incarnation);
+    service.initialise(value.clone()).await;
+    let newer = next(&value, 5);
+    disk.fail_syncs(1);
+    assert!(service.handle(AcceptorRequest::Accept(newer.clone())).await.is_none(), "it is not durable");
+    let reply = service.handle(AcceptorRequest::Accept(newer.clone())).await.expect("it is durable");
+    assert!(matches!(reply.outcome, Outcome::Accepted));
+    disk.lose_power(&mut LoseEverything);
+    let shown = acceptor(&disk).0.handle(AcceptorRequest::Read).await.expect("it answers");
+    assert_eq!(accepted(&shown), Some(newer));
+}
--- /dev/null
+++ b/crates/control-plane/tests/support/mod.rs
@@ -0,0 +1,131 @@
+//! A few acceptors on the loopback address, each with a disk in memory.
+#![allow(dead_code)]
+
+use std::path::Path;
+use std::sync::Arc;
+
+use control_plane::{operator_routes, paths, AcceptorService, Distribution, Proposer, ViewCell};
+use poem::endpoint::BoxEndpoint;
+use poem::http::{Method, StatusCode};
+use poem::{Body, Endpoint, EndpointExt, Request, Response, Route};
+use register::{AcceptorRequest, Ballot, Incarnation, Member, Versioned};
+use state::change::first_state;
+use state::{ControlState, StoreMember};
+use storage::simulated::SimulatedDisk;
+use storage::{Journal, Options};
+use tokio::net::TcpListener;
+
+pub const OPTIONS: Options = Options { segment_bytes: 256 * 1024, segments: 8 };
+pub const FIRST: Ballot = Ballot { round: 1, proposer: 0 };
+
+/// A traffic node with an acceptor.
+pub struct Node {
+    pub view: Arc<ViewCell>,
+    pub proposer: Arc<Proposer>,
+    pub member: Member,
+    operator: BoxEndpoint<'static, Response>,
+}
+
+/// An acceptor on a disk, as a process has it that starts now.
+pub fn acceptor(disk: &SimulatedDisk) -> (Arc<AcceptorService>, Incarnation) {
+    let opened = Journal::open_inline(disk.file_system(), Path::new("/data"), OPTIONS);
+    let (journal, recovered) = opened.expect("the disk opens");
+    let incarnation = Incarnation(recovered.incarnation);
+    (AcceptorService::new(journal, incarnation, &recovered.records), incarnation)
+}
+
+pub fn first(acceptors: Vec<Member>, stores: Vec<StoreMember>) -> Versioned<ControlState> {
+    let state = first_state(acceptors, stores, 1).expect("there are acceptors");
+    Versioned { ballot: FIRST, value: Arc::new(state) }
+}
+
+pub fn store(index: u64) -> StoreMember {
+    let incarnation = Incarnation(1000 + index);
+    let member = Member { station: format!("store{index}"), incarnation, address: "127.0.0.1:1".into() };
+    StoreMember { member, zone: "z".into() }
+}
+
+/// Nodes whose register has its first value, with this many stores.
+pub async fn nodes(count: usize, stores: u64) -> Vec<Node> {
+    let mut started = Vec::new();
+    for index in 0..count {
+        started.push(start(index).await);
+    }
+    let members: Vec<Member> = started.iter().map(|(node, _)| node.member.clone()).collect();
+    let first = first(members, (0..stores).map(store).collect());
+    for (node, acceptor) in &started {
+        assert_eq!(acceptor.initialise(first.clone()).await, Some(first.clone()));
+        node.view.adopt_control(&first);
+    }
+    started.into_iter().map(|(node, _)| node).collect()
+}
+
+async fn start(index: usize) -> (Node, Arc<AcceptorService>) {
+    let (acceptor, incarnation) = acceptor(&SimulatedDisk::new(index as u64));
+    let view = Arc::new(ViewCell::new());
+    let (register, distribution) = (Arc::clone(&acceptor), Distribution::new(Arc::clone(&view)));
+    let handle = move |request: AcceptorRequest<ControlState>| {
+        let register = Arc::clone(&register);
+        async move { register.handle(request).await }
+    };
+    let poll = move |request| {
+        let distribution = Arc::clone(&distribution);
+        async move { Some(distribution.poll(request).await) }
+    };
+    let routes = Route::new()
+        .at(paths::REGISTER, poem::post(rpc::handler(handle)))
+        .at(paths::POLL, poem::post(rpc::handler(poll)));
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    tokio::spawn(rpc::serve(listener, routes));
+    let proposer = Proposer::new(Arc::clone(&view), rpc::Client::new());
+    let operator = operator_routes(Arc::clone(&view), Arc::clone(&proposer)).map_to_response().boxed();
+    let member = Member { station: format!("node{index}"), incarnation, address };
+    (Node { view, proposer, member, operator }, acceptor)
+}
+
+impl Node {
+    /// Sends an order; gives the status and the body of the answer.
+    pub async fn order(
+        &self,
+        method: Method,
+        path: &str,
+        if_match: Option<&str>,
+        body: impl Into<Body>,
+    ) -> Answer {
+        let mut request = Request::builder().method(method).uri(path.parse().expect("a path"));
+        if let Some(expected) = if_match {
+            request = request.header("If-Match", expected);
+        }
+        let response = self.operator.get_response(request.body(body)).await;
+        let status = response.status();
+        Answer { status, body: response.into_body().into_string().await.expect("a text") }
+    }
+
+    pub async fn put(&self, expected: u64, body: &str) -> StatusCode {
+        let expected = expected.to_string();
+        self.order(Method::PUT, "/api/timetable", Some(&expected), body.to_owned()).await.status
+    }
+
+    pub async fn get(&self, path: &str) -> Answer {
+        self.order(Method::GET, path, None, Body::empty()).await
+    }
+
+    pub async fn post(&self, path: &str, body: &str) -> StatusCode {
+        self.order(Method::POST, path, None, body.to_owned()).await.status
+    }
+}
+
+/// An answer to an order.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub body: String,
+}
+
+pub fn document(version: u64, route: &str) -> String {
+    format!(
+        r#"{{"edition":{version},"routes":[{{"name":"{route}","depot":"h","lanePrefix":"/{route}/","kind":"safe",
+        "expiryMs":1500,"postalLine":"s"}}],"postalLines":[{{"name":"s","healthPath":"/health"}}]}}"#
+    )
+}
--- /dev/null
+++ b/crates/control-plane/tests/view.rs
@@ -0,0 +1,106 @@
+//! What a process knows only goes forward, and what it tells others.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use control_plane::{Distribution, PollRequest, ViewCell};
+use register::{Ballot, Versioned};
+use state::{ControlState, ServerList, ServerListVersion};
+use support::document;
+
+fn version(fence: u64, sequence: u64) -> ServerListVersion {
+    ServerListVersion { fence, sequence, local: 0 }
+}
+
+fn list(fence: u64, sequence: u64) -> ServerList {
+    ServerList { version: version(fence, sequence), servers: Vec::new() }
+}
+
+fn value(round: u64, edition: u64) -> Versioned<ControlState> {
+    let state = ControlState { edition, configuration: document(edition, "r"), ..ControlState::default() };
+    Versioned { ballot: Ballot { round, proposer: 1 }, value: Arc::new(state) }
+}
+
+#[test]
+fn given_a_newer_value_when_an_older_one_comes_late_then_the_newer_stays() {
+    let view = ViewCell::new();
+    view.adopt_control(&value(5, 9));
+    for late in [value(4, 7), value(5, 7)] {
+        view.adopt_control(&late);
+        assert_eq!(view.view().control.edition, 9);
+    }
+    let configuration = view.view().configuration.clone().expect("it is compiled");
+    assert_eq!(configuration.edition(), 9);
+}
+
+#[test]
+fn given_a_value_without_a_new_configuration_when_adopted_then_the_compiled_one_is_kept() {
+    let view = ViewCell::new();
+    view.adopt_control(&value(5, 9));
+    let before = view.view().configuration.clone().expect("it is compiled");
+    view.adopt_control(&value(6, 9));
+    assert!(Arc::ptr_eq(&before, view.view().configuration.as_ref().expect("it is compiled")));
+}
+
+#[test]
+fn given_a_newer_list_when_an_older_one_comes_late_then_the_newer_stays() {
+    let view = ViewCell::new();
+    view.adopt_servers(list(3, 2));
+    for late in [list(3, 1), list(2, 9)] {
+        view.adopt_servers(late);
+        assert_eq!(view.view().servers.version, version(3, 2));
+    }
+    view.adopt_servers(list(4, 1));
+    assert_eq!(view.view().servers.version, version(4, 1));
+}
+
+#[test]
+fn given_a_confirmation_when_an_earlier_one_is_told_late_then_the_later_counts() {
+    let view = ViewCell::new();
+    assert_eq!((view.confirmed_age(), view.servers_age()), (None, None));
+    let now = Instant::now();
+    let hour = Duration::from_secs(3600);
+    let Some(earlier) = now.checked_sub(hour) else { return };
+    (view.confirm(now), view.servers_read(now));
+    (view.confirm(earlier), view.servers_read(earlier));
+    let is_late = |age: Option<Duration>| age.is_some_and(|age| age < hour);
+    assert!(is_late(view.confirmed_age()) && is_late(view.servers_age()));
+}
+
+#[tokio::test]
+async fn given_something_newer_when_polled_then_it_is_told_at_once_with_the_version_of_the_list() {
+    let view = Arc::new(ViewCell::new());
+    view.adopt_control(&value(5, 9));
+    view.adopt_servers(list(3, 2));
+    let distribution = Distribution::new(Arc::clone(&view));
+    let known = Ballot { round: 5, proposer: 1 };
+    let hold_ms = 1000;
+    let poll = |ballot, servers| distribution.poll(PollRequest { ballot, servers, hold_ms });
+    let reply = poll(Ballot::default(), version(3, 2)).await;
+    assert_eq!(reply.control.map(|newer| newer.ballot), Some(known));
+    assert_eq!((reply.servers, reply.servers_version), (None, version(3, 2)));
+    let reply = poll(known, version(3, 1)).await;
+    assert_eq!((reply.control, reply.servers), (None, Some(list(3, 2))));
+    let reply = distribution.poll(PollRequest { ballot: known, servers: version(9, 9), hold_ms: 0 }).await;
+    assert_eq!((reply.control, reply.servers, reply.servers_age_ms), (None, None, None));
+}
+
+#[tokio::test]
+async fn given_a_held_poll_when_something_newer_comes_then_it_is_answered() {
+    let view = Arc::new(ViewCell::new());
+    let distribution = Distribution::new(Arc::clone(&view));
+    let request = PollRequest { ballot: Ballot::default(), servers: version(0, 0), hold_ms: 1000 };
+    let adopt = async { view.adopt_control(&value(5, 9)) };
+    let (reply, ()) = tokio::join!(distribution.poll(request), adopt);
+    assert!(reply.control.is_some());
+}
+
+#[test]
+fn given_a_process_that_has_not_told_when_pinged_then_it_has_moved_nothing() {
+    let distribution = Distribution::new(Arc::new(ViewCell::new()));
+    assert_eq!(distribution.ping().settled_epoch, 0);
+    distribution.set_settled_epoch(4);
+    assert_eq!(distribution.ping().settled_epoch, 4);
+}
--- /dev/null
+++ b/crates/rpc/tests/calls.rs
@@ -0,0 +1,60 @@
+//! Calls over the loopback address.
+
+use std::time::Duration;
+
+use poem::Route;
+use rpc::{decode, encode, CallError, Client, DecodeError};
+use tokio::net::TcpListener;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+async fn peer() -> String {
+    let double = |number: u64| async move { number.checked_mul(2) };
+    let routes = Route::new().at("/double", poem::post(rpc::handler(double)));
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    tokio::spawn(rpc::serve(listener, routes));
+    address
+}
+
+#[tokio::test]
+async fn given_a_peer_when_called_then_its_reply_comes_back() {
+    let address = peer().await;
+    assert_eq!(Client::new().call(&address, "/double", &21_u64, TIMEOUT).await, Ok(42_u64));
+}
+
+#[tokio::test]
+async fn given_a_call_that_is_not_carried_out_when_called_then_it_surely_has_not_run() {
+    let address = peer().await;
+    let client = Client::new();
+    let declined: Result<u64, _> = client.call(&address, "/double", &u64::MAX, TIMEOUT).await;
+    let malformed: Result<u64, _> = client.call(&address, "/double", &"no number", TIMEOUT).await;
+    let nowhere: Result<u64, _> = client.call(&address, "/none", &1_u64, TIMEOUT).await;
+    let statuses = [declined, malformed, nowhere].map(|result| result.expect_err("it is refused"));
+    assert_eq!(statuses, [503, 400, 404].map(CallError::Refused));
+    assert!(statuses.iter().all(|error| !error.may_have_run()));
+}
+
+#[tokio::test]
+async fn given_a_dead_port_when_called_then_the_call_was_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    drop(listener);
+    let result: Result<u64, _> = Client::new().call(&address, "/double", &1_u64, TIMEOUT).await;
+    assert!(matches!(result, Err(CallError::NotSent(_))), "{result:?}");
+}
+
+#[tokio::test]
+async fn given_a_reply_of_another_type_when_called_then_the_call_may_have_run() {
+    let address = peer().await;
+    let result: Result<(), _> = Client::new().call(&address, "/double", &1_u64, TIMEOUT).await;
+    assert!(result.expect_err("it is no reply").may_have_run());
+}
+
+#[test]
+fn given_a_message_when_bytes_are_missing_or_left_over_then_it_is_no_message() {
+    let bytes = encode(&("text".to_owned(), 7_u64));
+    assert_eq!(decode(&bytes), Ok(("text".to_owned(), 7_u64)));
+    assert_eq!(decode::<(String, u64)>(&bytes[..bytes.len() - 1]), Err(DecodeError));
+    assert_eq!(decode::<(String, u64)>(&[&bytes[..], &[0]].concat()), Err(DecodeError));
+}
