--- a/crates/control-plane/src/list_reader.rs
+++ b/crates/control-plane/src/list_reader.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use state::{ServerList, ServerListVersion};
+use state::ServerListVersion;
 
 use crate::{Leadership, Platform, ViewCell};
 
@@ -17,15 +17,6 @@
 /// How often is looked whether it is time to read.
 const TICK: Duration = Duration::from_millis(150);
 
-/// What became of a list that was read.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Taken {
-    /// The one held said the same.
-    Unchanged,
-    /// It is held under a new version.
-    Changed,
-}
-
 /// Reads the list while this process leads; otherwise only where nothing was heard of it for `own_after`.
 pub async fn run_list_reader(
     platform: Platform,
@@ -47,12 +38,10 @@
         match platform.read(ServerListVersion::default()).await {
             Ok(list) => {
                 own_wait = own_after + jitter(own_after);
-                if take_over(&view, list, leadership.fence(), renewed_at.elapsed() > RENEW_AFTER)
-                    == Taken::Changed
-                {
+                let renews = renewed_at.elapsed() > RENEW_AFTER;
+                if view.adopt_reading(list, began, leadership.fence(), renews) {
                     renewed_at = began;
                 }
-                view.servers_read(began);
             }
             Err(error) => {
                 log::warn!("{error}");
@@ -62,19 +51,6 @@
     }
 }
 
-/// Takes over what was read, under a new version where it differs or is to be renewed.
-fn take_over(view: &ViewCell, read: ServerList, fence: Option<u64>, renew: bool) -> Taken {
-    let known = Arc::clone(&view.view().servers);
-    let is_same = known.shows_same(&read);
-    let by_holder = fence.and_then(|fence| known.version.next_of_holder(fence));
-    if is_same && !(by_holder.is_some() && (renew || Some(known.version.fence) != fence)) {
-        return Taken::Unchanged;
-    }
-    let version = by_holder.unwrap_or_else(|| known.version.next_local(fastrand::u64(..)));
-    view.adopt_servers(ServerList { version, ..read });
-    Taken::Changed
-}
-
 fn jitter(most: Duration) -> Duration {
     most.mul_f64(fastrand::f64() * 0.5)
 }
--- a/crates/control-plane/src/messages.rs
+++ b/crates/control-plane/src/messages.rs
@@ -1,5 +1,7 @@
 //! Internal messages of the control plane and the paths that they are posted to.
 
+use std::time::Duration;
+
 use register::{Ballot, Member, Versioned};
 use serde::{Deserialize, Serialize};
 use state::{ControlState, ServerList, ServerListVersion};
@@ -22,6 +24,10 @@
     pub const PING: &str = "/control/ping";
 }
 
+/// A peer whose last confirmation by a majority is older is left for another.
+pub(crate) const CONFIRMED_AGE_MOST: Duration = Duration::from_millis(900);
+/// A peer whose list of servers is older is left for another.
+const SERVERS_AGE_MOST: Duration = Duration::from_millis(2000);
 /// What a machine with a disk can do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Capability {
@@ -68,6 +74,16 @@
     pub servers_age_ms: Option<u32>,
 }
 
+impl PollReply {
+    /// Whether the peer is confirmed by a majority and has a fresh list; otherwise another one is polled.
+    #[must_use]
+    pub fn is_fresh(&self) -> bool {
+        let within =
+            |age: Option<u32>, most: Duration| age.is_some_and(|age| u128::from(age) <= most.as_millis());
+        within(self.confirmed_age_ms, CONFIRMED_AGE_MOST) && within(self.servers_age_ms, SERVERS_AGE_MOST)
+    }
+}
+
 /// The state of a process that was asked whether it is there.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PingReply {
--- a/crates/control-plane/src/upkeep.rs
+++ b/crates/control-plane/src/upkeep.rs
@@ -39,11 +39,11 @@
         };
         let control = Arc::clone(&view.view().control);
         ping_all(&control, &client, &mut observed, last_round).await;
-        last_round = Instant::now();
         // The lease is looked up anew: the process may have been frozen.
         if leadership.fence() == Some(fence) && next_upkeep(&control, fence, &observed).is_some() {
             change(&proposer, fence, &observed).await;
         }
+        last_round = Instant::now();
     }
 }
 
--- a/crates/control-plane/src/view.rs
+++ b/crates/control-plane/src/view.rs
@@ -8,6 +8,8 @@
 use state::{ControlState, ServerList, View};
 use tokio::sync::watch;
 
+use crate::messages::PollReply;
+
 /// Holds the newest known [`View`]. Only goes forward.
 pub struct ViewCell {
     sender: watch::Sender<Arc<View>>,
@@ -96,6 +98,42 @@
         });
     }
 
+    /// Adopts what is newer in the reply of a peer that came at `now`.
+    ///
+    /// A control state that was confirmed at a time is no newer than the one held here; but the age of a list says
+    /// nothing of another list.
+    pub fn adopt_reply(&self, reply: &PollReply, now: Instant) {
+        if let Some(newer) = &reply.control {
+            self.adopt_control(newer);
+        }
+        if let Some(newer) = &reply.servers {
+            self.adopt_servers(newer.clone());
+        }
+        let ago = |age: u32| now.checked_sub(Duration::from_millis(age.into()));
+        if let Some(at) = reply.confirmed_age_ms.and_then(ago) {
+            self.confirm(at);
+        }
+        let holds_same = self.view().servers.version == reply.servers_version;
+        if let Some(at) = reply.servers_age_ms.and_then(ago).filter(|_| holds_same) {
+            self.servers_read(at);
+        }
+    }
+
+    /// Takes over a list that this process read at `at`, as the holder of the lease with the token `fence` if any.
+    /// It gets a new version where it differs, and where the holder `renews` it or is a new one. Tells whether it did.
+    pub fn adopt_reading(&self, read: ServerList, at: Instant, fence: Option<u64>, renews: bool) -> bool {
+        let known = Arc::clone(&self.view().servers);
+        let by_holder = fence.and_then(|fence| known.version.next_of_holder(fence));
+        let is_renewed = by_holder.is_some() && (renews || Some(known.version.fence) != fence);
+        let is_new = is_renewed || !known.shows_same(&read);
+        if is_new {
+            let version = by_holder.unwrap_or_else(|| known.version.next_local(fastrand::u64(..)));
+            self.adopt_servers(ServerList { version, ..read });
+        }
+        self.servers_read(at);
+        is_new
+    }
+
     /// Notes that the list of servers held is what the platform showed at `at`.
     pub fn servers_read(&self, at: Instant) {
         let mut known = self.lock();
--- a/crates/control-plane/tests/view.rs
+++ b/crates/control-plane/tests/view.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use control_plane::{Distribution, PollRequest, ViewCell};
+use control_plane::{Distribution, PollReply, PollRequest, ViewCell};
 use register::{Ballot, Versioned};
-use state::{ControlState, ServerList, ServerListVersion};
+use state::{Condition, ControlState, ServerEntry, ServerList, ServerListVersion};
 use support::document;
+use yare::parameterized;
 
 fn version(fence: u64, sequence: u64) -> ServerListVersion {
     ServerListVersion { fence, sequence, local: 0 }
@@ -60,13 +61,13 @@
 fn given_a_confirmation_when_an_earlier_one_is_told_late_then_the_later_counts() {
     let view = ViewCell::new();
     assert_eq!((view.confirmed_age(), view.servers_age()), (None, None));
-    let now = Instant::now();
-    let hour = Duration::from_secs(3600);
-    let Some(earlier) = now.checked_sub(hour) else { return };
-    (view.confirm(now), view.servers_read(now));
-    (view.confirm(earlier), view.servers_read(earlier));
-    let is_late = |age: Option<Duration>| age.is_some_and(|age| age < hour);
-    assert!(is_late(view.confirmed_age()) && is_late(view.servers_age()));
+    let earlier = Instant::now();
+    let later = earlier + Duration::from_secs(3600);
+    for at in [later, earlier] {
+        view.confirm(at);
+        view.servers_read(at);
+    }
+    assert_eq!((view.confirmed_age(), view.servers_age()), (Some(Duration::ZERO), Some(Duration::ZERO)));
 }
 
 #[tokio::test]
@@ -104,3 +105,84 @@
     distribution.set_settled_epoch(4);
     assert_eq!(distribution.ping().settled_epoch, 4);
 }
+
+fn reply(servers: Option<ServerList>, servers_version: ServerListVersion) -> PollReply {
+    let (confirmed_age_ms, servers_age_ms) = (Some(100), Some(100));
+    PollReply { control: None, servers, confirmed_age_ms, servers_version, servers_age_ms }
+}
+
+#[test]
+fn given_a_peer_with_an_older_list_when_it_says_that_its_list_is_fresh_then_the_own_one_is_not() {
+    let view = ViewCell::new();
+    view.adopt_servers(list(3, 2));
+    view.adopt_reply(&reply(None, version(3, 1)), Instant::now());
+    assert_eq!(view.servers_age(), None);
+    assert!(view.confirmed_age().is_some());
+    view.adopt_reply(&reply(None, version(3, 2)), Instant::now());
+    assert!(view.servers_age().is_some());
+}
+
+#[test]
+fn given_a_peer_with_a_newer_list_when_it_tells_then_list_and_age_are_taken() {
+    let view = ViewCell::new();
+    view.adopt_reply(&reply(Some(list(3, 2)), version(3, 2)), Instant::now());
+    assert_eq!(view.view().servers.version, version(3, 2));
+    assert!(view.servers_age().is_some());
+}
+
+#[parameterized(
+    fresh = { Some(900), Some(2000), true },
+    never_confirmed = { None, Some(0), false },
+    not_confirmed_of_late = { Some(901), Some(0), false },
+    no_list = { Some(0), None, false },
+    old_list = { Some(0), Some(2001), false },
+)]
+fn given_the_ages_that_a_peer_tells_when_judged_then_a_stale_one_is_left(
+    confirmed_age_ms: Option<u32>,
+    servers_age_ms: Option<u32>,
+    stays: bool,
+) {
+    let reply = PollReply { confirmed_age_ms, servers_age_ms, ..reply(None, version(0, 0)) };
+    assert_eq!(reply.is_fresh(), stays);
+}
+
+fn reading(condition: Condition) -> ServerList {
+    let server = ServerEntry {
+        id: "i".into(),
+        service: "s".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: "z".into(),
+        slots: 1,
+        condition,
+        cold_ms: 0,
+        models: [].into(),
+    };
+    ServerList { version: ServerListVersion::default(), servers: vec![server] }
+}
+
+#[test]
+fn given_the_holder_of_the_lease_when_it_reads_then_only_what_changed_or_is_renewed_gets_a_new_version() {
+    let view = ViewCell::new();
+    let now = Instant::now();
+    assert!(view.adopt_reading(reading(Condition::Open), now, Some(3), false));
+    assert!(!view.adopt_reading(reading(Condition::Open), now, Some(3), false));
+    assert!(view.adopt_reading(reading(Condition::Closing), now, Some(3), false));
+    assert_eq!(view.view().servers.version, version(3, 2));
+    assert!(view.adopt_reading(reading(Condition::Closing), now, Some(3), true));
+    assert!(view.adopt_reading(reading(Condition::Closing), now, Some(4), false), "a new holder renews");
+    assert_eq!(view.view().servers.version, version(4, 1));
+}
+
+#[test]
+fn given_a_process_without_the_lease_when_it_reads_for_itself_then_the_holder_still_wins() {
+    let view = ViewCell::new();
+    view.adopt_reading(reading(Condition::Open), Instant::now(), Some(3), false);
+    assert!(view.adopt_reading(reading(Condition::Closing), Instant::now(), None, true));
+    assert_eq!(view.view().servers.servers[0].condition, Condition::Closing);
+    assert!(
+        !view.adopt_reading(reading(Condition::Closing), Instant::now(), Some(2), true),
+        "no holder any more"
+    );
+    view.adopt_servers(list(3, 2));
+    assert_eq!(view.view().servers.version, version(3, 2));
+}
