Send polling processes only what changed of the list and the control state

A poll was answered with the whole list of servers (62 entries on the grown deployments) and the whole control state with the configuration at each change, to each of 90 processes; weight versions change the list every second. Now the answerer remembers the last lists and sends the difference, and the configuration goes along only where its version differs from the poller's. Lists that a process read for itself may differ under one version, so they are never taken as a base. Weighed: a log of changes on the wire; it would need the same fall-back to a whole list.

--- a/crates/control-plane/src/acceptor.rs
+++ b/crates/control-plane/src/acceptor.rs
@@ -5,8 +5,8 @@
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use register::{
-    Acceptor, AcceptorReply, AcceptorRequest, AcceptorState, Ballot, Confirmation, Incarnation, Member, Outcome,
-    Verdict, Versioned,
+    Acceptor, AcceptorReply, AcceptorRequest, AcceptorState, Ballot, Confirmation, Incarnation, Member,
+    Outcome, Verdict, Versioned,
 };
 use serde::{Deserialize, Serialize};
 use state::ControlState;
@@ -77,7 +77,10 @@
     }
 
     /// Answers a request; `None` where the change could not be made durable.
-    pub async fn handle(&self, request: AcceptorRequest<ControlState>) -> Option<AcceptorReply<ControlState>> {
+    pub async fn handle(
+        &self,
+        request: AcceptorRequest<ControlState>,
+    ) -> Option<AcceptorReply<ControlState>> {
         if matches!(request, AcceptorRequest::Read) {
             let inner = self.lock();
             let (accepted, committed) = (inner.durable.accepted.clone(), inner.durable.committed.clone());
@@ -129,7 +132,8 @@
     /// The record that makes `state` durable, and whether it is the whole of it.
     fn record(&mut self, state: &AcceptorState<ControlState>) -> (Vec<u8>, bool) {
         let committed = state.committed.as_ref().map(|v| v.ballot);
-        let same_accepted = self.written.as_ref().map(|v| v.ballot) == state.accepted.as_ref().map(|v| v.ballot);
+        let same_accepted =
+            self.written.as_ref().map(|v| v.ballot) == state.accepted.as_ref().map(|v| v.ballot);
         if same_accepted && committed == self.written_committed {
             return (rpc::encode(&Record::Promise(state.promised)), false);
         }
--- a/crates/control-plane/src/bootstrap.rs
+++ b/crates/control-plane/src/bootstrap.rs
@@ -83,8 +83,8 @@
 ) {
     let began = Instant::now();
     let rank = seeds.iter().position(|seed| seed == this_address);
-    let announcement = identity
-        .map(|who| Announcement { member: who.member, zone: who.zone, capability: who.capability });
+    let announcement =
+        identity.map(|who| Announcement { member: who.member, zone: who.zone, capability: who.capability });
     let mut heard = vec![false; seeds.len()];
     while view.committed().is_none() {
         if let Some(announcement) = &announcement {
@@ -149,7 +149,8 @@
             return;
         }
         if view.committed().is_some() {
-            let joined = proposer.change(Instant::now() + JOIN_TIMEOUT, |state| with_acceptor(state, member)).await;
+            let joined =
+                proposer.change(Instant::now() + JOIN_TIMEOUT, |state| with_acceptor(state, member)).await;
             if let Ok(value) = joined {
                 log::info!("joined the register as one of {} acceptors", value.value.acceptors.len());
             }
@@ -179,7 +180,8 @@
             return;
         }
         if known.is_some_and(|value| value.value.previous_stores.is_none()) {
-            let joined = proposer.change(Instant::now() + JOIN_TIMEOUT, |state| with_store(state, member)).await;
+            let joined =
+                proposer.change(Instant::now() + JOIN_TIMEOUT, |state| with_store(state, member)).await;
             if let Ok(value) = joined {
                 let stores = &value.value.stores;
                 log::info!("joined the stores of epoch {} as one of {}", stores.epoch, stores.members.len());
--- a/crates/control-plane/src/distribution.rs
+++ b/crates/control-plane/src/distribution.rs
@@ -1,14 +1,15 @@
 //! Answers the long polls of other processes from what this process knows.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use register::Ballot;
 use state::View;
 
 use crate::messages::{PingReply, PollReply, PollRequest};
-use crate::ViewCell;
+use crate::server_updates::RecentLists;
+use crate::{ControlUpdate, ViewCell};
 
 /// The longest that a poll is held.
 const HOLD_MOST: Duration = Duration::from_millis(1000);
@@ -17,13 +18,14 @@
 pub struct Distribution {
     view: Arc<ViewCell>,
     settled_epoch: AtomicU64,
+    recent_lists: Mutex<RecentLists>,
 }
 
 impl Distribution {
     /// A distribution of what `view` knows.
     #[must_use]
     pub fn new(view: Arc<ViewCell>) -> Arc<Self> {
-        Arc::new(Self { view, settled_epoch: AtomicU64::new(u64::MAX) })
+        Arc::new(Self { view, settled_epoch: AtomicU64::new(u64::MAX), recent_lists: Mutex::default() })
     }
 
     /// Tells how far this process has moved its batch jobs; one that keeps none need not call this.
@@ -56,10 +58,10 @@
 
     fn newer(&self, view: &View, request: &PollRequest) -> PollReply {
         let control = self.view.committed().filter(|value| value.ballot > request.ballot);
-        let servers = (view.servers.version > request.servers).then(|| (*view.servers).clone());
+        let mut recent_lists = self.recent_lists.lock().unwrap_or_else(PoisonError::into_inner);
         PollReply {
-            control,
-            servers,
+            control: control.map(|value| ControlUpdate::new(&value, request.edition)),
+            servers: recent_lists.update(request.servers, &view.servers),
             confirmed_age_ms: self.view.confirmed_age().map(milliseconds),
             servers_age_ms: self.view.servers_age().map(milliseconds),
         }
--- a/crates/control-plane/src/leader.rs
+++ b/crates/control-plane/src/leader.rs
@@ -73,7 +73,9 @@
     let mut candidate = Candidate::new(name, LEASE_TTL);
     loop {
         match candidate.next_action(began.elapsed()) {
-            Action::Wait(until) => tokio::time::sleep(until.saturating_sub(began.elapsed()).max(WAIT_LEAST)).await,
+            Action::Wait(until) => {
+                tokio::time::sleep(until.saturating_sub(began.elapsed()).max(WAIT_LEAST)).await
+            }
             Action::GiveUp => give_up(&mut candidate, began, &view, &client).await,
             Action::Ask => {
                 let acceptors = view.view().control.acceptors.clone();
@@ -132,7 +134,8 @@
         return;
     }
     let won_at = Instant::now();
-    let raised = proposer.change(won_at + FENCE_TIMEOUT, |state| Ok::<_, ()>(with_fence(state, station))).await;
+    let raised =
+        proposer.change(won_at + FENCE_TIMEOUT, |state| Ok::<_, ()>(with_fence(state, station))).await;
     let Ok(value) = raised else { return };
     let previous = value.value.fence_holder_before.as_deref();
     let is_first = previous.is_none_or(|before| before == station);
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod acceptor;
 mod bootstrap;
+mod control_updates;
 mod distribution;
 mod leader;
 mod list_reader;
@@ -12,19 +13,22 @@
 mod platform;
 mod poll;
 mod proposer;
+mod server_updates;
 mod upkeep;
 mod view;
 
 pub use acceptor::{run_scrub, AcceptorService};
 pub use bootstrap::{join_register, join_stores, start_first, FirstStart, Identity};
+pub use control_updates::ControlUpdate;
 pub use distribution::Distribution;
 pub use leader::{run_leader, Leadership, LEASE_TTL};
 pub use list_reader::run_list_reader;
-pub use upkeep::run_upkeep;
 pub use messages::{paths, Announcement, Capability, PingReply, PollReply, PollRequest};
 pub use operator::operator_routes;
 pub use orders::run_orders;
 pub use platform::{Platform, PlatformError};
 pub use poll::run_poller;
 pub use proposer::{ChangeFailure, Proposer};
+pub use server_updates::{RecentLists, ServerChanges, ServerUpdate};
+pub use upkeep::run_upkeep;
 pub use view::ViewCell;
--- a/crates/control-plane/src/messages.rs
+++ b/crates/control-plane/src/messages.rs
@@ -1,8 +1,10 @@
 //! Internal messages of the control plane and the paths that they are posted to.
 
-use register::{Ballot, Member, Versioned};
+use register::{Ballot, Member};
 use serde::{Deserialize, Serialize};
-use state::{ControlState, ServerList, ServerListVersion};
+use state::ServerListVersion;
+
+use crate::{ControlUpdate, ServerUpdate};
 
 /// Paths of internal calls.
 pub mod paths {
@@ -47,6 +49,8 @@
 pub struct PollRequest {
     /// The committed value that it knows.
     pub ballot: Ballot,
+    /// The version of the configuration in that value.
+    pub edition: u64,
     /// The list of servers that it knows.
     pub servers: ServerListVersion,
     /// How long the answer may be held where nothing is newer.
@@ -57,9 +61,9 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PollReply {
     /// A newer committed value.
-    pub control: Option<Versioned<ControlState>>,
+    pub control: Option<ControlUpdate>,
     /// A newer list of servers.
-    pub servers: Option<ServerList>,
+    pub servers: Option<ServerUpdate>,
     /// Time since a majority confirmed that the value is the newest; `None` if none has.
     pub confirmed_age_ms: Option<u32>,
     /// Time since the list was read from the platform; `None` if none was.
--- a/crates/control-plane/src/operator.rs
+++ b/crates/control-plane/src/operator.rs
@@ -105,7 +105,9 @@
         }
         Err(ChangeFailure::Declined(Declined::AlreadyTaken)) => StatusCode::OK.into(),
         Err(ChangeFailure::Declined(declined)) => declined.answer(),
-        Err(ChangeFailure::Unclear) => failure(StatusCode::SERVICE_UNAVAILABLE, "no majority of the acceptors answers"),
+        Err(ChangeFailure::Unclear) => {
+            failure(StatusCode::SERVICE_UNAVAILABLE, "no majority of the acceptors answers")
+        }
     }
 }
 
@@ -161,7 +163,9 @@
             StatusCode::OK.into()
         }
         Err(ChangeFailure::Declined(_)) => StatusCode::OK.into(),
-        Err(ChangeFailure::Unclear) => failure(StatusCode::SERVICE_UNAVAILABLE, "no majority of the acceptors answers"),
+        Err(ChangeFailure::Unclear) => {
+            failure(StatusCode::SERVICE_UNAVAILABLE, "no majority of the acceptors answers")
+        }
     }
 }
 
@@ -182,7 +186,9 @@
         Ok(_) => StatusCode::OK.into(),
         Err(ChangeFailure::Declined(Declined::Unchanged)) => StatusCode::OK.into(),
         Err(ChangeFailure::Declined(declined)) => declined.answer(),
-        Err(ChangeFailure::Unclear) => failure(StatusCode::SERVICE_UNAVAILABLE, "no majority of the acceptors answers"),
+        Err(ChangeFailure::Unclear) => {
+            failure(StatusCode::SERVICE_UNAVAILABLE, "no majority of the acceptors answers")
+        }
     }
 }
 
@@ -194,7 +200,8 @@
     if !members.iter().any(|store| store.member.station == station) {
         return Err(Declined::Unknown);
     }
-    let remaining = members.iter().filter(|store| !state.draining.contains_key(&store.member.station)).count() - 1;
+    let remaining =
+        members.iter().filter(|store| !state.draining.contains_key(&store.member.station)).count() - 1;
     if remaining < state.stores.copies {
         return Err(Declined::TooFew);
     }
@@ -237,9 +244,9 @@
 fn digest(is_patch: bool, expected: u64, body: &[u8]) -> u128 {
     let head = [u8::from(is_patch)].into_iter().chain(expected.to_be_bytes());
     let sum = |start: u64| {
-        head.clone().chain(body.iter().copied()).fold(start, |sum, byte| {
-            (sum ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-        })
+        head.clone()
+            .chain(body.iter().copied())
+            .fold(start, |sum, byte| (sum ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3))
     };
     u128::from(sum(0xcbf2_9ce4_8422_2325)) << 64 | u128::from(sum(0x9e37_79b9_7f4a_7c15))
 }
--- a/crates/control-plane/src/orders.rs
+++ b/crates/control-plane/src/orders.rs
@@ -97,15 +97,15 @@
         planner.set_named(now, model, *version);
     }
     planner.set_keep(models_to_keep(view));
-    planner.set_servers(view.servers.servers.iter().filter(|server| !server.models.is_empty()).map(|server| {
-        rollout::Server {
+    planner.set_servers(view.servers.servers.iter().filter(|server| !server.models.is_empty()).map(
+        |server| rollout::Server {
             id: Arc::clone(&server.id),
             address: server.address,
             zone: Arc::clone(&server.zone),
             closing: server.condition == Condition::Closing,
             models: server.models.clone(),
-        }
-    }));
+        },
+    ));
 }
 
 /// Models of services to which no route leads that wants one version in a text.
--- a/crates/control-plane/src/poll.rs
+++ b/crates/control-plane/src/poll.rs
@@ -52,7 +52,8 @@
 }
 
 fn is_fresh(reply: &PollReply) -> bool {
-    let within = |age: Option<u32>, most: Duration| age.is_some_and(|age| u128::from(age) <= most.as_millis());
+    let within =
+        |age: Option<u32>, most: Duration| age.is_some_and(|age| u128::from(age) <= most.as_millis());
     within(reply.confirmed_age_ms, CONFIRMED_AGE_MOST) && within(reply.servers_age_ms, SERVERS_AGE_MOST)
 }
 
@@ -76,16 +77,21 @@
 /// Polls a peer once and adopts what is newer.
 pub(crate) async fn poll_once(view: &ViewCell, client: &rpc::Client, peer: &str) -> Option<PollReply> {
     let ballot = view.committed().map_or(NO_BALLOT, |value| value.ballot);
-    let servers = view.view().servers.version;
+    let held = view.view();
     // The first answer is wanted at once.
     let hold = if view.confirmed_age().is_none() { Duration::ZERO } else { HOLD };
-    let request = PollRequest { ballot, servers, hold_ms: u32::try_from(hold.as_millis()).unwrap_or(0) };
-    let reply: PollReply = client.call(peer, paths::POLL, &request, hold + GRACE).await.ok()?;
+    let request = PollRequest {
+        ballot,
+        edition: held.control.edition,
+        servers: held.servers.version,
+        hold_ms: u32::try_from(hold.as_millis()).unwrap_or(0),
+    };
+    let mut reply: PollReply = client.call(peer, paths::POLL, &request, hold + GRACE).await.ok()?;
     let now = Instant::now();
-    if let Some(newer) = &reply.control {
-        view.adopt_control(newer);
+    if let Some(newer) = reply.control.take().and_then(|update| update.apply(&view.view().control)) {
+        view.adopt_control(&newer);
     }
-    if let Some(newer) = reply.servers.clone() {
+    if let Some(newer) = reply.servers.take().and_then(|update| update.apply(&view.view().servers)) {
         view.adopt_servers(newer);
     }
     let ago = |age: u32| now.checked_sub(Duration::from_millis(age.into()));
--- a/crates/control-plane/src/upkeep.rs
+++ b/crates/control-plane/src/upkeep.rs
@@ -122,7 +122,8 @@
     if next.previous_stores.is_some() {
         return None;
     }
-    let leaving = next.stores.members.iter().position(|store| next.draining.contains_key(&store.member.station))?;
+    let leaving =
+        next.stores.members.iter().position(|store| next.draining.contains_key(&store.member.station))?;
     next.previous_stores = Some(next.stores.clone());
     next.stores.epoch += 1;
     next.stores.members.remove(leaving);
--- a/crates/control-plane/src/view.rs
+++ b/crates/control-plane/src/view.rs
@@ -112,14 +112,18 @@
     if control.edition == 0 {
         return None;
     }
-    let unchanged = view.control.edition == control.edition && view.control.configuration == control.configuration;
+    let unchanged =
+        view.control.edition == control.edition && view.control.configuration == control.configuration;
     if unchanged {
         return view.configuration.clone();
     }
     match Configuration::parse(control.configuration.as_bytes()) {
         Ok(configuration) => Some(Arc::new(configuration)),
         Err(error) => {
-            log::error!("configuration {} cannot be compiled, the one before stays: {error}", control.edition);
+            log::error!(
+                "configuration {} cannot be compiled, the one before stays: {error}",
+                control.edition
+            );
             view.configuration.clone()
         }
     }
--- /dev/null
+++ b/crates/control-plane/tests/control_updates.rs
@@ -0,0 +1,49 @@
+//! Updates of the control state carry the configuration only where it changed.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use control_plane::ControlUpdate;
+use register::{Ballot, Versioned};
+use state::{ControlState, TakenChange};
+
+/// Far more than the rest of a state takes.
+const CONFIGURATION_BYTES: usize = 10_000;
+
+fn state(edition: u64, named: u64) -> ControlState {
+    ControlState {
+        revision: 10 * edition + named,
+        configuration: "c".repeat(CONFIGURATION_BYTES),
+        edition,
+        taken: VecDeque::from([TakenChange { digest: edition.into(), edition }]),
+        named_versions: BTreeMap::from([("m".to_owned(), named)]),
+        fence: 3,
+        ..ControlState::default()
+    }
+}
+
+fn committed(state: ControlState) -> Versioned<ControlState> {
+    Versioned { ballot: Ballot { round: state.revision, proposer: 1 }, value: Arc::new(state) }
+}
+
+#[test]
+fn given_the_same_configuration_when_a_version_is_named_then_the_configuration_is_not_sent() {
+    let (held, newest) = (state(5, 1), committed(state(5, 2)));
+    let update = ControlUpdate::new(&newest, held.edition);
+    assert!(rpc::encode(&update).len() < CONFIGURATION_BYTES / 10);
+    assert_eq!(update.apply(&held), Some(newest));
+}
+
+#[test]
+fn given_another_configuration_when_a_value_is_polled_then_it_is_sent_whole() {
+    let (held, newest) = (state(5, 1), committed(state(6, 1)));
+    let update = ControlUpdate::new(&newest, held.edition);
+    assert_eq!(update.apply(&ControlState::default()), Some(newest));
+}
+
+#[test]
+fn given_an_update_without_configuration_when_another_one_is_held_then_it_is_not_applied() {
+    let newest = committed(state(5, 2));
+    let update = ControlUpdate::new(&newest, 5);
+    assert_eq!(update.apply(&state(4, 2)), None);
+}
