--- a/crates/control-plane/src/acceptor.rs
+++ b/crates/control-plane/src/acceptor.rs
@@ -64,6 +64,12 @@
         self.lock().durable.committed.clone()
     }
 
+    /// The value accepted last, and durable.
+    #[must_use]
+    pub fn accepted(&self) -> Option<Versioned<ControlState>> {
+        self.lock().durable.accepted.clone()
+    }
+
     /// Whether any value was ever accepted here.
     #[must_use]
     pub fn is_initialised(&self) -> bool {
@@ -118,6 +124,7 @@
             }
             Err(error) => {
                 log::warn!("the acceptor's state cannot be written: {error}");
+                self.lock().forget_written();
                 None
             }
         }
@@ -142,6 +149,12 @@
         (rpc::encode(&Record::State(state.clone())), true)
     }
 
+    /// After a failed write: the next record holds the whole state again.
+    fn forget_written(&mut self) {
+        self.written = None;
+        self.written_committed = None;
+    }
+
     fn now_durable(&mut self, state: AcceptorState<ControlState>) {
         let accepted = |s: &AcceptorState<ControlState>| s.accepted.as_ref().map(|v| v.ballot);
         let newer = state.promised >= self.durable.promised && accepted(&state) >= accepted(&self.durable);
--- a/crates/control-plane/src/control_updates.rs
+++ b/crates/control-plane/src/control_updates.rs
@@ -3,16 +3,15 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use register::{Ballot, Versioned};
+use register::Versioned;
 use serde::{Deserialize, Serialize};
 use state::{ControlState, TakenChange};
 
 /// A newer committed value.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ControlUpdate {
-    ballot: Ballot,
     /// The value, without what [`ConfigurationPart`] holds.
-    rest: ControlState,
+    rest: Versioned<ControlState>,
     /// `None` where the receiver holds this version of the configuration.
     configuration: Option<ConfigurationPart>,
 }
@@ -28,43 +27,29 @@
     /// What a process that holds version `edition_held` of the configuration needs to have `newest`.
     #[must_use]
     pub fn new(newest: &Versioned<ControlState>, edition_held: u64) -> Self {
-        let state = &newest.value;
-        let rest = without_configuration(state);
-        let part =
-            || ConfigurationPart { configuration: state.configuration.clone(), taken: state.taken.clone() };
-        let configuration = (state.edition != edition_held).then(part);
-        Self { ballot: newest.ballot, rest, configuration }
+        let mut state = ControlState::clone(&newest.value);
+        let configuration = std::mem::take(&mut state.configuration);
+        let part = ConfigurationPart { configuration, taken: std::mem::take(&mut state.taken) };
+        let is_held = state.edition == edition_held;
+        let rest = Versioned { value: Arc::new(state), ..newest.clone() };
+        Self { rest, configuration: (!is_held).then_some(part) }
     }
 
     /// The newest value; `None` where it needs a configuration that is not the one `held`.
     #[must_use]
     pub fn apply(self, held: &ControlState) -> Option<Versioned<ControlState>> {
-        let part = match self.configuration {
-            Some(part) => part,
-            None if held.edition == self.rest.edition => {
-                ConfigurationPart { configuration: held.configuration.clone(), taken: held.taken.clone() }
+        let mut state = Arc::unwrap_or_clone(self.rest.value);
+        match self.configuration {
+            Some(part) => {
+                state.configuration = part.configuration;
+                state.taken = part.taken;
+            }
+            None if held.edition == state.edition => {
+                state.configuration.clone_from(&held.configuration);
+                state.taken.clone_from(&held.taken);
             }
             None => return None,
-        };
-        let value = ControlState { configuration: part.configuration, taken: part.taken, ..self.rest };
-        Some(Versioned { ballot: self.ballot, value: Arc::new(value) })
-    }
-}
-
-fn without_configuration(state: &ControlState) -> ControlState {
-    ControlState {
-        revision: state.revision,
-        acceptors: state.acceptors.clone(),
-        acceptors_wanted: state.acceptors_wanted,
-        configuration: String::new(),
-        edition: state.edition,
-        taken: VecDeque::new(),
-        named_versions: state.named_versions.clone(),
-        fence: state.fence,
-        fence_holder: state.fence_holder.clone(),
-        fence_holder_before: state.fence_holder_before.clone(),
-        stores: state.stores.clone(),
-        previous_stores: state.previous_stores.clone(),
-        draining: state.draining.clone(),
+        }
+        Some(Versioned { value: Arc::new(state), ..self.rest })
     }
 }
--- a/crates/control-plane/src/distribution.rs
+++ b/crates/control-plane/src/distribution.rs
@@ -25,10 +25,10 @@
     /// A distribution of what `view` knows.
     #[must_use]
     pub fn new(view: Arc<ViewCell>) -> Arc<Self> {
-        Arc::new(Self { view, settled_epoch: AtomicU64::new(u64::MAX), recent_lists: Mutex::default() })
+        Arc::new(Self { view, settled_epoch: AtomicU64::new(0), recent_lists: Mutex::default() })
     }
 
-    /// Tells how far this process has moved its batch jobs; one that keeps none need not call this.
+    /// Tells how far this process has moved its batch jobs; until then it has moved none.
     pub fn set_settled_epoch(&self, epoch: u64) {
         self.settled_epoch.store(epoch, Ordering::Relaxed);
     }
@@ -63,6 +63,7 @@
             control: control.map(|value| ControlUpdate::new(&value, request.edition)),
             servers: recent_lists.update(request.servers, &view.servers),
             confirmed_age_ms: self.view.confirmed_age().map(milliseconds),
+            servers_version: view.servers.version,
             servers_age_ms: self.view.servers_age().map(milliseconds),
         }
     }
--- a/crates/control-plane/src/orders.rs
+++ b/crates/control-plane/src/orders.rs
@@ -17,7 +17,7 @@
 /// The header that names the server meant.
 const EXPECTED_SERVER: &str = "Expected-Carrier";
 /// How long a server may take to answer.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The longest sleep between two looks at the plan.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
--- a/crates/control-plane/src/poll.rs
+++ b/crates/control-plane/src/poll.rs
@@ -87,8 +87,15 @@
         hold_ms: u32::try_from(hold.as_millis()).unwrap_or(0),
     };
     let mut reply: PollReply = client.call(peer, paths::POLL, &request, hold + GRACE).await.ok()?;
-    let now = Instant::now();
-    if let Some(newer) = reply.control.take().and_then(|update| update.apply(&view.view().control)) {
+    take_over(view, &mut reply, Instant::now());
+    Some(reply)
+}
+
+/// Adopts what is newer in a reply that came at `now`. A control state that was confirmed at a time is no newer than
+/// the one held here; but the age of a list says nothing of another list.
+fn take_over(view: &ViewCell, reply: &mut PollReply, now: Instant) {
+    if let Some(update) = reply.control.take() {
+        let Some(newer) = update.apply(&view.view().control) else { return };
         view.adopt_control(&newer);
     }
     if let Some(newer) = reply.servers.take().and_then(|update| update.apply(&view.view().servers)) {
@@ -98,8 +105,8 @@
     if let Some(at) = reply.confirmed_age_ms.and_then(ago) {
         view.confirm(at);
     }
-    if let Some(at) = reply.servers_age_ms.and_then(ago) {
+    let holds_same = view.view().servers.version == reply.servers_version;
+    if let Some(at) = reply.servers_age_ms.and_then(ago).filter(|_| holds_same) {
         view.servers_read(at);
     }
-    Some(reply)
 }
--- a/crates/control-plane/tests/control_updates.rs
+++ b/crates/control-plane/tests/control_updates.rs
@@ -23,7 +23,7 @@
 }
 
 fn committed(state: ControlState) -> Versioned<ControlState> {
-    Versioned { ballot: Ballot { round: state.revision, proposer: 1 }, value: Arc::new(state) }
+    Versioned::new(Ballot { round: state.revision, proposer: 1 }, Arc::new(state))
 }
 
 #[test]
