Leave servers of other models out of the places for items

Cause: a batch job that takes version 1 fits every server of the service, whether it shows the model or not. Ruled out: leaving such servers out for all requests, since a list may lag; a request that cannot wait for a place still has them as a last resort. The test shows 10 places instead of 5 without the change.

--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -153,7 +153,12 @@
 fn may_take(server: &Server, now: Duration, need: &Need<'_>) -> bool {
     server.open
         && server.versions.fits(now, need.model, need.version)
-        && (!need.with_room || server.room(now) > 0)
+        && (!need.with_room || has_place(server, now, need))
+}
+
+/// Who can wait for a free place does not go to a server that shows other models only.
+fn has_place(server: &Server, now: Duration, need: &Need<'_>) -> bool {
+    server.room(now) > 0 && server.versions.may_hold(need.model)
 }
 
 fn suitability(server: &Server, now: Duration, need: &Need<'_>) -> Suitability {
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -43,7 +43,15 @@
 }
 
 fn need<'a>(targets: &'a [Target], tried: &'a [ServerId]) -> Need<'a> {
-    Need { targets, model: None, version: VersionNeed::Any, tried, favourite: None, with_room: false, idle_usable: None }
+    Need {
+        targets,
+        model: None,
+        version: VersionNeed::Any,
+        tried,
+        favourite: None,
+        with_room: false,
+        idle_usable: None,
+    }
 }
 
 /// The servers that are chosen in so many sends, each of which is over at once.
@@ -330,8 +338,28 @@
     let mut dispatcher = dispatcher(vec![entry]);
     let targets = targets(&[("s", 1)]);
     dispatcher.model_loading(NOW, "a", "m");
-    let for_model = |model| Need { model: Some(model), version: VersionNeed::AtLeast(1), ..need(&targets, &[]) };
+    let for_model =
+        |model| Need { model: Some(model), version: VersionNeed::AtLeast(1), ..need(&targets, &[]) };
     assert!(dispatcher.choose(NOW, &for_model("m")).is_none());
     assert!(dispatcher.choose(NOW, &for_model("n")).is_some());
     assert!(dispatcher.choose(NOW + Duration::from_millis(150), &for_model("m")).is_some());
 }
+
+#[parameterized(
+    that_waits_for_room = { true, 5 },
+    that_cannot_wait = { false, 10 },
+)]
+fn given_servers_of_other_models_when_a_request_with_a_model_comes_then_they_are_its_last_resort(
+    with_room: bool,
+    places: usize,
+) {
+    let other = ServerEntry { models: BTreeMap::from([(Arc::from("other"), 1)]), ..entry("b", "s") };
+    let mut dispatcher = dispatcher(vec![with_version("a", 1), other]);
+    let targets = targets(&[("s", 1)]);
+    let version = VersionNeed::AtLeast(1);
+    let need = Need { model: Some("m"), version, with_room, ..need(&targets, &[]) };
+    assert_eq!(dispatcher.room(NOW, &need), places);
+    let sends: Vec<_> = (0..6).filter_map(|_| dispatcher.choose(NOW, &need)).collect();
+    assert!(sends.iter().all(|choice| &*choice.id == "a"));
+    assert_eq!(sends.len(), if with_room { 5 } else { 6 });
+}
