Load weights at a third of the servers at once

Cause: three servers loaded at once whatever their number, and an order that lets runs end first counts until then. Ruled out: the hand-over of the lease, which took 3.3 s as it must, and the register (named within 50 ms).

--- a/crates/rollout/src/planner.rs
+++ b/crates/rollout/src/planner.rs
@@ -183,7 +183,7 @@
     /// The next order, if a server may get one; it counts as sent.
     fn next_order(&mut self, now: Duration) -> Option<Order> {
         let loading = self.members.values().filter(|member| member.loads(now, &self.pacing)).count();
-        if loading >= self.pacing.at_once {
+        if loading >= self.loading_most() {
             return None;
         }
         let (id, goal) = self.best_candidate(now)?;
@@ -198,6 +198,12 @@
         })
     }
 
+    /// How many servers may load at once.
+    fn loading_most(&self) -> usize {
+        let open = self.members.values().filter(|member| !member.server.closing).count();
+        self.pacing.at_once.max(open.div_ceil(self.pacing.one_in))
+    }
+
     /// Idle servers go first, then those of the zone in which the fewest load.
     fn best_candidate(&self, now: Duration) -> Option<(ServerId, Goal)> {
         let candidates = self.members.iter().filter(|(_, member)| member.takes_order(now));
--- a/crates/rollout/src/types.rs
+++ b/crates/rollout/src/types.rs
@@ -112,8 +112,10 @@
 /// How fast the planner goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Pacing {
-    /// Servers that load at once; more of them slow each other.
+    /// Servers that may always load at once.
     pub at_once: usize,
+    /// Of many servers, one in so many loads at once, so that the others go on serving.
+    pub one_in: usize,
     /// How long a load takes on a server with nothing to end first.
     pub load: Duration,
     /// How long after the expected end of a load it is asked whether it has ended.
@@ -138,6 +140,7 @@
     fn default() -> Self {
         Self {
             at_once: 3,
+            one_in: 3,
             load: Duration::from_millis(400),
             confirm_after: Duration::from_millis(250),
             report_age: Duration::from_millis(500),
--- a/crates/rollout/tests/stories.rs
+++ b/crates/rollout/tests/stories.rs
@@ -54,6 +54,25 @@
     assert!(fleet.servers.iter().all(|server| server.reports_asked <= 3), "reports are priced");
 }
 
+#[parameterized(
+    few = { 5, 3 },
+    some = { 8, 3 },
+    many = { 38, 13 },
+)]
+fn given_busy_servers_when_a_version_is_named_then_a_third_of_them_loads_at_once(
+    count: usize,
+    at_once: usize,
+) {
+    let mut fleet = Fleet::new(count);
+    fleet.servers.iter_mut().for_each(|server| server.busy_until = ms(2000));
+    fleet.name(MODEL, 2);
+    fleet.run_until(ms(1900));
+    assert_eq!(fleet.orders.len(), at_once);
+    fleet.run_until(ms(9000));
+    assert!(fleet.all_have(MODEL, 2));
+    assert_eq!(fleet.most_loading, at_once);
+}
+
 #[test]
 fn given_nothing_is_named_when_time_passes_then_no_call_is_made() {
     let mut fleet = Fleet::new(8);
