Tell the versions that servers report before the platform's list shows them

Cause: senders learned of a loaded version by the platform's list alone, which lags 0.8 s and is read each 0.9 s, while the leader knows it from the report that it asks for at the end of each load. Ruled out: Weight-Editions of answers alone, since no item is sent to a server that is not known to have its version.

--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -15,6 +15,7 @@
 mod proposer;
 mod server_updates;
 mod upkeep;
+mod version_news;
 mod view;
 
 pub use acceptor::{run_scrub, AcceptorService};
--- a/crates/control-plane/src/list_reader.rs
+++ b/crates/control-plane/src/list_reader.rs
@@ -63,8 +63,9 @@
 }
 
 /// Takes over what was read, under a new version where it differs or is to be renewed.
-fn take_over(view: &ViewCell, read: ServerList, fence: Option<u64>, renew: bool) -> Taken {
+fn take_over(view: &ViewCell, mut read: ServerList, fence: Option<u64>, renew: bool) -> Taken {
     let known = Arc::clone(&view.view().servers);
+    read.keep_versions(&known);
     let is_same = known.shows_same(&read);
     let by_holder = fence.and_then(|fence| known.version.next_of_holder(fence));
     if is_same && !(by_holder.is_some() && (renew || Some(known.version.fence) != fence)) {
--- a/crates/control-plane/src/orders.rs
+++ b/crates/control-plane/src/orders.rs
@@ -9,6 +9,7 @@
 use rollout::{Action, Answer, Ask, ModelName, Order, Pacing, Planner, Report, ServerId};
 use state::{Condition, View};
 
+use crate::version_news::VersionNews;
 use crate::{Leadership, ViewCell};
 
 /// The paths of a server.
@@ -42,8 +43,10 @@
     let mut views = view.subscribe();
     let mut term: Option<Term> = None;
     let mut calls: FuturesUnordered<BoxFuture<'static, Outcome>> = FuturesUnordered::new();
+    let mut news = VersionNews::default();
     loop {
         follow_lease(&mut term, &leadership);
+        news.publish(began.elapsed(), &view, &leadership);
         let mut wake = LOOK_EVERY;
         if let Some(term) = &mut term {
             let now = began.elapsed();
@@ -55,10 +58,14 @@
                 }
                 calls.push(start(&http, action, &station, term.fence));
             }
-            wake = term.planner.next_wake(now).map_or(wake, |at| at.saturating_sub(now).min(wake));
+            let next = term.planner.next_wake(now).into_iter().chain(news.due()).min();
+            wake = next.map_or(wake, |at| at.saturating_sub(now).min(wake));
         }
         tokio::select! {
             Some(outcome) = calls.next(), if !calls.is_empty() => {
+                if let Outcome::Reported(server, report) = &outcome {
+                    news.note(began.elapsed(), server, report);
+                }
                 if let Some(term) = &mut term {
                     tell(&mut term.planner, began.elapsed(), outcome);
                 }
--- a/crates/state/src/servers.rs
+++ b/crates/state/src/servers.rs
@@ -40,6 +40,15 @@
     pub models: BTreeMap<Arc<str>, u64>,
 }
 
+impl ServerEntry {
+    /// Raises the versions of models that this server shows.
+    fn raise_versions(&mut self, reached: &BTreeMap<Arc<str>, u64>) {
+        for (model, version) in &mut self.models {
+            *version = reached.get(model).copied().unwrap_or_default().max(*version);
+        }
+    }
+}
+
 /// Orders the lists of all readers: first by the fencing token of the lease, then by number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServerListVersion {
@@ -81,6 +90,25 @@
 }
 
 impl ServerList {
+    /// Takes over the versions that servers are known to have reached. They only rise within one incarnation.
+    pub fn raise_versions(&mut self, reached: &BTreeMap<ServerId, BTreeMap<Arc<str>, u64>>) {
+        for server in &mut self.servers {
+            if let Some(versions) = reached.get(&server.id) {
+                server.raise_versions(versions);
+            }
+        }
+    }
+
+    /// Keeps the versions that an earlier list showed: what is read later may show an earlier state of a server.
+    pub fn keep_versions(&mut self, earlier: &Self) {
+        for server in &mut self.servers {
+            let before = earlier.servers.binary_search_by(|other| other.id.cmp(&server.id));
+            if let Ok(at) = before {
+                server.raise_versions(&earlier.servers[at].models);
+            }
+        }
+    }
+
     /// Whether two lists say the same; how much longer a server is slow changes all the time and does not count.
     #[must_use]
     pub fn shows_same(&self, other: &Self) -> bool {
--- /dev/null
+++ b/crates/state/tests/servers.rs
@@ -0,0 +1,51 @@
+//! Versions in the list of servers.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use state::{Condition, ServerEntry, ServerList};
+use yare::parameterized;
+
+fn server(id: &str, models: &[(&str, u64)]) -> ServerEntry {
+    ServerEntry {
+        id: id.into(),
+        service: "engine".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: "a".into(),
+        slots: 6,
+        condition: Condition::Open,
+        cold_ms: 0,
+        models: versions(models),
+    }
+}
+
+fn versions(models: &[(&str, u64)]) -> BTreeMap<Arc<str>, u64> {
+    models.iter().map(|(model, version)| (Arc::from(*model), *version)).collect()
+}
+
+fn list(servers: Vec<ServerEntry>) -> ServerList {
+    ServerList { servers, ..ServerList::default() }
+}
+
+#[parameterized(
+    reported_newer = { 2, 3, 3 },
+    reported_older = { 3, 2, 3 },
+    reported_same = { 2, 2, 2 },
+)]
+fn given_a_report_when_it_is_joined_to_a_list_then_versions_only_rise(
+    shown: u64,
+    reported: u64,
+    joined: u64,
+) {
+    let mut held = list(vec![server("a", &[("m", shown)]), server("b", &[("m", 1)])]);
+    held.raise_versions(&BTreeMap::from([("a".into(), versions(&[("m", reported), ("other", 9)]))]));
+    assert_eq!(held, list(vec![server("a", &[("m", joined)]), server("b", &[("m", 1)])]));
+}
+
+#[test]
+fn given_a_list_that_lags_when_it_is_read_then_what_is_known_of_each_incarnation_is_kept() {
+    let held = list(vec![server("a", &[("m", 3)]), server("b", &[("m", 3)])]);
+    let mut read = list(vec![server("a", &[("m", 2)]), server("b2", &[("m", 2)])]);
+    read.keep_versions(&held);
+    assert_eq!(read, list(vec![server("a", &[("m", 3)]), server("b2", &[("m", 2)])]));
+}
