Let a store run as many items at once as its servers have room for

Cause: at most 64 items streamed at once in one store. Ruled out: the weights (versions were loaded) and the processor (0.054 cores at most of 0.3). The room at the servers stays the bound; 320 only guards memory.

--- a/crates/store-plane/src/runner.rs
+++ b/crates/store-plane/src/runner.rs
@@ -41,7 +41,7 @@
 impl Default for RunnerSettings {
     fn default() -> Self {
         Self {
-            items_at_once: 64,
+            items_at_once: 320,
             surplus_reserve: 24,
             run_least: Duration::from_millis(2500),
             run_most: Duration::from_secs(10),
--- a/crates/store-plane/tests/runner/runs.rs
+++ b/crates/store-plane/tests/runner/runs.rs
@@ -71,6 +71,15 @@
     assert_eq!(log.listed().len(), 9);
 }
 
+#[tokio::test(start_paused = true)]
+async fn given_a_large_fleet_when_one_store_owns_all_jobs_then_all_slots_are_used() {
+    let bench = Bench::start(FakeExecutor::reliable().with_slots(228));
+    bench.hand_in("a", job_of("a", 200));
+    bench.hand_in("b", job_of("b", 200));
+    pass(RUN / 2).await;
+    assert_eq!(bench.executor.runs().len(), 228);
+}
+
 #[tokio::test(start_paused = true)]
 async fn given_no_room_when_other_stores_free_it_then_items_start_without_an_own_event() {
     let bench = Bench::start(FakeExecutor::reliable().with_slots(0));
