--- a/crates/data-plane/src/sender.rs
+++ b/crates/data-plane/src/sender.rs
@@ -64,11 +64,15 @@
     /// Free places, by our counts, at the servers of these services that satisfy the version.
     #[must_use]
     pub fn room(&self, targets: &[Target], model: Option<&str>, oldest_version: u64) -> usize {
-        let version = VersionNeed::AtLeast(oldest_version);
-        let need =
-            Need { targets, model, version, tried: &[], favourite: None, with_room: true, idle_usable: None };
         let now = self.now();
-        self.state().dispatcher.room(now, &need)
+        self.state().dispatcher.room(now, &item_need(targets, model, oldest_version))
+    }
+
+    /// Places, taken or free, at the servers of these services that satisfy the version.
+    #[must_use]
+    pub fn places(&self, targets: &[Target], model: Option<&str>, oldest_version: u64) -> usize {
+        let now = self.now();
+        self.state().dispatcher.places(now, &item_need(targets, model, oldest_version))
     }
 
     /// For how long an idle connection to a server is usable.
@@ -112,6 +116,12 @@
     }
 }
 
+/// What an item needs of its server.
+fn item_need<'a>(targets: &'a [Target], model: Option<&'a str>, oldest_version: u64) -> Need<'a> {
+    let version = VersionNeed::AtLeast(oldest_version);
+    Need { targets, model, version, tried: &[], favourite: None, with_room: true, idle_usable: None }
+}
+
 impl State {
     fn follow(&mut self, list: &Arc<ServerList>) {
         self.list = Arc::clone(list);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -89,6 +89,13 @@
         pools.filter_map(|target| self.pools.get(&target.service)).map(|pool| pool.room(now, need)).sum()
     }
 
+    /// How many places the servers that fit have, taken or free.
+    #[must_use]
+    pub fn places(&self, now: Duration, need: &Need<'_>) -> usize {
+        let pools = need.targets.iter().filter(|target| target.share > 0);
+        pools.filter_map(|target| self.pools.get(&target.service)).map(|pool| pool.places(now, need)).sum()
+    }
+
     /// Whether this server has a place for one more request.
     #[must_use]
     pub fn has_room(&self, now: Duration, id: &str) -> bool {
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -85,6 +85,13 @@
         good.map(|server| server.room(now) as usize).sum()
     }
 
+    /// Places at the servers that fit, taken or free.
+    pub(crate) fn places(&self, now: Duration, need: &Need<'_>) -> usize {
+        let fits = |server: &&Server| server.open && server.versions.fits(now, need.model, need.version);
+        let fitting = self.servers.iter().filter(fits).filter(|server| server.versions.may_hold(need.model));
+        fitting.map(|server| server.places() as usize).sum()
+    }
+
     pub(crate) fn has_room(&self, now: Duration, id: &str) -> bool {
         self.positions.get(id).is_some_and(|at| self.servers[*at].room(now) > 0)
     }
--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -121,9 +121,14 @@
         self.report.is_some_and(|report| now.saturating_sub(report.at) < REPORT_KEPT)
     }
 
+    /// Places for requests, taken or free.
+    pub(crate) fn places(&self) -> u32 {
+        self.slots + QUEUED_MOST
+    }
+
     /// Places that are free, as far as is known.
     pub(crate) fn room(&self, now: Duration) -> u32 {
         let of_others = self.report.filter(|_| self.has_report(now)).map_or(0, |report| report.of_others);
-        (self.slots + QUEUED_MOST).saturating_sub(self.own + of_others)
+        self.places().saturating_sub(self.own + of_others)
     }
 }
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -359,6 +359,7 @@
     let version = VersionNeed::AtLeast(1);
     let need = Need { model: Some("m"), version, with_room, ..need(&targets, &[]) };
     assert_eq!(dispatcher.room(NOW, &need), places);
+    assert_eq!(dispatcher.places(NOW, &need), 5);
     let sends: Vec<_> = (0..6).filter_map(|_| dispatcher.choose(NOW, &need)).collect();
     assert!(sends.iter().all(|choice| &*choice.id == "a"));
     assert_eq!(sends.len(), if with_room { 5 } else { 6 });
--- a/crates/store-plane/src/runner.rs
+++ b/crates/store-plane/src/runner.rs
@@ -26,7 +26,7 @@
 pub struct RunnerSettings {
     /// Items that stream at once at most.
     pub items_at_once: usize,
-    /// Room that is left to others when an item is started that nobody waits for.
+    /// Room that is left to others at least when an item is started that nobody waits for.
     pub surplus_reserve: usize,
     /// A run of an item is never interrupted before this time.
     pub run_least: Duration,
--- a/crates/store-plane/src/runner_ports.rs
+++ b/crates/store-plane/src/runner_ports.rs
@@ -88,6 +88,9 @@
     /// Items that could start at once.
     fn room(&self, address: &JobAddress) -> usize;
 
+    /// Items that could run at once if all servers were idle.
+    fn places(&self, address: &JobAddress) -> usize;
+
     /// Whether a server can go on with a text whose events were made by `versions`.
     fn can_continue(&self, address: &JobAddress, versions: &BTreeSet<u64>) -> bool;
 
--- a/crates/store-plane/src/runner_sender.rs
+++ b/crates/store-plane/src/runner_sender.rs
@@ -52,6 +52,11 @@
         self.sender.room(&route.targets, address.model.as_deref(), address.oldest_version)
     }
 
+    fn places(&self, address: &JobAddress) -> usize {
+        let Some(route) = self.route(&address.host, &address.path) else { return 0 };
+        self.sender.places(&route.targets, address.model.as_deref(), address.oldest_version)
+    }
+
     /// The sender itself chooses a server with the right version; where there is none, it does not run the item.
     fn can_continue(&self, _address: &JobAddress, _versions: &BTreeSet<u64>) -> bool {
         true
--- a/crates/store-plane/src/runner_start.rs
+++ b/crates/store-plane/src/runner_start.rs
@@ -11,10 +11,12 @@
 
 use crate::runner::{Event, JobKey, Runner, RunnerSettings};
 use crate::runner_job::TaskGuard;
-use crate::runner_ports::{ItemAttempt, ItemExecutor, ItemProgress, JobLog};
+use crate::runner_ports::{ItemAttempt, ItemExecutor, ItemProgress, JobAddress, JobLog};
 
 /// A run is interrupted after this many times the usual length of a run.
 const USUAL_RUNS_MOST: u32 = 3;
+/// Items that nobody waits for leave one in so many of all places free, since other stores run items as well.
+const SURPLUS_RESERVE_PART: usize = 2;
 /// Doublings of the limit of a run after runs without any event.
 const LIMIT_DOUBLINGS_MOST: u32 = 2;
 
@@ -39,8 +41,10 @@
             if best.is_some_and(|(before, ..)| before <= precedence) {
                 continue;
             }
-            let reserve =
-                if precedence.urgency == Urgency::Surplus { self.settings.surplus_reserve } else { 0 };
+            let reserve = match precedence.urgency {
+                Urgency::Surplus => self.surplus_reserve(&job.address),
+                Urgency::InTime | Urgency::Late => 0,
+            };
             let free = *room.entry(key).or_insert_with(|| self.executor.room(&job.address));
             // Batch jobs of one service share its servers, so the starts of all of them count.
             if free > reserve + self.unseen_starts.count() {
@@ -50,6 +54,11 @@
         best.map(|(_, key, index)| (key, index))
     }
 
+    /// Room that is left to others when an item is started that nobody waits for.
+    fn surplus_reserve(&self, address: &JobAddress) -> usize {
+        self.settings.surplus_reserve.max(self.executor.places(address) / SURPLUS_RESERVE_PART)
+    }
+
     fn start_item(&mut self, key: JobKey, index: ItemIndex) {
         let usual_run = self.usual_run;
         let Some(job) = self.jobs.get_mut(&key) else { return };
--- a/crates/store-plane/tests/runner/runs.rs
+++ b/crates/store-plane/tests/runner/runs.rs
@@ -140,6 +140,16 @@
     assert_eq!(bench.executor.run_ids(), vec!["a-0", "a-1"]);
 }
 
+#[tokio::test(start_paused = true)]
+async fn given_wanted_groups_started_when_half_of_the_slots_are_taken_then_items_of_others_wait() {
+    let bench = Bench::start(FakeExecutor::reliable().with_slots(20));
+    let mut wanted_one = job_of("a", 40);
+    wanted_one.wanted = Some(1);
+    bench.hand_in("job", wanted_one);
+    pass(RUN / 2).await;
+    assert_eq!(bench.executor.runs().len(), 10);
+}
+
 #[tokio::test(start_paused = true)]
 async fn given_results_of_earlier_owners_when_taken_over_then_only_the_rest_runs() {
     let bench = Bench::start(FakeExecutor::reliable());
--- a/crates/store-plane/tests/runner/support.rs
+++ b/crates/store-plane/tests/runner/support.rs
@@ -138,6 +138,10 @@
         self.slots.load(Ordering::SeqCst).saturating_sub(self.busy.load(Ordering::SeqCst))
     }
 
+    fn places(&self, _address: &JobAddress) -> usize {
+        self.slots.load(Ordering::SeqCst)
+    }
+
     fn can_continue(&self, _address: &JobAddress, _versions: &BTreeSet<u64>) -> bool {
         *self.continues.lock().unwrap()
     }
