--- a/crates/control-plane/src/messages.rs
+++ b/crates/control-plane/src/messages.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use register::{Ballot, Member, Versioned};
+use register::{Ballot, Member};
 use serde::{Deserialize, Serialize};
-use state::{ControlState, ServerList, ServerListVersion};
+use state::ServerListVersion;
+
+use crate::{ControlUpdate, ServerUpdate};
 
 /// Paths of internal calls.
 pub mod paths {
@@ -53,6 +55,8 @@
 pub struct PollRequest {
     /// The committed value that it knows.
     pub ballot: Ballot,
+    /// The version of the configuration in that value.
+    pub edition: u64,
     /// The list of servers that it knows.
     pub servers: ServerListVersion,
     /// How long the answer may be held where nothing is newer.
@@ -63,9 +67,9 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PollReply {
     /// A newer committed value.
-    pub control: Option<Versioned<ControlState>>,
+    pub control: Option<ControlUpdate>,
     /// A newer list of servers.
-    pub servers: Option<ServerList>,
+    pub servers: Option<ServerUpdate>,
     /// Time since a majority confirmed that the value is the newest; `None` if none has.
     pub confirmed_age_ms: Option<u32>,
     /// The version of the list that the peer holds: its age says nothing of another one.
--- a/crates/control-plane/src/poll.rs
+++ b/crates/control-plane/src/poll.rs
@@ -72,10 +72,15 @@
 /// Polls a peer once and adopts what is newer.
 pub(crate) async fn poll_once(view: &ViewCell, client: &rpc::Client, peer: &str) -> Option<PollReply> {
     let ballot = view.committed().map_or(NO_BALLOT, |value| value.ballot);
-    let servers = view.view().servers.version;
+    let held = view.view();
     // The first answer is wanted at once.
     let hold = if view.confirmed_age().is_none() { Duration::ZERO } else { HOLD };
-    let request = PollRequest { ballot, servers, hold_ms: u32::try_from(hold.as_millis()).unwrap_or(0) };
+    let request = PollRequest {
+        ballot,
+        edition: held.control.edition,
+        servers: held.servers.version,
+        hold_ms: u32::try_from(hold.as_millis()).unwrap_or(0),
+    };
     let reply: PollReply = client.call(peer, paths::POLL, &request, hold + GRACE).await.ok()?;
     view.adopt_reply(&reply, Instant::now());
     Some(reply)
--- a/crates/control-plane/src/view.rs
+++ b/crates/control-plane/src/view.rs
@@ -103,11 +103,12 @@
     /// A control state that was confirmed at a time is no newer than the one held here; but the age of a list says
     /// nothing of another list.
     pub fn adopt_reply(&self, reply: &PollReply, now: Instant) {
-        if let Some(newer) = &reply.control {
-            self.adopt_control(newer);
+        if let Some(update) = reply.control.clone() {
+            let Some(newer) = update.apply(&self.view().control) else { return };
+            self.adopt_control(&newer);
         }
-        if let Some(newer) = &reply.servers {
-            self.adopt_servers(newer.clone());
+        if let Some(newer) = reply.servers.clone().and_then(|update| update.apply(&self.view().servers)) {
+            self.adopt_servers(newer);
         }
         let ago = |age: u32| now.checked_sub(Duration::from_millis(age.into()));
         if let Some(at) = reply.confirmed_age_ms.and_then(ago) {
@@ -121,8 +122,9 @@
 
     /// Takes over a list that this process read at `at`, as the holder of the lease with the token `fence` if any.
     /// It gets a new version where it differs, and where the holder `renews` it or is a new one. Tells whether it did.
-    pub fn adopt_reading(&self, read: ServerList, at: Instant, fence: Option<u64>, renews: bool) -> bool {
+    pub fn adopt_reading(&self, mut read: ServerList, at: Instant, fence: Option<u64>, renews: bool) -> bool {
         let known = Arc::clone(&self.view().servers);
+        read.keep_versions(&known);
         let by_holder = fence.and_then(|fence| known.version.next_of_holder(fence));
         let is_renewed = by_holder.is_some() && (renews || Some(known.version.fence) != fence);
         let is_new = is_renewed || !known.shows_same(&read);
--- a/crates/control-plane/tests/acceptor.rs
+++ b/crates/control-plane/tests/acceptor.rs
@@ -15,7 +15,7 @@
 
 fn next(value: &Versioned<ControlState>, round: u64) -> Versioned<ControlState> {
     let state = ControlState { edition: round, ..ControlState::clone(&value.value) };
-    Versioned { ballot: Ballot { round, proposer: 7 }, value: Arc::new(state) }
+    Versioned::new(Ballot { round, proposer: 7 }, Arc::new(state))
 }
 
 fn accepted(reply: &AcceptorReply<ControlState>) -> Option<Versioned<ControlState>> {
@@ -34,7 +34,7 @@
     disk.lose_power(&mut LoseEverything);
     let (service, again) = acceptor(&disk);
     assert_eq!((again, service.is_initialised()), (incarnation, true));
-    let other = Versioned { ballot: value.ballot, value: Arc::clone(&next(&value, 9).value) };
+    let other = Versioned::new(value.ballot, Arc::clone(&next(&value, 9).value));
     assert_eq!(service.initialise(other).await, Some(value.clone()));
     assert_eq!(service.committed(), Some(value));
 }
--- a/crates/control-plane/tests/support/mod.rs
+++ b/crates/control-plane/tests/support/mod.rs
@@ -36,7 +36,7 @@
 
 pub fn first(acceptors: Vec<Member>, stores: Vec<StoreMember>) -> Versioned<ControlState> {
     let state = first_state(acceptors, stores, 1).expect("there are acceptors");
-    Versioned { ballot: FIRST, value: Arc::new(state) }
+    Versioned::new(FIRST, Arc::new(state))
 }
 
 pub fn store(index: u64) -> StoreMember {
--- a/crates/control-plane/tests/view.rs
+++ b/crates/control-plane/tests/view.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use control_plane::{Distribution, PollReply, PollRequest, ViewCell};
+use control_plane::{Distribution, PollReply, PollRequest, ServerUpdate, ViewCell};
 use register::{Ballot, Versioned};
 use state::{Condition, ControlState, ServerEntry, ServerList, ServerListVersion};
 use support::document;
@@ -21,7 +21,7 @@
 
 fn value(round: u64, edition: u64) -> Versioned<ControlState> {
     let state = ControlState { edition, configuration: document(edition, "r"), ..ControlState::default() };
-    Versioned { ballot: Ballot { round, proposer: 1 }, value: Arc::new(state) }
+    Versioned::new(Ballot { round, proposer: 1 }, Arc::new(state))
 }
 
 #[test]
@@ -78,13 +78,17 @@
     let distribution = Distribution::new(Arc::clone(&view));
     let known = Ballot { round: 5, proposer: 1 };
     let hold_ms = 1000;
-    let poll = |ballot, servers| distribution.poll(PollRequest { ballot, servers, hold_ms });
+    let poll = |ballot, servers| distribution.poll(PollRequest { ballot, edition: 0, servers, hold_ms });
     let reply = poll(Ballot::default(), version(3, 2)).await;
-    assert_eq!(reply.control.map(|newer| newer.ballot), Some(known));
+    let newer = reply.control.and_then(|update| update.apply(&ControlState::default()));
+    assert_eq!(newer, Some(value(5, 9)));
     assert_eq!((reply.servers, reply.servers_version), (None, version(3, 2)));
     let reply = poll(known, version(3, 1)).await;
-    assert_eq!((reply.control, reply.servers), (None, Some(list(3, 2))));
-    let reply = distribution.poll(PollRequest { ballot: known, servers: version(9, 9), hold_ms: 0 }).await;
+    let newer = reply.servers.and_then(|update| update.apply(&list(3, 1)));
+    assert_eq!((reply.control, newer), (None, Some(list(3, 2))));
+    let reply = distribution
+        .poll(PollRequest { ballot: known, edition: 9, servers: version(9, 9), hold_ms: 0 })
+        .await;
     assert_eq!((reply.control, reply.servers, reply.servers_age_ms), (None, None, None));
 }
 
@@ -92,7 +96,8 @@
 async fn given_a_held_poll_when_something_newer_comes_then_it_is_answered() {
     let view = Arc::new(ViewCell::new());
     let distribution = Distribution::new(Arc::clone(&view));
-    let request = PollRequest { ballot: Ballot::default(), servers: version(0, 0), hold_ms: 1000 };
+    let request =
+        PollRequest { ballot: Ballot::default(), edition: 0, servers: version(0, 0), hold_ms: 1000 };
     let adopt = async { view.adopt_control(&value(5, 9)) };
     let (reply, ()) = tokio::join!(distribution.poll(request), adopt);
     assert!(reply.control.is_some());
@@ -108,6 +113,7 @@
 
 fn reply(servers: Option<ServerList>, servers_version: ServerListVersion) -> PollReply {
     let (confirmed_age_ms, servers_age_ms) = (Some(100), Some(100));
+    let servers = servers.map(ServerUpdate::Whole);
     PollReply { control: None, servers, confirmed_age_ms, servers_version, servers_age_ms }
 }
 
