--- a/crates/control-plane/src/messages.rs
+++ b/crates/control-plane/src/messages.rs
@@ -1,8 +1,12 @@
 //! Internal messages of the control plane and the paths that they are posted to.
 
-use register::{Ballot, Member, Versioned};
+use std::time::Duration;
+
+use register::{Ballot, Member};
 use serde::{Deserialize, Serialize};
-use state::{ControlState, ServerList, ServerListVersion};
+use state::ServerListVersion;
+
+use crate::{ControlUpdate, ServerUpdate};
 
 /// Paths of internal calls.
 pub mod paths {
@@ -22,6 +26,10 @@
     pub const PING: &str = "/control/ping";
 }
 
+/// A peer whose last confirmation by a majority is older is left for another.
+pub(crate) const CONFIRMED_AGE_MOST: Duration = Duration::from_millis(900);
+/// A peer whose list of servers is older is left for another.
+const SERVERS_AGE_MOST: Duration = Duration::from_millis(2000);
 /// What a machine with a disk can do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Capability {
@@ -47,6 +55,8 @@
 pub struct PollRequest {
     /// The committed value that it knows.
     pub ballot: Ballot,
+    /// The version of the configuration in that value.
+    pub edition: u64,
     /// The list of servers that it knows.
     pub servers: ServerListVersion,
     /// How long the answer may be held where nothing is newer.
@@ -57,9 +67,9 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PollReply {
     /// A newer committed value.
-    pub control: Option<Versioned<ControlState>>,
+    pub control: Option<ControlUpdate>,
     /// A newer list of servers.
-    pub servers: Option<ServerList>,
+    pub servers: Option<ServerUpdate>,
     /// Time since a majority confirmed that the value is the newest; `None` if none has.
     pub confirmed_age_ms: Option<u32>,
     /// The version of the list that the peer holds: its age says nothing of another one.
@@ -68,6 +78,16 @@
     pub servers_age_ms: Option<u32>,
 }
 
+impl PollReply {
+    /// Whether the peer is confirmed by a majority and has a fresh list; otherwise another one is polled.
+    #[must_use]
+    pub fn is_fresh(&self) -> bool {
+        let within =
+            |age: Option<u32>, most: Duration| age.is_some_and(|age| u128::from(age) <= most.as_millis());
+        within(self.confirmed_age_ms, CONFIRMED_AGE_MOST) && within(self.servers_age_ms, SERVERS_AGE_MOST)
+    }
+}
+
 /// The state of a process that was asked whether it is there.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PingReply {
--- a/crates/store-plane/tests/runner/runs.rs
+++ b/crates/store-plane/tests/runner/runs.rs
@@ -71,6 +71,15 @@
     assert_eq!(log.listed().len(), 9);
 }
 
+#[tokio::test(start_paused = true)]
+async fn given_a_large_fleet_when_one_store_owns_all_jobs_then_all_slots_are_used() {
+    let bench = Bench::start(FakeExecutor::reliable().with_slots(228));
+    bench.hand_in("a", job_of("a", 200));
+    bench.hand_in("b", job_of("b", 200));
+    pass(RUN / 2).await;
+    assert_eq!(bench.executor.runs().len(), 228);
+}
+
 #[tokio::test(start_paused = true)]
 async fn given_no_room_when_other_stores_free_it_then_items_start_without_an_own_event() {
     let bench = Bench::start(FakeExecutor::reliable().with_slots(0));
@@ -131,6 +140,16 @@
     assert_eq!(bench.executor.run_ids(), vec!["a-0", "a-1"]);
 }
 
+#[tokio::test(start_paused = true)]
+async fn given_wanted_groups_started_when_half_of_the_slots_are_taken_then_items_of_others_wait() {
+    let bench = Bench::start(FakeExecutor::reliable().with_slots(20));
+    let mut wanted_one = job_of("a", 40);
+    wanted_one.wanted = Some(1);
+    bench.hand_in("job", wanted_one);
+    pass(RUN / 2).await;
+    assert_eq!(bench.executor.runs().len(), 10);
+}
+
 #[tokio::test(start_paused = true)]
 async fn given_results_of_earlier_owners_when_taken_over_then_only_the_rest_runs() {
     let bench = Bench::start(FakeExecutor::reliable());
