--- a/crates/store-plane/src/runner_ports.rs
+++ b/crates/store-plane/src/runner_ports.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 pub use crate::replication::{Deposed, JobState};
-pub use data_plane::{ItemEnd, ItemProgress};
+pub use data_plane::{ItemEnd, ItemProgress, RewardEnd};
 
 /// What the route of a batch job demands of its items.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,22 +64,6 @@
     }
 }
 
-/// How a reward call ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RewardEnd {
-    /// A 2xx; its stamp.
-    Graded(String),
-    /// Servers themselves answered 500.
-    Failed {
-        /// How many times they did so.
-        answers: u32,
-    },
-    /// Nothing is known or it did not run; it may be repeated.
-    Again,
-    /// No route leads there.
-    NoRoute,
-}
-
 /// Carries out requests at servers.
 pub trait ItemExecutor: Send + Sync + 'static {
     /// The terms of the route in force; `None` where no route matches.
--- a/crates/store-plane/src/runner_sender.rs
+++ b/crates/store-plane/src/runner_sender.rs
@@ -70,13 +70,7 @@
     }
 
     async fn reward(&self, request: RewardRequest, body: Bytes, deadline: Duration) -> RewardEnd {
-        let end = self.sender.reward(&request.host, &request.path, &request.id, body, deadline).await;
-        match end {
-            data_plane::RewardEnd::Graded(stamp) => RewardEnd::Graded(stamp),
-            data_plane::RewardEnd::Failed { answers } => RewardEnd::Failed { answers },
-            data_plane::RewardEnd::Again => RewardEnd::Again,
-            data_plane::RewardEnd::NoRoute => RewardEnd::NoRoute,
-        }
+        self.sender.reward(&request.host, &request.path, &request.id, body, deadline).await
     }
 }
 
