--- a/crates/control-plane/src/poll.rs
+++ b/crates/control-plane/src/poll.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use tokio::sync::watch;
+
 use crate::distribution::NO_BALLOT;
 use crate::messages::{paths, PollReply, PollRequest, CONFIRMED_AGE_MOST};
 use crate::{Leadership, ViewCell};
@@ -21,7 +23,7 @@
 pub async fn run_poller(
     view: Arc<ViewCell>,
     client: rpc::Client,
-    seeds: Vec<String>,
+    seeds: watch::Receiver<Vec<String>>,
     this_address: String,
     leadership: Option<Arc<Leadership>>,
 ) {
@@ -37,7 +39,7 @@
         if leadership.is_some() && present != leader {
             (next, leader) = (0, present);
         }
-        let peers = peers(&view, &seeds, &this_address, leadership.is_some());
+        let peers = peers(&view, &seeds.borrow(), &this_address, leadership.is_some());
         let Some(peer) = peers.get(next % peers.len().max(1)) else {
             tokio::time::sleep(HOLD).await;
             continue;
--- a/crates/rushrudder/src/control.rs
+++ b/crates/rushrudder/src/control.rs
@@ -15,6 +15,7 @@
 use settings::Settings;
 use state::{ControlState, StoreMember};
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use crate::command::RoleError;
 
@@ -47,6 +48,7 @@
     pub leadership: Arc<Leadership>,
     /// Its internal address.
     pub address: String,
+    seeds: watch::Sender<Vec<String>>,
     first_start: Arc<FirstStart>,
     acceptor: Option<Arc<AcceptorService>>,
     grantor: Arc<Mutex<Grantor>>,
@@ -107,6 +109,7 @@
             proposer,
             leadership: Arc::new(Leadership::default()),
             address: internal_address(settings),
+            seeds: watch::Sender::new(seed_addresses(settings)),
             first_start: Arc::new(FirstStart::default()),
             acceptor,
             grantor: Arc::new(grantor),
@@ -186,6 +189,18 @@
             .at(paths::LEASE, poem::post(rpc::handler(grant)))
     }
 
+    /// Reads the settings file again. The seeds take effect at once, everything else at the next start.
+    pub fn reload(&self) {
+        match Settings::from_env() {
+            Ok(settings) => {
+                let seeds = seed_addresses(&settings);
+                log::info!("settings read again: seeds {}", seeds.join(" "));
+                self.seeds.send_replace(seeds);
+            }
+            Err(error) => log::error!("the settings stay as they are: {error}"),
+        }
+    }
+
     /// Listens at the internal address.
     pub async fn listen(&self) -> Result<TcpListener, Report<RoleError>> {
         TcpListener::bind(&self.address).await.change_context(RoleError).attach_with(|| self.address.clone())
@@ -198,7 +213,7 @@
         tokio::spawn(control_plane::run_poller(
             Arc::clone(&self.view),
             self.client.clone(),
-            seeds.clone(),
+            self.seeds.subscribe(),
             self.address.clone(),
             leads,
         ));
--- a/crates/rushrudder/src/node.rs
+++ b/crates/rushrudder/src/node.rs
@@ -42,7 +42,7 @@
     let front = serve_clients(&settings, &control).await?;
     log::info!("{} serves", settings.station);
     while signals.next().await == Told::Reload {
-        log::info!("settings are read again");
+        control.reload();
     }
     log::info!("{} ends", settings.station);
     front.drain().await;
--- a/crates/rushrudder/src/store.rs
+++ b/crates/rushrudder/src/store.rs
@@ -56,7 +56,9 @@
         Arc::clone(&control.distribution),
     ));
     log::info!("{} serves", settings.station);
-    while signals.next().await != Told::Terminate {}
+    while signals.next().await == Told::Reload {
+        control.reload();
+    }
     log::info!("{} ends", settings.station);
     store.resign().await;
     tokio::time::sleep(LAST_ANSWERS).await;
