--- a/crates/data-plane/src/item.rs
+++ b/crates/data-plane/src/item.rs
@@ -21,7 +21,7 @@
 const COME_BACK: Duration = Duration::from_millis(50);
 
 /// A server that is silent for this long, before the first event or between two, is thought gone.
-const SILENCE_MOST: Duration = Duration::from_millis(3000);
+const SILENCE_MOST: Duration = Duration::from_millis(1500);
 
 /// Pause of an item that cannot be sent as it is; it may be given up only after its shelf life.
 const UNSENDABLE_PAUSE: Duration = Duration::from_secs(1);
--- a/crates/store-plane/src/runner_start.rs
+++ b/crates/store-plane/src/runner_start.rs
@@ -37,7 +37,9 @@
         let mut best: Option<(Precedence, JobKey, ItemIndex)> = None;
         let usual_run = self.usual_run.unwrap_or_default();
         for (&key, job) in &self.jobs {
-            let Some((precedence, candidate)) = job.next(now, usual_run) else { continue };
+            let Some((precedence, candidate)) = job.next(now, usual_run, self.settings.items_at_once) else {
+                continue;
+            };
             if best.is_some_and(|(before, ..)| before <= precedence) {
                 continue;
             }
