--- a/crates/state/tests/members.rs
+++ b/crates/state/tests/members.rs
@@ -226,7 +226,7 @@
 }
 
 fn first(stores: u64) -> Versioned<ControlState> {
-    Versioned { ballot: Ballot { round: 1, proposer: 0 }, value: Arc::new(system(stores)) }
+    Versioned::new(Ballot { round: 1, proposer: 0 }, Arc::new(system(stores)))
 }
 
 #[test]
