--- a/crates/emulator/src/control.rs
+++ b/crates/emulator/src/control.rs
@@ -151,8 +151,13 @@
         let now = context.now;
         match request {
             Request::Register(request) => {
-                if let AcceptorRequest::Learn(committed) = &request {
-                    self.adopt(committed);
+                match &request {
+                    AcceptorRequest::Learn(committed) => {
+                        self.adopt(committed);
+                        observe(&mut self.grantor, &committed.value);
+                    }
+                    AcceptorRequest::Accept(proposed) => observe(&mut self.grantor, &proposed.value),
+                    _ => {}
                 }
                 let Some(acceptor) = &mut self.acceptor else { return };
                 let handled = acceptor.handle(request);
@@ -162,6 +167,7 @@
                 context.answer(from, Reply::Register(handled.reply));
             }
             Request::First(first) => {
+                observe(&mut self.grantor, &first.value);
                 let Some(acceptor) = &mut self.acceptor else { return };
                 if acceptor.initialise(first).must_persist {
                     context.disk().keep_acceptor(acceptor.state());
@@ -268,7 +274,7 @@
         let stores = of(true).map(|member| StoreMember { zone: "zone".into(), member }).collect();
         let Some(own) = first_state(acceptors.clone(), stores, self.identity.machines_lost) else { return };
         let shown = std::mem::take(&mut self.shown);
-        let own = Versioned { ballot: FIRST_BALLOT, value: Arc::new(own) };
+        let own = Versioned::new(FIRST_BALLOT, Arc::new(own));
         if let Some(first) = choose_first(own, shown) {
             for member in &first.value.acceptors {
                 context.call_member(member, Request::First(first.clone()), Purpose::OfferFirst);
@@ -327,7 +333,7 @@
             Action::Ask => {
                 let id = |member: &Member| GrantorId(member.incarnation.0);
                 let grantors: Vec<GrantorId> = state.acceptors.iter().map(id).collect();
-                let request = self.candidate.begin(context.now, &grantors);
+                let request = self.candidate.begin(context.now, state.revision, &grantors);
                 for member in &state.acceptors {
                     let purpose = Purpose::Lease(request.term, id(member));
                     context.call_member(member, Request::Lease(request.clone()), purpose);
@@ -425,3 +431,10 @@
         }
     }
 }
+
+/// Tells the grantor who the grantors are, before a value that changes them is answered for.
+fn observe(grantor: &mut Grantor, state: &ControlState) {
+    let grantors: Vec<GrantorId> =
+        state.acceptors.iter().map(|member| GrantorId(member.incarnation.0)).collect();
+    grantor.observe(state.revision, &grantors);
+}
