Resume weight orders sooner after a change of the leader

Cause: when the leader process was killed, another station won the lease although the killed one was back within a second; it then waited 4.3 s before its first order, and up to 0.5 s more for its next renewal and the next look of the task that sends orders.

Ruled out: the order of models in the planner, refused orders, stores.

Change: a candidate defers by a quarter of the ttl while another station may send orders at once; the end of the wait between two holders wakes both the note in the register and the sender of orders. The wait itself is as it was.

--- a/crates/control-plane/src/leader.rs
+++ b/crates/control-plane/src/leader.rs
@@ -6,8 +6,9 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use lease::{Action, Candidate, GrantorId, LeaseReply, LeaseRequest};
 use register::Member;
-use state::change::{with_fence, with_order_holder, HeldLease};
+use state::change::{may_order_at_once, with_fence, with_order_holder, HeldLease};
 use state::ControlState;
+use tokio::sync::Notify;
 
 use crate::messages::paths;
 use crate::orders::CALL_TIMEOUT as ORDER_TIMEOUT;
@@ -26,11 +27,12 @@
 pub struct Leadership {
     began: Instant,
     held: Mutex<Option<HeldLease>>,
+    may_order: Notify,
 }
 
 impl Default for Leadership {
     fn default() -> Self {
-        Self { began: Instant::now(), held: Mutex::new(None) }
+        Self { began: Instant::now(), held: Mutex::new(None), may_order: Notify::new() }
     }
 }
 
@@ -47,6 +49,18 @@
         self.held()?.order_fence_at(self.now())
     }
 
+    /// Waits until [`Leadership::fence_for_orders`] may have become known.
+    pub(crate) async fn may_order(&self) {
+        self.may_order.notified().await;
+    }
+
+    /// Wakes who waits to send orders.
+    fn announce_orders(&self) {
+        if self.fence_for_orders().is_some() {
+            self.may_order.notify_one();
+        }
+    }
+
     /// The steady clock of the lease.
     fn now(&self) -> Duration {
         self.began.elapsed()
@@ -78,7 +92,13 @@
     loop {
         match candidate.next_action(began.elapsed()) {
             Action::Wait(until) => {
-                tokio::time::sleep(until.saturating_sub(began.elapsed()).max(WAIT_LEAST)).await
+                let order_wait =
+                    leadership.held().and_then(|held| held.order_holder_due_later(began.elapsed()));
+                let wake = order_wait.map_or(until, |end| end.min(until));
+                tokio::time::sleep(wake.saturating_sub(began.elapsed()).max(WAIT_LEAST)).await;
+                if order_wait.is_some() {
+                    note_order_holder(&leadership, &proposer, &station).await;
+                }
             }
             Action::GiveUp => give_up(&mut candidate, began, &view, &client).await,
             Action::Ask => {
@@ -87,6 +107,8 @@
                     tokio::time::sleep(LEASE_TTL / 4).await;
                     continue;
                 }
+                // A station that may send orders at once saves the servers the wait between two holders.
+                candidate.set_defers(!may_order_at_once(&control, &station));
                 ask_all(&mut candidate, began, &control, &client).await;
                 let until = candidate.held_until();
                 if candidate.holds(began.elapsed()) {
@@ -144,6 +166,7 @@
     log::info!("leads with fencing token {}", value.value.fence);
     let wait = between_holders + ORDER_TIMEOUT;
     *leadership.lock() = Some(HeldLease::won(&value.value, station, leadership.now(), until, wait));
+    leadership.announce_orders();
 }
 
 /// Once the time between two holders is over, notes in the register that this station sends orders. Only then does
@@ -156,6 +179,7 @@
         if let Some(held) = leadership.lock().as_mut() {
             held.note_order_holder(fence);
         }
+        leadership.announce_orders();
     }
 }
 
--- a/crates/control-plane/src/orders.rs
+++ b/crates/control-plane/src/orders.rs
@@ -75,6 +75,7 @@
                     return;
                 }
             }
+            () = leadership.may_order(), if term.is_none() => {}
             () = tokio::time::sleep(wake.max(Duration::from_millis(2))) => {}
         }
     }
--- a/crates/lease/src/candidate.rs
+++ b/crates/lease/src/candidate.rs
@@ -15,6 +15,8 @@
 const CLOCK_PART: u32 = 20;
 /// A candidate that was refused tries again after up to one part in this many of the ttl, drawn at random.
 const JITTER_PART: u32 = 4;
+/// A candidate that defers waits for one more part in this many of the ttl: as long as others draw at most.
+const DEFER_PART: u32 = JITTER_PART;
 
 /// What a candidate should do now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,6 +40,7 @@
     next_round: Duration,
     round: Option<Round>,
     jitter: u64,
+    defers: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -68,9 +71,16 @@
             next_round: Duration::ZERO,
             round: None,
             jitter,
+            defers: false,
         }
     }
 
+    /// Whether another candidate, should it come back in time, is to win the lease first. It only delays the round
+    /// after the end of another holder's lease.
+    pub fn set_defers(&mut self, defers: bool) {
+        self.defers = defers;
+    }
+
     /// Starts a round at these grantors, the acceptors of the register as of `revision`; replies to earlier
     /// rounds count no more.
     pub fn begin(&mut self, now: Duration, revision: u64, grantors: &[GrantorId]) -> LeaseRequest {
@@ -178,6 +188,7 @@
             return jitter / 2;
         }
         match round.majority_refusal() {
+            Some(remaining) if self.defers => remaining.min(self.ttl) + self.ttl / DEFER_PART + jitter,
             Some(remaining) => remaining.min(self.ttl) + jitter,
             None => jitter,
         }
--- a/crates/lease/tests/candidate.rs
+++ b/crates/lease/tests/candidate.rs
@@ -123,6 +123,30 @@
     assert!(until >= START + ms(2000) && until < START + ms(2800), "{until:?}");
 }
 
+#[test]
+fn given_candidates_when_some_defer_then_all_that_do_not_come_back_first() {
+    let next_round = |name: String, defers: bool| {
+        let mut candidate = Candidate::new(name, TTL);
+        candidate.set_defers(defers);
+        let request = candidate.begin(START, 1, &grantors(3));
+        for grantor in 0..3 {
+            candidate.on_reply(request.term, GrantorId(grantor), &held("other", 1000));
+        }
+        candidate.give_up(START + ms(1));
+        match candidate.next_action(START + ms(1)) {
+            Action::Wait(until) => until,
+            action => panic!("it does not wait: {action:?}"),
+        }
+    };
+    let last_eager = (0..50).map(|number| next_round(format!("eager-{number}"), false)).max();
+    let deferring: Vec<Duration> = (0..50).map(|number| next_round(format!("late-{number}"), true)).collect();
+    assert!(deferring.iter().min() > last_eager.as_ref());
+    assert!(
+        deferring.iter().all(|until| *until < START + ms(1001) + TTL / 2),
+        "it waits no longer than that"
+    );
+}
+
 #[test]
 fn given_several_candidates_when_refused_then_they_come_back_at_different_times() {
     let returns = |name: &str| {
--- a/crates/state/src/change/leader.rs
+++ b/crates/state/src/change/leader.rs
@@ -56,6 +56,12 @@
         self.fence_at(now).filter(|_| !self.is_order_holder && now >= self.orders_from)
     }
 
+    /// When [`HeldLease::order_holder_due`] will first be due; `None` when it is already, or is not needed.
+    #[must_use]
+    pub fn order_holder_due_later(&self, now: Duration) -> Option<Duration> {
+        (now < self.orders_from && !self.is_order_holder).then_some(self.orders_from)
+    }
+
     /// The register holds that the holder of this fencing token sends orders.
     pub fn note_order_holder(&mut self, fence: u64) {
         self.is_order_holder |= self.fence == fence;
--- a/crates/state/tests/members.rs
+++ b/crates/state/tests/members.rs
@@ -213,6 +213,29 @@
     assert_eq!(held.order_holder_due(at(4000)), Some(2));
 }
 
+#[test]
+fn given_a_wait_between_holders_when_asked_for_its_end_then_it_is_known_until_it_is_over() {
+    let state = with_order_holder(&with_fence(&system(3), "a"), "a", 1).expect("it holds the token");
+    let mut held = HeldLease::won(&with_fence(&state, "b"), "b", at(100), at(60_000), BETWEEN);
+    assert_eq!(held.order_holder_due_later(at(100)), Some(at(4100)));
+    assert_eq!(held.order_holder_due_later(at(4099)), Some(at(4100)));
+    assert_eq!(
+        held.order_holder_due_later(at(4100)),
+        None,
+        "a failed attempt is repeated with the next renewal"
+    );
+    held.note_order_holder(2);
+    assert_eq!(held.order_holder_due_later(at(200)), None);
+}
+
+#[test]
+fn given_the_holder_of_before_when_it_leads_again_then_there_is_no_wait() {
+    let state = with_order_holder(&with_fence(&system(3), "a"), "a", 1).expect("it holds the token");
+    let held = HeldLease::won(&with_fence(&state, "a"), "a", at(100), at(1400), BETWEEN);
+    assert_eq!(held.order_holder_due_later(at(100)), None);
+    assert_eq!(held.order_fence_at(at(100)), Some(2));
+}
+
 #[test]
 fn given_a_holder_that_was_frozen_when_it_thaws_then_it_holds_nothing_and_cannot_renew() {
     let state = with_order_holder(&with_fence(&system(3), "a"), "a", 1).expect("it holds the token");
