Go on with the wait before orders when a lost lease is won again

If nobody raised the fencing token between, nobody else can have sent orders.

Ruled out: another station's orders between the two leases; they need a token raised between.

--- a/crates/control-plane/src/leader.rs
+++ b/crates/control-plane/src/leader.rs
@@ -156,16 +156,17 @@
     proposer: &Proposer,
     station: &str,
 ) {
-    let renewed = leadership.held().and_then(|held| held.renewed(leadership.now(), until));
-    *leadership.lock() = renewed;
-    if renewed.is_some() {
+    let earlier = leadership.held();
+    if let Some(renewed) = earlier.and_then(|held| held.renewed(leadership.now(), until)) {
+        *leadership.lock() = Some(renewed);
         return;
     }
     let raise = |state: &ControlState| Ok::<_, ()>(with_fence(state, station));
     let Ok(value) = proposer.change(Instant::now() + FENCE_TIMEOUT, raise).await else { return };
     log::info!("leads with fencing token {}", value.value.fence);
     let wait = between_holders + ORDER_TIMEOUT;
-    *leadership.lock() = Some(HeldLease::won(&value.value, station, leadership.now(), until, wait));
+    let won = HeldLease::won(&value.value, station, leadership.now(), until, wait);
+    *leadership.lock() = Some(earlier.map_or(won, |earlier| won.following(earlier)));
     leadership.announce_orders();
 }
 
--- a/crates/state/src/change/leader.rs
+++ b/crates/state/src/change/leader.rs
@@ -31,6 +31,16 @@
         Self { fence: state.fence, until, orders_from: now + wait, is_order_holder }
     }
 
+    /// This lease, where its station held `earlier` before and lost it. If nobody raised the fencing token between the
+    /// two, nobody else sent orders, and the wait goes on from where it began.
+    #[must_use]
+    pub fn following(self, earlier: Self) -> Self {
+        if self.fence != earlier.fence + 1 {
+            return self;
+        }
+        Self { orders_from: self.orders_from.min(earlier.orders_from), ..self }
+    }
+
     /// The same lease until a later moment; `None` where it has run out before it was renewed.
     #[must_use]
     pub fn renewed(self, now: Duration, until: Duration) -> Option<Self> {
--- a/crates/state/tests/members.rs
+++ b/crates/state/tests/members.rs
@@ -228,6 +228,28 @@
     assert_eq!(held.order_holder_due_later(at(200)), None);
 }
 
+#[test]
+fn given_a_lease_lost_in_the_wait_when_won_again_with_nobody_between_then_the_wait_goes_on() {
+    let ordered = with_order_holder(&with_fence(&system(3), "a"), "a", 1).expect("it holds the token");
+    let first = with_fence(&ordered, "b");
+    let earlier = HeldLease::won(&first, "b", at(0), at(1350), BETWEEN);
+    let second = with_fence(&first, "b");
+    let again = HeldLease::won(&second, "b", at(2000), at(60_000), BETWEEN).following(earlier);
+    assert_eq!(again.order_holder_due(at(3999)), None);
+    assert_eq!(again.order_holder_due(at(4000)), Some(3));
+}
+
+#[test]
+fn given_a_lease_lost_in_the_wait_when_another_raised_the_token_between_then_the_wait_begins_anew() {
+    let ordered = with_order_holder(&with_fence(&system(3), "a"), "a", 1).expect("it holds the token");
+    let first = with_fence(&ordered, "b");
+    let earlier = HeldLease::won(&first, "b", at(0), at(1350), BETWEEN);
+    let third = with_fence(&with_fence(&first, "c"), "b");
+    let again = HeldLease::won(&third, "b", at(2000), at(60_000), BETWEEN).following(earlier);
+    assert_eq!(again.order_holder_due(at(5999)), None);
+    assert_eq!(again.order_holder_due(at(6000)), Some(4));
+}
+
 #[test]
 fn given_the_holder_of_before_when_it_leads_again_then_there_is_no_wait() {
     let state = with_order_holder(&with_fence(&system(3), "a"), "a", 1).expect("it holds the token");
