--- a/crates/control-plane/src/leader.rs
+++ b/crates/control-plane/src/leader.rs
@@ -7,9 +7,9 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use lease::{Action, Candidate, GrantorId, LeaseRelease, LeaseReply, LeaseRequest};
 use register::Member;
-use state::change::{with_fence, with_order_holder, HeldLease};
+use state::change::{may_order_at_once, with_fence, with_order_holder, HeldLease};
 use state::ControlState;
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 
 use crate::messages::paths;
 use crate::orders::CALL_TIMEOUT as ORDER_TIMEOUT;
@@ -29,6 +29,7 @@
     began: Instant,
     held: Mutex<Option<HeldLease>>,
     stage: watch::Sender<Stage>,
+    may_order: Notify,
 }
 
 /// Whether this process still wants the lease.
@@ -44,7 +45,8 @@
 
 impl Default for Leadership {
     fn default() -> Self {
-        Self { began: Instant::now(), held: Mutex::new(None), stage: watch::Sender::new(Stage::Seeking) }
+        let stage = watch::Sender::new(Stage::Seeking);
+        Self { began: Instant::now(), held: Mutex::new(None), stage, may_order: Notify::new() }
     }
 }
 
@@ -74,6 +76,18 @@
         let _ = tokio::time::timeout(CALL_TIMEOUT * 2, left).await;
     }
 
+    /// Waits until [`Leadership::fence_for_orders`] may have become known.
+    pub(crate) async fn may_order(&self) {
+        self.may_order.notified().await;
+    }
+
+    /// Wakes who waits to send orders.
+    fn announce_orders(&self) {
+        if self.fence_for_orders().is_some() {
+            self.may_order.notify_one();
+        }
+    }
+
     /// The steady clock of the lease.
     fn now(&self) -> Duration {
         self.began.elapsed()
@@ -113,9 +127,15 @@
         }
         match candidate.next_action(began.elapsed()) {
             Action::Wait(until) => {
-                let wait = until.saturating_sub(began.elapsed()).max(WAIT_LEAST);
+                let order_wait =
+                    leadership.held().and_then(|held| held.order_holder_due_later(began.elapsed()));
+                let wake = order_wait.map_or(until, |end| end.min(until));
+                let wait = wake.saturating_sub(began.elapsed()).max(WAIT_LEAST);
                 // A change of the stage is seen at the head of the loop.
-                let _ = tokio::time::timeout(wait, stage.changed()).await;
+                let is_leaving = tokio::time::timeout(wait, stage.changed()).await.is_ok();
+                if order_wait.is_some() && !is_leaving {
+                    note_order_holder(&leadership, &proposer, &station).await;
+                }
             }
             Action::GiveUp => give_up(&mut candidate, began, &view, &client).await,
             Action::Ask => {
@@ -124,6 +144,8 @@
                     tokio::time::sleep(LEASE_TTL / 4).await;
                     continue;
                 }
+                // A station that may send orders at once saves the servers the wait between two holders.
+                candidate.set_defers(!may_order_at_once(&control, &station));
                 ask_all(&mut candidate, began, &control, &client).await;
                 let until = candidate.held_until();
                 if candidate.holds(began.elapsed()) {
@@ -196,6 +218,7 @@
     log::info!("leads with fencing token {}", value.value.fence);
     let wait = between_holders + ORDER_TIMEOUT;
     *leadership.lock() = Some(HeldLease::won(&value.value, station, leadership.now(), until, wait));
+    leadership.announce_orders();
 }
 
 /// Once the time between two holders is over, notes in the register that this station sends orders. Only then does
@@ -208,6 +231,7 @@
         if let Some(held) = leadership.lock().as_mut() {
             held.note_order_holder(fence);
         }
+        leadership.announce_orders();
     }
 }
 
