--- a/crates/rushrudder/src/control.rs
+++ b/crates/rushrudder/src/control.rs
@@ -55,9 +55,9 @@
     started: std::time::Instant,
 }
 
-/// The internal address of a process: its machine's and the first internal port.
-pub fn internal_address(settings: &Settings) -> String {
-    format!("{}:{}", settings.ip, settings.inner_ports.0)
+/// This process as a member, by the incarnation of its disk.
+pub fn member(settings: &Settings, incarnation: Incarnation) -> Member {
+    Member { station: settings.station.clone(), incarnation, address: settings.internal_address() }
 }
 
 /// The internal addresses of the seeds, which are told by the operator's addresses on the same machines.
@@ -108,7 +108,7 @@
             client,
             proposer,
             leadership: Arc::new(Leadership::default()),
-            address: internal_address(settings),
+            address: settings.internal_address(),
             seeds: watch::Sender::new(seed_addresses(settings)),
             first_start: Arc::new(FirstStart::default()),
             acceptor,
--- a/crates/rushrudder/src/node.rs
+++ b/crates/rushrudder/src/node.rs
@@ -7,12 +7,11 @@
 use control_plane::{operator_routes, Capability};
 use data_plane::{Front, FrontSettings, Sender};
 use error_stack::{Report, ResultExt};
-use register::Member;
 use settings::Settings;
 use tokio::net::TcpListener;
 
 use crate::command::RoleError;
-use crate::control::{open_disk, Control};
+use crate::control::{member, open_disk, Control};
 use crate::jobs::Jobs;
 use crate::signals::{Signals, Told};
 
@@ -29,11 +28,7 @@
 pub async fn run(settings: Settings) -> Result<(), Report<RoleError>> {
     let mut signals = Signals::listen()?;
     let disk = open_disk(&settings, JOURNAL)?;
-    let member = disk.as_ref().map(|disk| Member {
-        station: settings.station.clone(),
-        incarnation: disk.incarnation,
-        address: crate::control::internal_address(&settings),
-    });
+    let member = disk.as_ref().map(|disk| member(&settings, disk.incarnation));
     let control = Control::new(&settings, disk);
     let internal = control.listen().await?;
     tokio::spawn(rpc::serve(internal, control.internal_routes()));
--- a/crates/rushrudder/src/store.rs
+++ b/crates/rushrudder/src/store.rs
@@ -6,14 +6,13 @@
 use control_plane::{Capability, Distribution};
 use data_plane::Sender;
 use error_stack::{IntoReport, Report};
-use register::Member;
 use settings::Settings;
 use store_plane::runner::RunnerSettings;
 use store_plane::runner_owned::run_owned_jobs;
 use store_plane::{JobStore, Limits, MovedReply, MOVED_PATH};
 
 use crate::command::RoleError;
-use crate::control::{open_disk, Control};
+use crate::control::{member, open_disk, Control};
 use crate::signals::{Signals, Told};
 
 /// Bytes of a segment of the journal.
@@ -30,11 +29,7 @@
     let mut signals = Signals::listen()?;
     let disk = open_disk(&settings, journal_options(&settings))?;
     let disk = disk.ok_or_else(|| RoleError.into_report().attach("a store needs dataDir in its settings"))?;
-    let member = Member {
-        station: settings.station.clone(),
-        incarnation: disk.incarnation,
-        address: crate::control::internal_address(&settings),
-    };
+    let member = member(&settings, disk.incarnation);
     let control = Control::new(&settings, None);
     let internal = control.listen().await?;
     let (store, owned) = JobStore::open(
