--- a/crates/rushrudder/src/store.rs
+++ b/crates/rushrudder/src/store.rs
@@ -9,7 +9,7 @@
 use settings::Settings;
 use store_plane::runner::RunnerSettings;
 use store_plane::runner_owned::run_owned_jobs;
-use store_plane::{JobStore, Limits, MovedReply, MOVED_PATH};
+use store_plane::{JobStore, Limits};
 
 use crate::command::RoleError;
 use crate::control::{member, open_disk, Control};
@@ -45,11 +45,7 @@
     let sender = Sender::new(control.view.subscribe(), settings.zone.as_str().into());
     tokio::spawn(run_owned_jobs(owned, sender, RunnerSettings::default()));
     tokio::spawn(store.clone().run());
-    tokio::spawn(report_moves(
-        control.client.clone(),
-        control.address.clone(),
-        Arc::clone(&control.distribution),
-    ));
+    tokio::spawn(report_moves(store.clone(), Arc::clone(&control.distribution)));
     log::info!("{} serves", settings.station);
     while signals.next().await == Told::Reload {
         control.reload();
@@ -68,13 +64,11 @@
 }
 
 /// Tells the leader, by its pings, how far this store has moved its batch jobs.
-async fn report_moves(client: rpc::Client, address: String, distribution: Arc<Distribution>) {
+async fn report_moves(store: JobStore, distribution: Arc<Distribution>) {
     distribution.set_settled_epoch(0);
     loop {
         tokio::time::sleep(MOVE_LOOK_EVERY).await;
-        let moved: Result<MovedReply, _> = client.call(&address, MOVED_PATH, &(), MOVE_LOOK_EVERY).await;
-        if let Ok(moved) = moved {
-            distribution.set_settled_epoch(if moved.moved { moved.epoch } else { 0 });
-        }
+        let moved = store.moved();
+        distribution.set_settled_epoch(if moved.moved { moved.epoch } else { 0 });
     }
 }
--- a/crates/store-plane/src/replication/store.rs
+++ b/crates/store-plane/src/replication/store.rs
@@ -11,6 +11,7 @@
 
 use super::copies::copies_of;
 use super::journal::RecordJournal;
+use super::messages::MovedReply;
 use super::owned::OwnedJob;
 use super::state::State;
 use super::writer::{self, WriteRequest};
@@ -62,6 +63,12 @@
         (Self { shared: Arc::new(shared), queue }, handed_out)
     }
 
+    /// How far this store has moved its batch jobs to the present store set.
+    #[must_use]
+    pub fn moved(&self) -> MovedReply {
+        self.shared.moved()
+    }
+
     /// Hands all batch jobs over to other stores, before the process ends. It goes on keeping its copies.
     pub async fn resign(&self) {
         self.shared.resign().await;
