Replace an acceptor in one step, and make tokens and leases hold over any change of the acceptors

Cause, token: with_fence raised the token for anyone, however late. A raise by a candidate whose lease had ended could commit after the next holder's; the holder then renewed a lease whose token the register no longer had, and next_upkeep and with_order_holder did nothing for as long as it held. Mend: a raise is conditional on the token that was seen while the lease was held, each try checks that it still is, and a holder that sees a higher token than its own has none from that moment and gives the lease back.

Mend: the register takes one member in the place of another as one step, committed by majorities of both sets; a former self goes in it, and so does an acceptor that the holder of the lease has noted as lost.

Cause, lease: majorities of sets that differ by one grantor meet, but not if two processes change the acceptors within one lease time, nor if one is replaced. Mend: a candidate without a lease wins only when a grantor has known for one ttl that its set is committed, or the set is the first one; why that suffices stands in lease/lib.rs. The sleeps of one lease time after a change are gone.

Ruled out: a silence of the grantor that joins (its acceptance may lie long before the commit).

--- a/crates/control-plane/src/bootstrap.rs
+++ b/crates/control-plane/src/bootstrap.rs
@@ -10,7 +10,7 @@
 use state::{ControlState, StoreMember};
 
 use crate::messages::{paths, Announcement, Capability};
-use crate::{Proposer, ViewCell, LEASE_TTL};
+use crate::{Proposer, ViewCell};
 
 /// The collector waits this long for announcements, from its own start ...
 const COLLECT: Duration = Duration::from_millis(2500);
@@ -168,8 +168,6 @@
                 proposer.change(Instant::now() + JOIN_TIMEOUT, |state| with_acceptor(state, member)).await;
             if let Ok(value) = joined {
                 log::info!("joined the register as one of {} acceptors", value.value.acceptors.len());
-                // Majorities of the lease's grantors must meet: they change once in the time of a lease at most.
-                tokio::time::sleep(LEASE_TTL).await;
             }
         }
         tokio::time::sleep(PAUSE).await;
--- a/crates/control-plane/src/leader.rs
+++ b/crates/control-plane/src/leader.rs
@@ -6,14 +6,14 @@
 use futures_util::future::join_all;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use lease::{Action, Candidate, GrantorId, LeaseRelease, LeaseReply, LeaseRequest};
-use register::Member;
-use state::change::{may_order_at_once, with_fence, with_order_holder, HeldLease};
+use register::{Member, Versioned};
+use state::change::{may_order_at_once, with_fence, with_order_holder, HeldLease, Superseded};
 use state::ControlState;
 use tokio::sync::{watch, Notify};
 
 use crate::messages::paths;
 use crate::orders::CALL_TIMEOUT as ORDER_TIMEOUT;
-use crate::{Proposer, ViewCell};
+use crate::{ChangeFailure, Proposer, ViewCell};
 
 /// How long a grant lasts.
 pub const LEASE_TTL: Duration = Duration::from_millis(1500);
@@ -27,6 +27,7 @@
 /// Whether this process leads, told to all its parts.
 pub struct Leadership {
     began: Instant,
+    view: Arc<ViewCell>,
     held: Mutex<Option<HeldLease>>,
     stage: watch::Sender<Stage>,
     may_order: Notify,
@@ -43,24 +44,34 @@
     Left,
 }
 
-impl Default for Leadership {
-    fn default() -> Self {
+impl Leadership {
+    /// Of a process that does not lead yet, and knows of other holders what `view` shows.
+    #[must_use]
+    pub fn new(view: Arc<ViewCell>) -> Self {
         let stage = watch::Sender::new(Stage::Seeking);
-        Self { began: Instant::now(), held: Mutex::new(None), stage, may_order: Notify::new() }
+        Self { began: Instant::now(), view, held: Mutex::new(None), stage, may_order: Notify::new() }
     }
-}
 
-impl Leadership {
-    /// The fencing token, while the lease is held.
+    /// The fencing token, while the lease is held and no higher token is known to be handed out.
     #[must_use]
     pub fn fence(&self) -> Option<u64> {
-        self.held()?.fence_at(self.now())
+        self.held()?.fence_at(self.now()).filter(|fence| !self.is_outdated(*fence))
     }
 
     /// The fencing token, once no order of another holder can have been sent within the time that must lie between.
     #[must_use]
     pub fn fence_for_orders(&self) -> Option<u64> {
-        self.held()?.order_fence_at(self.now())
+        self.held()?.order_fence_at(self.now()).filter(|fence| !self.is_outdated(*fence))
+    }
+
+    /// Whether the lease is held, but the register has a higher fencing token than the one it was won with.
+    fn is_superseded(&self) -> bool {
+        let fence = self.held().and_then(|held| held.fence_at(self.now()));
+        fence.is_some_and(|fence| self.is_outdated(fence))
+    }
+
+    fn is_outdated(&self, fence: u64) -> bool {
+        self.view.view().control.fence > fence
     }
 
     /// Gives the lease back before the process ends, so that the next holder need not wait for it to run out.
@@ -125,6 +136,13 @@
             leadership.stage.send_replace(Stage::Left);
             return;
         }
+        if leadership.is_superseded() {
+            log::warn!("gives the lease back: a higher fencing token was handed out");
+            let release = candidate.resign(began.elapsed());
+            *leadership.lock() = None;
+            give_back(release, &view, &client).await;
+            continue;
+        }
         match candidate.next_action(began.elapsed()) {
             Action::Wait(until) => {
                 let order_wait =
@@ -146,6 +164,7 @@
                 }
                 // A station that may send orders at once saves the servers the wait between two holders.
                 candidate.set_defers(!may_order_at_once(&control, &station));
+                candidate.set_first_grantors(control.has_first_acceptors());
                 ask_all(&mut candidate, began, &control, &client).await;
                 let until = candidate.held_until();
                 if candidate.holds(began.elapsed()) {
@@ -213,8 +232,7 @@
         *leadership.lock() = Some(renewed);
         return;
     }
-    let raise = |state: &ControlState| Ok::<_, ()>(with_fence(state, station));
-    let Ok(value) = proposer.change(Instant::now() + FENCE_TIMEOUT, raise).await else { return };
+    let Some(value) = raise_fence(leadership, until, proposer, station).await else { return };
     log::info!("leads with fencing token {}", value.value.fence);
     let wait = between_holders + ORDER_TIMEOUT;
     let won = HeldLease::won(&value.value, station, leadership.now(), until, wait);
@@ -222,6 +240,29 @@
     leadership.announce_orders();
 }
 
+/// Raises the fencing token for the lease that ends at `until`. Each try is conditional on the token that was seen
+/// while the lease was held, so that a try that is carried out after its end changes nothing.
+async fn raise_fence(
+    leadership: &Leadership,
+    until: Duration,
+    proposer: &Proposer,
+    station: &str,
+) -> Option<Versioned<ControlState>> {
+    let deadline = Instant::now() + FENCE_TIMEOUT;
+    loop {
+        let seen = leadership.view.view().control.fence;
+        if leadership.now() >= until || Instant::now() >= deadline {
+            return None;
+        }
+        let raise = |state: &ControlState| with_fence(state, station, seen);
+        match proposer.change(deadline, raise).await {
+            Ok(value) => return Some(value),
+            Err(ChangeFailure::Declined(Superseded)) => {}
+            Err(ChangeFailure::Unclear) => return None,
+        }
+    }
+}
+
 /// Once the time between two holders is over, notes in the register that this station sends orders. Only then does
 /// it send any, so that a later holder knows whether it must wait for this one.
 async fn note_order_holder(leadership: &Leadership, proposer: &Proposer, station: &str) {
--- a/crates/control-plane/src/upkeep.rs
+++ b/crates/control-plane/src/upkeep.rs
@@ -9,7 +9,7 @@
 use state::ControlState;
 
 use crate::messages::{paths, PingReply};
-use crate::{Leadership, Proposer, ViewCell, LEASE_TTL};
+use crate::{Leadership, Proposer, ViewCell};
 
 /// How often members are pinged.
 const EVERY: Duration = Duration::from_millis(700);
@@ -58,8 +58,6 @@
         state.stores.epoch,
         state.previous_stores.is_some()
     );
-    // Majorities of the lease's grantors must meet: they change once in the time of a lease at most.
-    tokio::time::sleep(LEASE_TTL).await;
 }
 
 async fn ping_all(
--- a/crates/emulator/src/changes.rs
+++ b/crates/emulator/src/changes.rs
@@ -49,7 +49,7 @@
         Change::Operator(OperatorOrder::Read | OperatorOrder::ReadRetire(_)) | Change::Settle => {
             Err(Declined::Unchanged)
         }
-        Change::Fence => Ok(with_fence(state, &member.station)),
+        Change::Fence => with_fence(state, &member.station, state.fence).map_err(|_| Declined::Unchanged),
         Change::OrderHolder(fence) => {
             with_order_holder(state, &member.station, *fence).map_err(|_| Declined::Unchanged)
         }
--- a/crates/emulator/src/control.rs
+++ b/crates/emulator/src/control.rs
@@ -174,7 +174,14 @@
                 }
                 context.answer(from, Reply::Value(acceptor.state().accepted.clone()));
             }
-            Request::Lease(request) => context.answer(from, Reply::Lease(self.grantor.handle(now, &request))),
+            Request::Lease(request) => {
+                if let Some(known) = &self.committed {
+                    let id = |member: &Member| GrantorId(member.incarnation.0);
+                    let grantors: Vec<GrantorId> = known.value.acceptors.iter().map(id).collect();
+                    self.grantor.learn(now, known.value.revision, &grantors);
+                }
+                context.answer(from, Reply::Lease(self.grantor.handle(now, &request)));
+            }
             Request::Release(release) => self.grantor.release(&release),
             Request::Poll(ballot) => {
                 let newer = self.committed.clone().filter(|known| known.ballot > ballot);
@@ -333,6 +340,7 @@
             Action::Ask => {
                 let id = |member: &Member| GrantorId(member.incarnation.0);
                 let grantors: Vec<GrantorId> = state.acceptors.iter().map(id).collect();
+                self.candidate.set_first_grantors(state.has_first_acceptors());
                 let request = self.candidate.begin(context.now, state.revision, &grantors);
                 for member in &state.acceptors {
                     let purpose = Purpose::Lease(request.term, id(member));
--- a/crates/lease/src/candidate.rs
+++ b/crates/lease/src/candidate.rs
@@ -1,6 +1,6 @@
 //! The side that asks.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::{GrantorId, LeaseRelease, LeaseReply, LeaseRequest};
@@ -41,14 +41,18 @@
     round: Option<Round>,
     jitter: u64,
     defers: bool,
+    has_first_grantors: bool,
 }
 
 #[derive(Clone, Debug)]
 struct Round {
     asked_at: Duration,
     grantors: Vec<GrantorId>,
-    granted: HashSet<GrantorId>,
-    refused: HashMap<GrantorId, Refusal>,
+    granted: BTreeSet<GrantorId>,
+    refused: BTreeMap<GrantorId, Refusal>,
+    /// The lease was held when this round began, or the grantors are the first ones, or have been the committed ones
+    /// for one ttl.
+    is_settled: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -72,6 +76,7 @@
             round: None,
             jitter,
             defers: false,
+            has_first_grantors: false,
         }
     }
 
@@ -81,22 +86,31 @@
         self.defers = defers;
     }
 
+    /// Whether the grantors of the next rounds are those of the first start: no lease can have been won with others
+    /// before, so that nothing has to be waited for.
+    pub fn set_first_grantors(&mut self, has_first_grantors: bool) {
+        self.has_first_grantors = has_first_grantors;
+    }
+
     /// Starts a round at these grantors, the acceptors of the register as of `revision`; replies to earlier
     /// rounds count no more.
     pub fn begin(&mut self, now: Duration, revision: u64, grantors: &[GrantorId]) -> LeaseRequest {
         self.advance(now);
         self.term += 1;
+        let is_settled = self.has_first_grantors || self.holds(now);
         self.round = Some(Round {
             asked_at: now,
             grantors: grantors.to_vec(),
-            granted: HashSet::new(),
-            refused: HashMap::new(),
+            granted: BTreeSet::new(),
+            refused: BTreeMap::new(),
+            is_settled,
         });
         LeaseRequest {
             holder: self.name.clone(),
             term: self.term,
             ttl_ms: self.ttl.as_millis() as u64,
             revision,
+            grantors: grantors.to_vec(),
         }
     }
 
@@ -109,8 +123,9 @@
             return;
         }
         match reply {
-            LeaseReply::Granted => {
+            LeaseReply::Granted { settled_ms } => {
                 round.granted.insert(from);
+                round.is_settled |= Duration::from_millis(*settled_ms) >= self.ttl;
             }
             LeaseReply::Held { holder, remaining_ms } => {
                 let remaining = Duration::from_millis(*remaining_ms);
@@ -220,7 +235,7 @@
 
 impl Round {
     fn is_won(&self) -> bool {
-        !self.grantors.is_empty() && self.granted.len() > self.grantors.len() / 2
+        self.is_settled && !self.grantors.is_empty() && self.granted.len() > self.grantors.len() / 2
     }
 
     fn is_lost(&self) -> bool {
--- a/crates/lease/src/grantor.rs
+++ b/crates/lease/src/grantor.rs
@@ -13,6 +13,15 @@
     grantors: Vec<GrantorId>,
     /// Candidates that know an older state may count on grantors that are no more.
     least_revision: u64,
+    settled: Option<Settled>,
+}
+
+/// A set of grantors that is known to be committed.
+#[derive(Clone, Debug)]
+struct Settled {
+    revision: u64,
+    grantors: Vec<GrantorId>,
+    since: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -26,7 +35,14 @@
     /// A grantor that grants nothing for one `ttl` after `now`, for it may have forgotten a grant that it gave
     /// in an earlier life. Start it anew when its acceptor becomes a member.
     pub fn new(now: Duration, ttl: Duration) -> Self {
-        Self { ttl, silent_until: now + ttl, grant: None, grantors: Vec::new(), least_revision: 0 }
+        Self {
+            ttl,
+            silent_until: now + ttl,
+            grant: None,
+            grantors: Vec::new(),
+            least_revision: 0,
+            settled: None,
+        }
     }
 
     /// Takes note of the grantors as of a revision. Call it when the acceptor of this machine accepts or learns a
@@ -38,6 +54,22 @@
         }
     }
 
+    /// Takes note of the grantors of a committed state, as soon as this process knows that it is committed.
+    pub fn learn(&mut self, now: Duration, revision: u64, grantors: &[GrantorId]) {
+        let grantors = sorted(grantors);
+        match &mut self.settled {
+            Some(settled) if settled.revision >= revision => {}
+            Some(settled) if settled.grantors == grantors => settled.revision = revision,
+            settled => *settled = Some(Settled { revision, grantors, since: now }),
+        }
+    }
+
+    /// For how long these have been known as the committed grantors.
+    fn settled_for(&self, now: Duration, grantors: &[GrantorId]) -> Duration {
+        let settled = self.settled.as_ref().filter(|settled| settled.grantors == sorted(grantors));
+        settled.map_or(Duration::ZERO, |settled| now.saturating_sub(settled.since))
+    }
+
     /// Answers a request. Nothing longer than the `ttl` of this grantor is granted.
     pub fn handle(&mut self, now: Duration, request: &LeaseRequest) -> LeaseReply {
         if now < self.silent_until {
@@ -52,7 +84,8 @@
             return held(&other.holder, other.ends - now);
         }
         self.extend(request, now + asked);
-        LeaseReply::Granted
+        let settled_ms = self.settled_for(now, &request.grantors).as_millis() as u64;
+        LeaseReply::Granted { settled_ms }
     }
 
     /// Ends the grant of a candidate that gives it back.
@@ -79,6 +112,12 @@
     }
 }
 
+fn sorted(grantors: &[GrantorId]) -> Vec<GrantorId> {
+    let mut grantors = grantors.to_vec();
+    grantors.sort_unstable();
+    grantors
+}
+
 fn held(holder: &str, remaining: Duration) -> LeaseReply {
     LeaseReply::Held { holder: holder.to_owned(), remaining_ms: remaining.as_millis() as u64 }
 }
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -6,10 +6,18 @@
 //!
 //! # Changes of the grantors
 //!
-//! The grantors are the acceptors of the register at the start of a round. Majorities of two sets meet if the
-//! sets differ by one grantor at most. So the acceptors change at most once in a ttl, and a grantor refuses
-//! candidates that know an older set than it does ([`Grantor::observe`]): a process that was frozen or cut off
-//! can't win with grantors that were removed meanwhile.
+//! The grantors are the acceptors of the register at the start of a round. They may change at any time, by any
+//! process, and as often as the register allows; majorities of the sets before and after need not meet in a grantor
+//! that remembers. Two rules keep the holder single:
+//!
+//! - A grantor refuses candidates that know an older set than it does. It takes note of a set before its acceptor
+//!   accepts it ([`Grantor::observe`]), and a set is committed only when a majority of the set before has accepted
+//!   it. So from the commit on nobody is granted a majority of the older set: a lease that was won with it ends
+//!   within one ttl after the commit.
+//! - A candidate that holds no lease wins only when somebody has known for one ttl that its set is committed
+//!   ([`Grantor::learn`], [`LeaseReply::Granted`]), or where there was no set before it
+//!   ([`Candidate::set_first_grantors`]). A holder renews with a new set at once: as long as its lease
+//!   lasts, nobody else can have won with that set.
 
 mod candidate;
 mod grantor;
--- a/crates/lease/src/messages.rs
+++ b/crates/lease/src/messages.rs
@@ -17,13 +17,18 @@
     pub ttl_ms: u64,
     /// Revision of the state from which the candidate knows the grantors.
     pub revision: u64,
+    /// The grantors that it asks.
+    pub grantors: Vec<GrantorId>,
 }
 
 /// Answers a [`LeaseRequest`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LeaseReply {
     /// The grantor lends itself to the candidate, from when it handled the request.
-    Granted,
+    Granted {
+        /// For how long it has known that the grantors that are asked are the committed ones; 0 if it knows others.
+        settled_ms: u64,
+    },
     /// It does not.
     Held {
         /// Who has its grant; empty if nobody, and the grantor waits for grants of an earlier life to end.
--- a/crates/lease/tests/random_exploration.rs
+++ b/crates/lease/tests/random_exploration.rs
@@ -66,6 +66,7 @@
     no_silence_after_a_restart = { Fault::NoSilence },
     replies_of_any_round = { Fault::AnyTerm },
     requests_of_any_revision = { Fault::AnyRevision },
+    new_grantors = { Fault::NewGrantors },
     shared_names = { Fault::SharedName },
 )]
 fn given_a_seeded_fault_when_explored_then_it_is_found(fault: Fault) {
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! # Why a change of the acceptors is safe
 //!
-//! The acceptors change only on top of a value that is known to be committed, one at a time. A value with other
+//! The acceptors change only on top of a value that is known to be committed: one is added, removed, or replaced by
+//! another at a time. A value with other
 //! acceptors than its predecessor names those too ([`Versioned::previous`]), and is committed when a majority of
 //! both sets has accepted it. Who reads a value that is not known to be committed needs promises of both
 //! majorities, and proposes nothing but a value with the same two sets in its place. So a majority of the acceptors
@@ -23,7 +24,7 @@
 pub use acceptor::{Acceptor, AcceptorState, Handled};
 pub use ballots::BallotSource;
 pub use confirmation::{Confirmation, Verdict};
-pub use members::{can_change, next_members, same_members, with_member, without_member};
+pub use members::{can_change, next_members, same_members, with_member, with_replaced, without_member};
 pub use proposal::{Proposal, Step};
 pub use types::{
     AcceptorReply, AcceptorRequest, Ballot, Incarnation, Member, Outcome, RegisterValue, Versioned,
--- a/crates/register/src/members.rs
+++ b/crates/register/src/members.rs
@@ -30,11 +30,15 @@
     incarnations(left) == incarnations(right)
 }
 
-/// Whether the acceptors may change in one step: at most one is added or removed, none stands twice and one is
-/// left at least.
+/// Whether the acceptors may change in one step: at most one is added, at most one is removed (so one may take the
+/// place of another), none stands twice and one is left at least.
+///
+/// Such a step is committed by majorities of both sets. More than one of each would be as safe, but would make the
+/// step wait for several machines that are new.
 pub fn can_change(from: &[Member], to: &[Member]) -> bool {
     let (before, after) = (incarnations(from), incarnations(to));
-    !to.is_empty() && after.len() == to.len() && before.symmetric_difference(&after).count() <= 1
+    let (added, removed) = (after.difference(&before).count(), before.difference(&after).count());
+    !to.is_empty() && after.len() == to.len() && added <= 1 && removed <= 1
 }
 
 /// The members with one more.
@@ -44,6 +48,11 @@
     changed
 }
 
+/// The members with one in the place of another.
+pub fn with_replaced(members: &[Member], removed: Incarnation, added: Member) -> Vec<Member> {
+    with_member(&without_member(members, removed), added)
+}
+
 /// The members without one.
 pub fn without_member(members: &[Member], removed: Incarnation) -> Vec<Member> {
     members.iter().filter(|member| member.incarnation != removed).cloned().collect()
@@ -51,13 +60,16 @@
 
 /// The next step from the `current` acceptors to the `wanted` ones; `None` when they are the same already.
 ///
-/// Adds before it removes: a set that shrinks first would need acceptors that may be the next to fail.
+/// A new acceptor takes the place of one that is not wanted, if there is one. Otherwise adds before it removes: a
+/// set that shrinks first would need acceptors that may be the next to fail.
 pub fn next_members(current: &[Member], wanted: &[Member]) -> Option<Vec<Member>> {
-    let present = incarnations(current);
-    if let Some(added) = wanted.iter().find(|member| !present.contains(&member.incarnation)) {
-        return Some(with_member(current, added.clone()));
+    let (present, kept) = (incarnations(current), incarnations(wanted));
+    let added = wanted.iter().find(|member| !present.contains(&member.incarnation));
+    let removed = current.iter().find(|member| !kept.contains(&member.incarnation));
+    match (added, removed) {
+        (Some(added), Some(removed)) => Some(with_replaced(current, removed.incarnation, added.clone())),
+        (Some(added), None) => Some(with_member(current, added.clone())),
+        (None, Some(removed)) if current.len() > 1 => Some(without_member(current, removed.incarnation)),
+        (None, _) => None,
     }
-    let kept = incarnations(wanted);
-    let removed = current.iter().find(|member| !kept.contains(&member.incarnation))?;
-    (current.len() > 1).then(|| without_member(current, removed.incarnation))
 }
--- a/crates/register/src/proposal.rs
+++ b/crates/register/src/proposal.rs
@@ -94,7 +94,7 @@
     /// Proposes a value in place of the one that was read. Nothing is sent unless the promises are given.
     ///
     /// A value with other acceptors is only proposed if the value that was read [is settled](Self::is_settled)
-    /// and [one acceptor](can_change) differs; otherwise the value that was read is proposed again unchanged.
+    /// and [one step](can_change) leads to them; otherwise the value that was read is proposed again unchanged.
     pub fn propose(&mut self, value: V) -> Vec<(Member, AcceptorRequest<V>)> {
         if self.phase != Phase::Read {
             return Vec::new();
--- a/crates/register/tests/exhaustive.rs
+++ b/crates/register/tests/exhaustive.rs
@@ -19,6 +19,7 @@
     Change,
     Add(usize),
     Remove(usize),
+    Replace(usize, usize),
 }
 
 impl Wish {
@@ -33,6 +34,10 @@
                 let removed = member(station).incarnation;
                 current.with_members(change, register::without_member(present, removed))
             }
+            Self::Replace(old, new) => {
+                let replaced = register::with_replaced(present, member(old).incarnation, member(new));
+                current.with_members(change, replaced)
+            }
         }
     }
 }
@@ -201,6 +206,8 @@
     a_change_and_an_added_acceptor = { &[0, 1, 2], 4, &[Wish::Change, Wish::Add(3)] },
     a_change_and_a_removed_acceptor = { &[0, 1, 2], 3, &[Wish::Change, Wish::Remove(2)] },
     an_added_and_a_removed_acceptor = { &[0, 1], 3, &[Wish::Add(2), Wish::Remove(1)] },
+    a_change_and_a_replaced_acceptor = { &[0, 1, 2], 4, &[Wish::Change, Wish::Replace(2, 3)] },
+    two_that_replace_one_another = { &[0, 1], 4, &[Wish::Replace(1, 2), Wish::Replace(0, 3)] },
     an_added_acceptor_twice = { &[0], 3, &[Wish::Add(1), Wish::Add(2)] },
 )]
 fn given_concurrent_proposals_when_all_orders_are_tried_then_values_follow_one_another(
--- a/crates/rushrudder/src/control.rs
+++ b/crates/rushrudder/src/control.rs
@@ -83,9 +83,12 @@
 
 /// Tells the grantor who the grantors are, before a value that changes them is answered for.
 fn observe(grantor: &Mutex<Grantor>, state: &ControlState) {
-    let grantors: Vec<GrantorId> =
-        state.acceptors.iter().map(|member| GrantorId(member.incarnation.0)).collect();
-    grantor.lock().unwrap_or_else(PoisonError::into_inner).observe(state.revision, &grantors);
+    grantor.lock().unwrap_or_else(PoisonError::into_inner).observe(state.revision, &grantors_of(state));
+}
+
+/// The grantors of the lease are the acceptors of the register.
+fn grantors_of(state: &ControlState) -> Vec<GrantorId> {
+    state.acceptors.iter().map(|member| GrantorId(member.incarnation.0)).collect()
 }
 
 impl Control {
@@ -104,10 +107,10 @@
         }
         Self {
             distribution: Distribution::new(Arc::clone(&view)),
+            leadership: Arc::new(Leadership::new(Arc::clone(&view))),
             view,
             client,
             proposer,
-            leadership: Arc::new(Leadership::default()),
             address: settings.internal_address(),
             seeds: watch::Sender::new(seed_addresses(settings)),
             first_start: Arc::new(FirstStart::default()),
@@ -177,9 +180,14 @@
             released.lock().unwrap_or_else(PoisonError::into_inner).release(&release);
             async move { Some(()) }
         };
+        let granting_view = Arc::clone(&self.view);
         let grant = move |request: LeaseRequest| {
-            let reply =
-                grantor.lock().unwrap_or_else(PoisonError::into_inner).handle(started.elapsed(), &request);
+            let known = &granting_view.view().control;
+            let now = started.elapsed();
+            let mut grantor = grantor.lock().unwrap_or_else(PoisonError::into_inner);
+            grantor.learn(now, known.revision, &grantors_of(known));
+            let reply = grantor.handle(now, &request);
+            drop(grantor);
             async move { Some(reply) }
         };
         routes
--- a/crates/state/src/change/leader.rs
+++ b/crates/state/src/change/leader.rs
@@ -82,13 +82,21 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Superseded;
 
-/// A new holder of the lease raises the fencing token.
-#[must_use]
-pub fn with_fence(state: &ControlState, station: &str) -> ControlState {
+/// A new holder of the lease raises the fencing token above `seen`, the one that it saw while it held the lease.
+///
+/// A raise that is carried out late, by a holder whose lease has ended, must not supersede the next holder.
+///
+/// # Errors
+///
+/// When another token was handed out since.
+pub fn with_fence(state: &ControlState, station: &str, seen: u64) -> Result<ControlState, Superseded> {
+    if state.fence != seen {
+        return Err(Superseded);
+    }
     let mut next = successor(state);
     next.fence += 1;
     next.fence_holder = Some(station.to_owned());
-    next
+    Ok(next)
 }
 
 /// Whether the holder of the lease may send orders to servers without waiting: no other station may have sent any.
--- a/crates/state/src/change/members.rs
+++ b/crates/state/src/change/members.rs
@@ -1,9 +1,9 @@
 //! Who is an acceptor of the register, and who keeps batch jobs.
 
-use register::{with_member, without_member, Member, Versioned};
+use register::{with_member, with_replaced, Member, Versioned};
 
 use super::successor;
-use crate::{ControlState, StoreMember, StoreSet};
+use crate::{ControlState, StoreMember, StoreSet, FIRST_REVISION};
 
 /// There is nothing to change, now or for good.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,7 +21,8 @@
     }
     let stores = StoreSet { epoch: 1, wanted: stores.len(), members: stores, copies: 2 * machines_lost + 1 };
     Some(ControlState {
-        revision: 1,
+        revision: FIRST_REVISION,
+        acceptors_since: FIRST_REVISION,
         acceptors_wanted: acceptors.len(),
         acceptors,
         stores,
@@ -43,20 +44,25 @@
     Some(standing.unwrap_or(own))
 }
 
-/// Adds an acceptor; then removes its former self, where its disk was lost. One step at a time.
+/// Adds an acceptor in one step: in the place of its former self where its disk was lost, otherwise in the place of
+/// one that the holder of the lease has noted as lost, otherwise beside the others.
 ///
 /// # Errors
 ///
-/// When both are done.
+/// When it is one already.
 pub fn with_acceptor(state: &ControlState, member: &Member) -> Result<ControlState, AlreadyMember> {
-    let mut next = successor(state);
-    if !state.acceptors.contains(member) {
-        next.acceptors = with_member(&state.acceptors, member.clone());
-        return Ok(next);
+    if state.acceptors.contains(member) {
+        return Err(AlreadyMember);
     }
-    let is_former = |other: &&Member| other.station == member.station && *other != member;
-    let former = state.acceptors.iter().find(is_former).ok_or(AlreadyMember)?;
-    next.acceptors = without_member(&state.acceptors, former.incarnation);
+    let mut next = successor(state);
+    let is_former = |other: &&Member| other.station == member.station;
+    let is_lost = |other: &&Member| state.lost_acceptors.contains(&other.incarnation);
+    let acceptors = state.acceptors.iter();
+    let replaced = acceptors.clone().find(is_former).or_else(|| acceptors.clone().find(is_lost));
+    next.set_acceptors(match replaced {
+        Some(replaced) => with_replaced(&state.acceptors, replaced.incarnation, member.clone()),
+        None => with_member(&state.acceptors, member.clone()),
+    });
     Ok(next)
 }
 
--- a/crates/state/src/change/upkeep.rs
+++ b/crates/state/src/change/upkeep.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use register::{Incarnation, Member};
+use register::{without_member, Incarnation, Member};
 
 use super::successor;
 use crate::{ControlState, DrainState, StoreMember, StoreSet};
@@ -36,6 +36,12 @@
         }
     }
 
+    /// Whether a member answered in the last round.
+    #[must_use]
+    pub fn is_heard(&self, member: &Member) -> bool {
+        self.missed.get(&member.incarnation) == Some(&0)
+    }
+
     /// Whether a member was silent for too long.
     #[must_use]
     pub fn is_lost(&self, member: &Member) -> bool {
@@ -80,7 +86,8 @@
     finish_move(&mut next, observed)
         .or_else(|| start_drain(&mut next))
         .or_else(|| remove_store(&mut next, observed))
-        .or_else(|| remove_acceptor(&mut next, observed))?;
+        .or_else(|| remove_acceptor(&mut next, observed))
+        .or_else(|| note_lost_acceptors(&mut next, observed))?;
     Some(next)
 }
 
@@ -144,7 +151,22 @@
     if next.acceptors.len() <= next.acceptors_wanted {
         return None;
     }
-    let lost = next.acceptors.iter().position(|member| observed.reachability.is_lost(member))?;
-    next.acceptors.remove(lost);
+    let lost = next.acceptors.iter().find(|member| observed.reachability.is_lost(member))?;
+    next.set_acceptors(without_member(&next.acceptors, lost.incarnation));
+    Some(())
+}
+
+/// Notes which acceptors cannot be reached, so that one that joins takes the place of such a one in a single step.
+fn note_lost_acceptors(next: &mut ControlState, observed: &Observation) -> Option<()> {
+    let reachability = &observed.reachability;
+    let is_lost = |member: &&Member| {
+        let was_lost = next.lost_acceptors.contains(&member.incarnation);
+        reachability.is_lost(member) || (was_lost && !reachability.is_heard(member))
+    };
+    let lost = next.acceptors.iter().filter(is_lost).map(|member| member.incarnation).collect();
+    if next.lost_acceptors == lost {
+        return None;
+    }
+    next.lost_acceptors = lost;
     Some(())
 }
--- a/crates/state/src/control.rs
+++ b/crates/state/src/control.rs
@@ -1,10 +1,12 @@
 //! The value of the replicated register.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use register::{Member, RegisterValue};
+use register::{Incarnation, Member, RegisterValue};
 use serde::{Deserialize, Serialize};
 
+/// The revision of the first state.
+pub const FIRST_REVISION: u64 = 1;
 /// Changes of the configuration that are remembered, so that a repeated order is acknowledged and not refused.
 pub const TAKEN_KEPT: usize = 256;
 
@@ -57,6 +59,11 @@
     pub acceptors: Vec<Member>,
     /// How many acceptors there should be; beyond these, one that cannot be reached is removed.
     pub acceptors_wanted: usize,
+    /// The revision with which the acceptors changed last; [`FIRST_REVISION`] if they never did.
+    pub acceptors_since: u64,
+    /// Acceptors that the holder of the lease could not reach for long. The next one that joins takes the place of
+    /// such a one.
+    pub lost_acceptors: BTreeSet<Incarnation>,
     /// The operator's configuration in force, as JSON; empty before the first.
     pub configuration: String,
     /// Its version; 0 before the first.
@@ -79,6 +86,21 @@
     pub draining: BTreeMap<String, DrainState>,
 }
 
+impl ControlState {
+    /// Whether the acceptors are those of the first start.
+    #[must_use]
+    pub fn has_first_acceptors(&self) -> bool {
+        self.acceptors_since == FIRST_REVISION
+    }
+
+    /// Puts others in the place of the acceptors.
+    pub(crate) fn set_acceptors(&mut self, acceptors: Vec<Member>) {
+        self.lost_acceptors.retain(|lost| acceptors.iter().any(|member| member.incarnation == *lost));
+        self.acceptors = acceptors;
+        self.acceptors_since = self.revision;
+    }
+}
+
 impl RegisterValue for ControlState {
     fn members(&self) -> &[Member] {
         &self.acceptors
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -9,6 +9,6 @@
 mod servers;
 mod view;
 
-pub use control::{ControlState, DrainState, StoreMember, StoreSet, TakenChange, TAKEN_KEPT};
+pub use control::{ControlState, DrainState, StoreMember, StoreSet, TakenChange, FIRST_REVISION, TAKEN_KEPT};
 pub use servers::{Condition, ServerEntry, ServerId, ServerList, ServerListVersion};
 pub use view::View;
