Drop answers to weight orders that an earlier term of the lease has sent

Cause: the calls outlive their term, and what came of one was told to the planner of the next term as the answer to its own order. Each call carries the fencing token that it was made under; only that term's planner is told.

--- a/crates/control-plane/src/orders.rs
+++ b/crates/control-plane/src/orders.rs
@@ -23,6 +23,19 @@
 /// The longest sleep between two looks at the plan.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 
+/// A call that was made under one fencing token.
+struct Call {
+    fence: u64,
+    outcome: BoxFuture<'static, Outcome>,
+}
+
+impl Call {
+    /// The outcome, with the fencing token under which the call was made.
+    async fn finish(self) -> (u64, Outcome) {
+        (self.fence, self.outcome.await)
+    }
+}
+
 /// What came of a call.
 enum Outcome {
     Answered(ServerId, Answer),
@@ -42,7 +55,7 @@
     let began = Instant::now();
     let mut views = view.subscribe();
     let mut term: Option<Term> = None;
-    let mut calls: FuturesUnordered<BoxFuture<'static, Outcome>> = FuturesUnordered::new();
+    let mut calls = FuturesUnordered::new();
     let mut news = VersionNews::default();
     loop {
         follow_lease(&mut term, &leadership);
@@ -56,17 +69,19 @@
                 if leadership.fence_for_orders() != Some(term.fence) {
                     break;
                 }
-                calls.push(start(&http, action, &station, term.fence));
+                let outcome = start(&http, action, &station, term.fence);
+                calls.push(Call { fence: term.fence, outcome }.finish());
             }
             let next = term.planner.next_wake(now).into_iter().chain(news.due()).min();
             wake = next.map_or(wake, |at| at.saturating_sub(now).min(wake));
         }
         tokio::select! {
-            Some(outcome) = calls.next(), if !calls.is_empty() => {
+            Some((fence, outcome)) = calls.next(), if !calls.is_empty() => {
                 if let Outcome::Reported(server, report) = &outcome {
                     news.note(began.elapsed(), server, report);
                 }
-                if let Some(term) = &mut term {
+                // The planner of another term has not made this call: what came of it is no answer to its own.
+                if let Some(term) = term.as_mut().filter(|term| term.fence == fence) {
                     tell(&mut term.planner, began.elapsed(), outcome);
                 }
             }
