Let who knows that a change of the acceptors is committed do without the acceptors before it

Cause: a value that is proposed on top of a change of the acceptors whose commit its proposer does not know of inherits the acceptors before it (`previous`) and needs a majority of these too. If the change was committed after all and one of those machines is lost next, nobody can settle that value: here four acceptors with one lost became three, a change was proposed on the unsettled removal, and one of the three lost its disk.

Change: a value names the ballot of the committed value whose acceptors were changed. A proposal that starts from a newer committed value is past that change, so that the value that it reads has the same acceptors as its base, and asks and writes to these alone. A set that is changed and changed back does not confuse it, as the ballot is newer then.

--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -10,7 +10,8 @@
 //! another at a time. A value with other
 //! acceptors than its predecessor names those too ([`Versioned::previous`]), and is committed when a majority of
 //! both sets has accepted it. Who reads a value that is not known to be committed needs promises of both
-//! majorities, and proposes nothing but a value with the same two sets in its place. So a majority of the acceptors
+//! majorities, and proposes nothing but a value with the same two sets in its place; the set before is needed no more
+//! by who knows that the change is committed ([`Versioned::predecessor`]). So a majority of the acceptors
 //! of each committed value has accepted its successor; a proposer that starts from any committed value sees the
 //! successor, or something newer, and follows the chain to its end.
 
--- a/crates/register/src/proposal.rs
+++ b/crates/register/src/proposal.rs
@@ -100,8 +100,8 @@
             return Vec::new();
         }
         let value = if self.may_follow(&value) { Arc::new(value) } else { Arc::clone(&self.current.value) };
-        let previous = self.previous_of(&value);
-        let proposed = Versioned { ballot: self.ballot, value, previous };
+        let (previous, predecessor) = self.previous_of(&value);
+        let proposed = Versioned { ballot: self.ballot, value, previous, predecessor };
         self.phase = Phase::Accepting;
         self.proposed = Some(proposed.clone());
         let members = union(&proposed.previous, proposed.value.members());
@@ -122,19 +122,27 @@
         same_members(current, value.members()) || (self.is_settled() && can_change(current, value.members()))
     }
 
-    /// The acceptors of the committed value that the proposed one comes from, if others than its own. A value that
-    /// is not settled comes from the same one as what is proposed in its place.
-    fn previous_of(&self, value: &V) -> Arc<[Member]> {
+    /// The acceptors of the committed value that the proposed one comes from, if others than its own, and the ballot
+    /// of that value. A value that is not settled comes from the same one as what is proposed in its place.
+    fn previous_of(&self, value: &V) -> (Arc<[Member]>, Ballot) {
         let current = self.current.value.members();
-        if !self.is_settled() {
-            Arc::clone(&self.current.previous)
+        if !self.is_settled() && self.needs_previous() {
+            (Arc::clone(&self.current.previous), self.current.predecessor)
         } else if same_members(current, value.members()) {
-            Arc::default()
+            (Arc::default(), Ballot::default())
         } else {
-            current.into()
+            (current.into(), self.current.ballot)
         }
     }
 
+    /// Whether the value that was read may come from a change of the acceptors that is not committed yet.
+    ///
+    /// It does not if the base is newer than the committed value from which the acceptors were changed: the base then
+    /// is that change or comes after it, and has the same acceptors as the value that was read.
+    fn needs_previous(&self) -> bool {
+        self.current.predecessor >= self.base.ballot
+    }
+
     fn on_promise(&mut self, from: Incarnation, accepted: Option<Versioned<V>>) -> Step<V> {
         if self.phase != Phase::Preparing {
             return Step::Wait;
@@ -154,7 +162,7 @@
     }
 
     fn is_promised(&self) -> bool {
-        let is_current_promised = if self.is_settled() {
+        let is_current_promised = if self.is_settled() || !self.needs_previous() {
             has_majority(self.current.value.members(), &self.promises)
         } else {
             has_majorities(&self.current, &self.promises)
@@ -169,7 +177,8 @@
 
     fn prepare_current(&mut self) -> Requests<V> {
         let mut requests = Vec::new();
-        let previous: &[Member] = if self.is_settled() { &[] } else { &self.current.previous };
+        let is_alone = self.is_settled() || !self.needs_previous();
+        let previous: &[Member] = if is_alone { &[] } else { &self.current.previous };
         for member in union(self.current.value.members(), previous) {
             let is_asked = self.asked.iter().any(|asked| asked.incarnation == member.incarnation);
             if !is_asked {
--- a/crates/register/src/types.rs
+++ b/crates/register/src/types.rs
@@ -44,12 +44,14 @@
     /// The acceptors of the committed value that this one was made from, if they are others than its own. As long
     /// as this value is not known to be committed, it needs a majority of these too. Empty if they are the same.
     pub previous: Arc<[Member]>,
+    /// The ballot of that committed value. Who knows of a newer committed value need not ask its acceptors any more.
+    pub predecessor: Ballot,
 }
 
 impl<V> Versioned<V> {
     /// A value with the acceptors of the one before it, such as the first value.
     pub fn new(ballot: Ballot, value: Arc<V>) -> Self {
-        Self { ballot, value, previous: Arc::default() }
+        Self { ballot, value, previous: Arc::default(), predecessor: Ballot::default() }
     }
 }
 
--- a/crates/register/tests/proposal.rs
+++ b/crates/register/tests/proposal.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::sync::Arc;
+
 use common::{ballot, member, member_of, members, receivers, reply, versioned, History};
 use register::{AcceptorRequest, Outcome, Proposal, Step, Versioned};
 use yare::parameterized;
@@ -190,7 +192,34 @@
 fn unsettled_removal() -> (Versioned<History>, Versioned<History>) {
     let base = versioned(1, &[1], members(&[0, 1]));
     let removal = versioned(5, &[1, 2], members(&[1]));
-    (base, Versioned { previous: members(&[0, 1]).into(), ..removal })
+    let removal = Versioned { previous: members(&[0, 1]).into(), predecessor: base.ballot, ..removal };
+    (base, removal)
+}
+
+#[test]
+fn given_a_change_on_an_unsettled_removal_when_the_removal_is_known_then_the_removed_is_needed_no_more() {
+    let (_, removal) = unsettled_removal();
+    let change = versioned(7, &[1, 2, 3], members(&[1]));
+    let change =
+        Versioned { previous: Arc::clone(&removal.previous), predecessor: removal.predecessor, ..change };
+    let mut proposal = start(&removal);
+    let step = promise(&mut proposal, 1, Some(change.clone()));
+    assert!(matches!(step, Step::Read(read) if read == change));
+    let requests = proposal.propose(change.value.with_change(4));
+    assert_eq!(receivers(&requests), ["station-1"]);
+    assert!(matches!(accept(&mut proposal, 1), Step::Committed(done) if done.previous.is_empty()));
+}
+
+#[test]
+fn given_acceptors_that_were_put_back_when_read_from_a_value_before_then_those_between_must_promise_too() {
+    // The base has the same acceptors as the newest value, but those in between were others.
+    let base = versioned(1, &[1], members(&[1]));
+    let added = versioned(3, &[1, 2], members(&[0, 1]));
+    let removal = versioned(5, &[1, 2, 3], members(&[1]));
+    let removal = Versioned { previous: members(&[0, 1]).into(), predecessor: added.ballot, ..removal };
+    let mut proposal = start(&base);
+    let step = promise(&mut proposal, 1, Some(removal));
+    assert!(matches!(step, Step::Send(requests) if receivers(&requests) == ["station-0"]));
 }
 
 #[test]
