Send no weight order of a term before those of earlier terms have ended, and swap stores amid a move

Orders of a term now wait until each order of an earlier term has its answer or time-out, one second at most; a process that was restarted waits as long from its start, for those of its earlier life.

Cause, stores: two stores that lost their disks at once were taken back one after the other, as a set could only change when everything had moved. A former self is now replaced amid a move, and the set before stays; why a majority of the copies before still meets those since stands at with_store.

--- a/crates/control-plane/src/leader.rs
+++ b/crates/control-plane/src/leader.rs
@@ -1,7 +1,7 @@
 //! The leader lease of this process and the duties that go with it.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::future::join_all;
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -10,9 +10,10 @@
 use state::change::{may_order_at_once, with_fence, with_order_holder, HeldLease, Superseded};
 use state::ControlState;
 use tokio::sync::{watch, Notify};
+use tokio::time::Instant;
 
 use crate::messages::paths;
-use crate::orders::CALL_TIMEOUT as ORDER_TIMEOUT;
+use crate::server_calls::CALL_TIMEOUT as ORDER_TIMEOUT;
 use crate::{ChangeFailure, Proposer, ViewCell};
 
 /// How long a grant lasts.
@@ -145,14 +146,17 @@
         }
         match candidate.next_action(began.elapsed()) {
             Action::Wait(until) => {
-                let order_wait =
-                    leadership.held().and_then(|held| held.order_holder_due_later(began.elapsed()));
+                let now = began.elapsed();
+                let order_wait = leadership
+                    .held()
+                    .and_then(|held| held.order_holder_due_later(now).or_else(|| held.orders_due_later(now)));
                 let wake = order_wait.map_or(until, |end| end.min(until));
                 let wait = wake.saturating_sub(began.elapsed()).max(WAIT_LEAST);
                 // A change of the stage is seen at the head of the loop.
                 let is_leaving = tokio::time::timeout(wait, stage.changed()).await.is_ok();
                 if order_wait.is_some() && !is_leaving {
                     note_order_holder(&leadership, &proposer, &station).await;
+                    leadership.announce_orders();
                 }
             }
             Action::GiveUp => give_up(&mut candidate, began, &view, &client).await,
@@ -235,7 +239,7 @@
     let Some(value) = raise_fence(leadership, until, proposer, station).await else { return };
     log::info!("leads with fencing token {}", value.value.fence);
     let wait = between_holders + ORDER_TIMEOUT;
-    let won = HeldLease::won(&value.value, station, leadership.now(), until, wait);
+    let won = HeldLease::won(&value.value, station, leadership.now(), until, wait, ORDER_TIMEOUT);
     *leadership.lock() = Some(earlier.map_or(won, |earlier| won.following(earlier)));
     leadership.announce_orders();
 }
--- a/crates/control-plane/src/orders.rs
+++ b/crates/control-plane/src/orders.rs
@@ -2,24 +2,17 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::future::BoxFuture;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use rollout::{Action, Answer, Ask, ModelName, Order, Pacing, Planner, Report, ServerId};
 use state::{Condition, View};
+use tokio::time::Instant;
 
 use crate::version_news::VersionNews;
-use crate::{Leadership, ViewCell};
-
-/// The paths of a server.
-const ORDER_PATH: &str = "/api/order";
-const REPORT_PATH: &str = "/api/report";
-/// The header that names the server meant.
-const EXPECTED_SERVER: &str = "Expected-Carrier";
-/// How long a server may take to answer.
-pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+use crate::{Leadership, ServerCalls, ViewCell};
+
 /// The longest sleep between two looks at the plan.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 
@@ -50,18 +43,26 @@
 }
 
 /// Brings servers to the named versions while this process leads.
-pub async fn run_orders(station: String, leadership: Arc<Leadership>, view: Arc<ViewCell>) {
-    let http = http_client();
+pub async fn run_orders(
+    station: String,
+    leadership: Arc<Leadership>,
+    view: Arc<ViewCell>,
+    servers: Arc<dyn ServerCalls>,
+) {
     let began = Instant::now();
     let mut views = view.subscribe();
     let mut term: Option<Term> = None;
     let mut calls = FuturesUnordered::new();
+    // The fencing token of each order without an answer.
+    let mut under_way: Vec<u64> = Vec::new();
     let mut news = VersionNews::default();
     loop {
         follow_lease(&mut term, &leadership);
         news.publish(began.elapsed(), &view, &leadership);
         let mut wake = LOOK_EVERY;
-        if let Some(term) = &mut term {
+        // An order of an earlier term may still reach its server: none of this term may come before it.
+        let earlier = term.as_ref().is_some_and(|term| under_way.iter().any(|fence| *fence != term.fence));
+        if let Some(term) = term.as_mut().filter(|_| !earlier) {
             let now = began.elapsed();
             feed(&mut term.planner, now, &views.borrow_and_update());
             for action in term.planner.decide(now) {
@@ -69,14 +70,21 @@
                 if leadership.fence_for_orders() != Some(term.fence) {
                     break;
                 }
-                let outcome = start(&http, action, &station, term.fence);
+                if matches!(action, Action::Order(_)) {
+                    under_way.push(term.fence);
+                }
+                let outcome = start(&servers, action, &station, term.fence);
                 calls.push(Call { fence: term.fence, outcome }.finish());
             }
             let next = term.planner.next_wake(now).into_iter().chain(news.due()).min();
             wake = next.map_or(wake, |at| at.saturating_sub(now).min(wake));
         }
         tokio::select! {
+            biased;
             Some((fence, outcome)) = calls.next(), if !calls.is_empty() => {
+                if matches!(outcome, Outcome::Answered(..)) {
+                    under_way.iter().position(|other| *other == fence).map(|ended| under_way.swap_remove(ended));
+                }
                 if let Outcome::Reported(server, report) = &outcome {
                     news.note(began.elapsed(), server, report);
                 }
@@ -96,16 +104,6 @@
     }
 }
 
-fn http_client() -> reqwest::Client {
-    reqwest::Client::builder()
-        .connect_timeout(CONNECT_TIMEOUT)
-        .tcp_nodelay(true)
-        .no_proxy()
-        .redirect(reqwest::redirect::Policy::none())
-        .build()
-        .expect("the HTTP client is set up without I/O")
-}
-
 /// A planner belongs to one term of the lease.
 fn follow_lease(term: &mut Option<Term>, leadership: &Leadership) {
     match leadership.fence_for_orders() {
@@ -144,46 +142,33 @@
     servers.flat_map(|server| server.models.keys().cloned()).collect()
 }
 
-fn start(http: &reqwest::Client, action: Action, station: &str, fence: u64) -> BoxFuture<'static, Outcome> {
+fn start(
+    calls: &Arc<dyn ServerCalls>,
+    action: Action,
+    station: &str,
+    fence: u64,
+) -> BoxFuture<'static, Outcome> {
+    let calls = Arc::clone(calls);
     match action {
-        Action::Order(order) => Box::pin(send_order(http.clone(), order, station.to_owned(), fence)),
-        Action::Ask(ask) => Box::pin(send_ask(http.clone(), ask)),
+        Action::Order(order) => Box::pin(send_order(calls, order, station.to_owned(), fence)),
+        Action::Ask(ask) => Box::pin(send_ask(calls, ask)),
     }
 }
 
-async fn send_order(http: reqwest::Client, order: Order, station: String, fence: u64) -> Outcome {
+async fn send_order(calls: Arc<dyn ServerCalls>, order: Order, station: String, fence: u64) -> Outcome {
     let body = serde_json::to_string(&order.body(&station, fence)).unwrap_or_default();
-    let call = http
-        .post(format!("http://{}{ORDER_PATH}", order.address))
-        .header("Content-Type", "application/json")
-        .header(EXPECTED_SERVER, &*order.server)
-        .timeout(CALL_TIMEOUT)
-        .body(body);
-    let answer = match call.send().await {
-        Ok(answer) => Answer::from_status(answer.status().as_u16()),
-        Err(error) if error.is_connect() => Answer::NotTaken,
-        Err(_) => Answer::Unclear,
-    };
+    let answer = calls.order(&order, body).await;
     log::info!("order: {} to version {} of {}: {answer:?}", order.server, order.version, order.model);
     Outcome::Answered(order.server, answer)
 }
 
-async fn send_ask(http: reqwest::Client, ask: Ask) -> Outcome {
-    match report(&http, &ask).await {
+async fn send_ask(calls: Arc<dyn ServerCalls>, ask: Ask) -> Outcome {
+    match calls.report(&ask).await {
         Some(report) => Outcome::Reported(ask.server, Box::new(report)),
         None => Outcome::NotReported(ask.server),
     }
 }
 
-async fn report(http: &reqwest::Client, ask: &Ask) -> Option<Report> {
-    let call = http
-        .get(format!("http://{}{REPORT_PATH}", ask.address))
-        .header(EXPECTED_SERVER, &*ask.server)
-        .timeout(CALL_TIMEOUT);
-    let answer = call.send().await.ok().filter(|answer| answer.status().as_u16() == 200)?;
-    serde_json::from_slice(&answer.bytes().await.ok()?).ok()
-}
-
 fn tell(planner: &mut Planner, now: Duration, outcome: Outcome) {
     match outcome {
         Outcome::Answered(server, answer) => planner.answered(now, &server, answer),
--- /dev/null
+++ b/crates/control-plane/src/server_calls.rs
@@ -0,0 +1,84 @@
+//! Calls to servers by the holder of the leader lease.
+
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+use rollout::{Answer, Ask, Order, Report};
+
+/// The paths of a server.
+const ORDER_PATH: &str = "/api/order";
+const REPORT_PATH: &str = "/api/report";
+/// The header that names the server meant.
+const EXPECTED_SERVER: &str = "Expected-Carrier";
+/// How long a server may take to answer.
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Carries orders and questions to servers. Nothing is sent twice by one call.
+pub trait ServerCalls: Send + Sync {
+    /// Sends an order with this body.
+    fn order<'a>(&'a self, order: &'a Order, body: String) -> BoxFuture<'a, Answer>;
+    /// Asks for a report; `None` where none came.
+    fn report<'a>(&'a self, ask: &'a Ask) -> BoxFuture<'a, Option<Report>>;
+}
+
+/// Carries calls to servers over HTTP.
+pub struct HttpServerCalls {
+    http: reqwest::Client,
+}
+
+impl Default for HttpServerCalls {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl HttpServerCalls {
+    /// With no connection yet.
+    ///
+    /// # Panics
+    ///
+    /// When the HTTP client cannot be set up, which takes no I/O.
+    #[must_use]
+    pub fn new() -> Self {
+        let http = reqwest::Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
+            .build()
+            .expect("the HTTP client is set up without I/O");
+        Self { http }
+    }
+}
+
+impl ServerCalls for HttpServerCalls {
+    fn order<'a>(&'a self, order: &'a Order, body: String) -> BoxFuture<'a, Answer> {
+        Box::pin(async move {
+            let call = self
+                .http
+                .post(format!("http://{}{ORDER_PATH}", order.address))
+                .header("Content-Type", "application/json")
+                .header(EXPECTED_SERVER, &*order.server)
+                .timeout(CALL_TIMEOUT)
+                .body(body);
+            match call.send().await {
+                Ok(answer) => Answer::from_status(answer.status().as_u16()),
+                Err(error) if error.is_connect() => Answer::NotTaken,
+                Err(_) => Answer::Unclear,
+            }
+        })
+    }
+
+    fn report<'a>(&'a self, ask: &'a Ask) -> BoxFuture<'a, Option<Report>> {
+        Box::pin(async move {
+            let call = self
+                .http
+                .get(format!("http://{}{REPORT_PATH}", ask.address))
+                .header(EXPECTED_SERVER, &*ask.server)
+                .timeout(CALL_TIMEOUT);
+            let answer = call.send().await.ok().filter(|answer| answer.status().as_u16() == 200)?;
+            serde_json::from_slice(&answer.bytes().await.ok()?).ok()
+        })
+    }
+}
--- a/crates/state/src/change/leader.rs
+++ b/crates/state/src/change/leader.rs
@@ -17,7 +17,8 @@
 
 impl HeldLease {
     /// The lease of a station that has just raised the fencing token to what `state` holds. Where another station
-    /// may have sent orders, this one sends none for the time `between_holders`.
+    /// may have sent orders, this one sends none for the time `between_holders`; and none before `earliest`, when an
+    /// order that an earlier life of its process has sent can no longer arrive.
     #[must_use]
     pub fn won(
         state: &ControlState,
@@ -25,10 +26,11 @@
         now: Duration,
         until: Duration,
         between_holders: Duration,
+        earliest: Duration,
     ) -> Self {
         let wait = if may_order_at_once(state, station) { Duration::ZERO } else { between_holders };
         let is_order_holder = state.order_holder.as_deref() == Some(station);
-        Self { fence: state.fence, until, orders_from: now + wait, is_order_holder }
+        Self { fence: state.fence, until, orders_from: (now + wait).max(earliest), is_order_holder }
     }
 
     /// This lease, where its station held `earlier` before and lost it. If nobody raised the fencing token between the
@@ -72,6 +74,12 @@
         (now < self.orders_from && !self.is_order_holder).then_some(self.orders_from)
     }
 
+    /// When orders may first be sent, where nothing else is missing.
+    #[must_use]
+    pub fn orders_due_later(&self, now: Duration) -> Option<Duration> {
+        (now < self.orders_from && self.is_order_holder).then_some(self.orders_from)
+    }
+
     /// The register holds that the holder of this fencing token sends orders.
     pub fn note_order_holder(&mut self, fence: u64) {
         self.is_order_holder |= self.fence == fence;
--- a/crates/state/src/change/members.rs
+++ b/crates/state/src/change/members.rs
@@ -68,18 +68,29 @@
 
 /// Adds a machine to the store set, in the place of its former self where its disk was lost.
 ///
+/// While everything is still on its way from the set before, only a former self is replaced, and the set before
+/// stays. That is safe: copies are chosen by station, so the copies of a batch job differ by such replacements only,
+/// and no former self answers any more. A majority of the copies before, all of them survivors, meets a majority of
+/// the copies of any step since in a survivor: of n copies of which d were replaced, the first is one of n - d, and
+/// the second has more than n / 2 - d of these.
+///
 /// # Errors
 ///
 /// When it is a member, when the set before has not moved everything yet, or when the machine is being emptied.
 pub fn with_store(state: &ControlState, member: &StoreMember) -> Result<ControlState, AlreadyMember> {
+    let is_former = |other: &StoreMember| other.member.station == member.member.station;
     let is_emptied = state.draining.contains_key(&member.member.station);
-    if state.stores.members.contains(member) || state.previous_stores.is_some() || is_emptied {
+    if state.stores.members.contains(member) || is_emptied {
         return Err(AlreadyMember);
     }
     let mut next = successor(state);
-    next.previous_stores = Some(state.stores.clone());
+    if state.previous_stores.is_none() {
+        next.previous_stores = Some(state.stores.clone());
+    } else if !state.stores.members.iter().any(is_former) {
+        return Err(AlreadyMember);
+    }
     next.stores.epoch += 1;
-    next.stores.members.retain(|other| other.member.station != member.member.station);
+    next.stores.members.retain(|other| !is_former(other));
     next.stores.members.push(member.clone());
     Ok(next)
 }
--- a/crates/state/tests/members.rs
+++ b/crates/state/tests/members.rs
@@ -194,7 +194,24 @@
     let state = with_store(&system(3), &store("v1", 99)).expect("it joins");
     assert_eq!(state.stores.members.len(), 3);
     assert!(state.stores.members.contains(&store("v1", 99)));
-    assert_eq!(with_store(&state, &store("v2", 98)), Err(AlreadyMember), "one move at a time");
+    assert_eq!(with_store(&state, &store("v9", 98)), Err(AlreadyMember), "one move at a time");
+}
+
+#[test]
+fn given_a_move_when_another_store_is_back_without_its_disk_then_it_is_replaced_and_the_set_before_stays() {
+    let before = system(5);
+    let first = with_store(&before, &store("v1", 91)).expect("it joins");
+    let second = with_store(&first, &store("v2", 92)).expect("it joins amid the move");
+    assert_eq!((second.stores.epoch, second.stores.members.len()), (3, 5));
+    assert!(
+        second.stores.members.contains(&store("v1", 91)) && second.stores.members.contains(&store("v2", 92))
+    );
+    assert_eq!(
+        second.previous_stores,
+        Some(before.stores),
+        "what the first one kept may be in that set only"
+    );
+    assert_eq!(with_store(&second, &store("v2", 92)), Err(AlreadyMember));
 }
 
 #[test]
@@ -232,7 +249,7 @@
 #[test]
 fn given_the_first_holder_when_it_leads_then_it_sends_orders_once_the_register_says_so() {
     let state = raised(&system(3), "a");
-    let mut held = HeldLease::won(&state, "a", at(100), at(1400), BETWEEN);
+    let mut held = HeldLease::won(&state, "a", at(100), at(1400), BETWEEN, at(0));
     assert_eq!((held.fence_at(at(100)), held.order_fence_at(at(100))), (Some(1), None));
     assert_eq!(held.order_holder_due(at(100)), Some(1));
     held.note_order_holder(7);
@@ -241,10 +258,20 @@
     assert_eq!((held.order_fence_at(at(100)), held.order_holder_due(at(100))), (Some(1), None));
 }
 
+#[test]
+fn given_a_holder_that_was_restarted_when_it_leads_at_once_then_an_order_of_its_earlier_life_cannot_come_later(
+) {
+    let state = with_order_holder(&raised(&system(3), "a"), "a", 1).expect("it holds the token");
+    let held = HeldLease::won(&raised(&state, "a"), "a", at(400), at(60_000), BETWEEN, at(1000));
+    assert_eq!((held.fence_at(at(400)), held.order_fence_at(at(999))), (Some(2), None));
+    assert_eq!((held.orders_due_later(at(999)), held.orders_due_later(at(1000))), (Some(at(1000)), None));
+    assert_eq!(held.order_fence_at(at(1000)), Some(2));
+}
+
 #[test]
 fn given_another_holder_before_when_a_station_leads_then_it_waits_before_its_first_order() {
     let state = with_order_holder(&raised(&system(3), "a"), "a", 1).expect("it holds the token");
-    let held = HeldLease::won(&raised(&state, "b"), "b", at(0), at(60_000), BETWEEN);
+    let held = HeldLease::won(&raised(&state, "b"), "b", at(0), at(60_000), BETWEEN, at(0));
     assert_eq!(held.order_holder_due(at(3999)), None);
     assert_eq!(held.order_holder_due(at(4000)), Some(2));
 }
@@ -252,7 +279,7 @@
 #[test]
 fn given_a_wait_between_holders_when_asked_for_its_end_then_it_is_known_until_it_is_over() {
     let state = with_order_holder(&raised(&system(3), "a"), "a", 1).expect("it holds the token");
-    let mut held = HeldLease::won(&raised(&state, "b"), "b", at(100), at(60_000), BETWEEN);
+    let mut held = HeldLease::won(&raised(&state, "b"), "b", at(100), at(60_000), BETWEEN, at(0));
     assert_eq!(held.order_holder_due_later(at(100)), Some(at(4100)));
     assert_eq!(held.order_holder_due_later(at(4099)), Some(at(4100)));
     assert_eq!(
@@ -268,9 +295,9 @@
 fn given_a_lease_lost_in_the_wait_when_won_again_with_nobody_between_then_the_wait_goes_on() {
     let ordered = with_order_holder(&raised(&system(3), "a"), "a", 1).expect("it holds the token");
     let first = raised(&ordered, "b");
-    let earlier = HeldLease::won(&first, "b", at(0), at(1350), BETWEEN);
+    let earlier = HeldLease::won(&first, "b", at(0), at(1350), BETWEEN, at(0));
     let second = raised(&first, "b");
-    let again = HeldLease::won(&second, "b", at(2000), at(60_000), BETWEEN).following(earlier);
+    let again = HeldLease::won(&second, "b", at(2000), at(60_000), BETWEEN, at(0)).following(earlier);
     assert_eq!(again.order_holder_due(at(3999)), None);
     assert_eq!(again.order_holder_due(at(4000)), Some(3));
 }
@@ -279,9 +306,9 @@
 fn given_a_lease_lost_in_the_wait_when_another_raised_the_token_between_then_the_wait_begins_anew() {
     let ordered = with_order_holder(&raised(&system(3), "a"), "a", 1).expect("it holds the token");
     let first = raised(&ordered, "b");
-    let earlier = HeldLease::won(&first, "b", at(0), at(1350), BETWEEN);
+    let earlier = HeldLease::won(&first, "b", at(0), at(1350), BETWEEN, at(0));
     let third = raised(&raised(&first, "c"), "b");
-    let again = HeldLease::won(&third, "b", at(2000), at(60_000), BETWEEN).following(earlier);
+    let again = HeldLease::won(&third, "b", at(2000), at(60_000), BETWEEN, at(0)).following(earlier);
     assert_eq!(again.order_holder_due(at(5999)), None);
     assert_eq!(again.order_holder_due(at(6000)), Some(4));
 }
@@ -289,7 +316,7 @@
 #[test]
 fn given_the_holder_of_before_when_it_leads_again_then_there_is_no_wait() {
     let state = with_order_holder(&raised(&system(3), "a"), "a", 1).expect("it holds the token");
-    let held = HeldLease::won(&raised(&state, "a"), "a", at(100), at(1400), BETWEEN);
+    let held = HeldLease::won(&raised(&state, "a"), "a", at(100), at(1400), BETWEEN, at(0));
     assert_eq!(held.order_holder_due_later(at(100)), None);
     assert_eq!(held.order_fence_at(at(100)), Some(2));
 }
@@ -297,7 +324,7 @@
 #[test]
 fn given_a_holder_that_was_frozen_when_it_thaws_then_it_holds_nothing_and_cannot_renew() {
     let state = with_order_holder(&raised(&system(3), "a"), "a", 1).expect("it holds the token");
-    let held = HeldLease::won(&state, "a", at(0), at(1350), BETWEEN);
+    let held = HeldLease::won(&state, "a", at(0), at(1350), BETWEEN, at(0));
     assert_eq!(held.order_fence_at(at(1349)), Some(1));
     assert_eq!((held.fence_at(at(1350)), held.order_fence_at(at(9000))), (None, None));
     assert_eq!(held.renewed(at(9000), at(10_000)), None);
