--- a/crates/batch/src/replica.rs
+++ b/crates/batch/src/replica.rs
@@ -1,6 +1,6 @@
 //! What one store knows of all batch jobs, as a state machine without I/O.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -106,7 +106,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
     epoch: u64,
-    logs: HashMap<JobId, ReplicaLog>,
+    logs: BTreeMap<JobId, ReplicaLog>,
 }
 
 impl Replica {
--- a/crates/control-plane/src/acceptor.rs
+++ b/crates/control-plane/src/acceptor.rs
@@ -1,7 +1,7 @@
 //! The acceptor of the register on a machine with a disk.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use register::{
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use state::ControlState;
 use storage::{Journal, Position};
+use tokio::time::Instant;
 
 use crate::messages::paths;
 use crate::{Proposer, ViewCell};
--- a/crates/control-plane/src/bootstrap.rs
+++ b/crates/control-plane/src/bootstrap.rs
@@ -2,12 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::future::join_all;
 use register::{AcceptorReply, AcceptorRequest, Ballot, Member, Outcome, Versioned};
 use state::change::{choose_first, first_state, with_acceptor, with_store};
 use state::{ControlState, StoreMember};
+use tokio::time::Instant;
 
 use crate::messages::{paths, Announcement, Capability};
 use crate::{Proposer, ViewCell};
--- a/crates/control-plane/src/distribution.rs
+++ b/crates/control-plane/src/distribution.rs
@@ -2,10 +2,11 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use register::Ballot;
 use state::View;
+use tokio::time::Instant;
 
 use crate::messages::{PingReply, PollReply, PollRequest};
 use crate::server_updates::RecentLists;
--- a/crates/control-plane/src/list_reader.rs
+++ b/crates/control-plane/src/list_reader.rs
@@ -1,11 +1,12 @@
 //! Who reads the platform's list, and when.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use state::ServerListVersion;
+use tokio::time::Instant;
 
-use crate::{Leadership, Platform, ViewCell};
+use crate::{Leadership, ListSource, ViewCell};
 
 /// How often the leader reads.
 const LEADER_EVERY: Duration = Duration::from_millis(900);
@@ -19,7 +20,7 @@
 
 /// Reads the list while this process leads; otherwise only where nothing was heard of it for `own_after`.
 pub async fn run_list_reader(
-    platform: Platform,
+    platform: Arc<dyn ListSource>,
     leadership: Arc<Leadership>,
     view: Arc<ViewCell>,
     own_after: Duration,
--- a/crates/control-plane/src/operator.rs
+++ b/crates/control-plane/src/operator.rs
@@ -1,7 +1,7 @@
 //! The operator's interface: configurations, retiring of store machines, named versions.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use poem::http::{Method, StatusCode};
 use poem::web::{Data, Json, Path};
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use state::change::{change_digest, with_configuration, with_draining, with_version, ChangeKind, Declined};
 use state::{ControlState, DrainState};
+use tokio::time::Instant;
 
 use crate::{ChangeFailure, Proposer, ViewCell};
 
--- a/crates/control-plane/src/platform.rs
+++ b/crates/control-plane/src/platform.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::BoxFuture;
 use serde::Deserialize;
 use state::{Condition, ServerEntry, ServerList, ServerListVersion};
 
@@ -85,6 +86,16 @@
     }
 }
 
+/// Where the list of servers is read.
+pub trait ListSource: Send + Sync {
+    /// Reads the whole list and gives it this version.
+    ///
+    /// # Errors
+    ///
+    /// When a part of it is refused or cannot be read; half a list is none.
+    fn read(&self, version: ServerListVersion) -> BoxFuture<'_, Result<ServerList, PlatformError>>;
+}
+
 /// Reads the platform's list.
 #[derive(Clone)]
 pub struct Platform {
@@ -92,6 +103,12 @@
     address: String,
 }
 
+impl ListSource for Platform {
+    fn read(&self, version: ServerListVersion) -> BoxFuture<'_, Result<ServerList, PlatformError>> {
+        Box::pin(self.read_pages(version))
+    }
+}
+
 impl Platform {
     /// A reader of the platform at `address`.
     ///
@@ -110,12 +127,7 @@
         Self { http, address }
     }
 
-    /// Reads all pages.
-    ///
-    /// # Errors
-    ///
-    /// When a page is refused or cannot be read; half a list is none.
-    pub async fn read(&self, version: ServerListVersion) -> Result<ServerList, PlatformError> {
+    async fn read_pages(&self, version: ServerListVersion) -> Result<ServerList, PlatformError> {
         let mut servers: Vec<ServerEntry> = Vec::new();
         let mut leaf: Option<String> = None;
         for _ in 0..PAGES_MOST {
--- a/crates/control-plane/src/poll.rs
+++ b/crates/control-plane/src/poll.rs
@@ -1,9 +1,10 @@
 //! The long poll of a process: how it learns of a newer control state and list of servers.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::distribution::NO_BALLOT;
 use crate::messages::{paths, PollReply, PollRequest, CONFIRMED_AGE_MOST};
--- a/crates/control-plane/src/proposer.rs
+++ b/crates/control-plane/src/proposer.rs
@@ -2,11 +2,12 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use register::{AcceptorReply, AcceptorRequest, Ballot, Member, Proposal, Step, Versioned};
 use state::ControlState;
+use tokio::time::Instant;
 
 use crate::acceptor::confirm_once;
 use crate::messages::paths;
@@ -129,6 +130,7 @@
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
             let Ok(Some((member, reply))) = tokio::time::timeout(left, calls.next()).await else {
+                log::debug!("proposal {ballot:?}: no quorum");
                 return Attempt::NoQuorum;
             };
             let Some(reply) = reply else { continue };
@@ -163,6 +165,7 @@
                     return if is_settled_only { Attempt::Preempted } else { Attempt::Committed(value) };
                 }
                 Step::Preempted(higher) => {
+                    log::debug!("proposal {ballot:?}: {higher:?} was promised");
                     self.round.fetch_max(higher.round, Ordering::Relaxed);
                     *declined = None;
                     return Attempt::Preempted;
--- a/crates/control-plane/src/upkeep.rs
+++ b/crates/control-plane/src/upkeep.rs
@@ -1,12 +1,13 @@
 //! Upkeep of the members by the leader: what is lost is removed, what is to be emptied is moved.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::future::join_all;
 use register::Member;
 use state::change::{next_upkeep, Observation};
 use state::ControlState;
+use tokio::time::Instant;
 
 use crate::messages::{paths, PingReply};
 use crate::{Leadership, Proposer, ViewCell};
--- a/crates/control-plane/src/view.rs
+++ b/crates/control-plane/src/view.rs
@@ -1,12 +1,13 @@
 //! The snapshot that a process acts on, and how it is replaced.
 
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use configuration::Configuration;
 use register::Versioned;
 use state::{ControlState, ServerList, View};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::messages::PollReply;
 
--- a/crates/control-plane/tests/leader.rs
+++ b/crates/control-plane/tests/leader.rs
@@ -3,12 +3,13 @@
 mod support;
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use control_plane::{run_leader, Leadership, LEASE_TTL};
 use state::change::with_fence;
 use state::ControlState;
 use support::{nodes, Node};
+use tokio::time::Instant;
 
 /// Time between the orders of two holders.
 const BETWEEN: Duration = Duration::from_secs(60);
--- a/crates/control-plane/tests/platform.rs
+++ b/crates/control-plane/tests/platform.rs
@@ -1,6 +1,6 @@
 //! Reading the platform's list.
 
-use control_plane::{Platform, PlatformError};
+use control_plane::{ListSource, Platform, PlatformError};
 use poem::http::StatusCode;
 use poem::{handler, Endpoint, Request, Response, Route};
 use state::{Condition, ServerListVersion};
--- a/crates/control-plane/tests/view.rs
+++ b/crates/control-plane/tests/view.rs
@@ -3,12 +3,13 @@
 mod support;
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use control_plane::{Distribution, PollReply, PollRequest, ServerUpdate, ViewCell};
 use register::{Ballot, Versioned};
 use state::{Condition, ControlState, ServerEntry, ServerList, ServerListVersion};
 use support::document;
+use tokio::time::Instant;
 use yare::parameterized;
 
 fn version(fence: u64, sequence: u64) -> ServerListVersion {
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -1,18 +1,24 @@
-//! An in-memory fleet in simulated time: a seeded network, disks, clocks, model servers and an operator around the
-//! state machines of register, lease, batch jobs and rollout. No sockets, no threads, no real time.
+//! The shipped control and store planes as a fleet in simulated time, with a seeded network, disks, clocks, servers,
+//! operators and trainers.
+//!
+//! Each process of a [`Fleet`] is the assembly that the program runs ([`rushrudder::node::Node`],
+//! [`rushrudder::store::Store`]) on a runtime of its own with a paused clock; only its edges are simulated: the
+//! transport of internal calls, the calls to servers and to the platform, the disk under the journal, and the steady
+//! clock. The fleet lets all processes run for one short step after the other, and carries what they sent. A process
+//! that is frozen is not run while its clock goes on; one that is killed is dropped with all its tasks.
 
-mod changes;
-mod control;
 mod disk;
 mod fleet;
-mod messages;
+mod logging;
 mod network;
 mod process;
-mod proposing;
+mod requests;
 mod servers;
-mod stores;
+pub mod simulation;
+mod wire;
 
 pub use fleet::{Fleet, Shape};
-pub use messages::{JobCall, OperatorOrder, Reply, Request};
+pub use logging::print_logs;
 pub use network::Network;
+pub use requests::{JobCall, OperatorOrder, Reply, Request};
 pub use servers::ModelServer;
--- /dev/null
+++ b/crates/emulator/src/logging.rs
@@ -0,0 +1,42 @@
+//! Log lines of simulated processes, with simulated time and the name of the machine.
+
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
+
+use log::{LevelFilter, Log, Metadata, Record};
+
+thread_local! {
+    static NOW: Cell<Duration> = const { Cell::new(Duration::ZERO) };
+    static MACHINE: RefCell<String> = const { RefCell::new(String::new()) };
+}
+
+struct Printer;
+
+impl Log for Printer {
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        let now = NOW.get().as_secs_f64();
+        MACHINE
+            .with_borrow(|machine| println!("{now:9.3} {machine:10} {:5} {}", record.level(), record.args()));
+    }
+
+    fn flush(&self) {}
+}
+
+/// Prints the log lines of all processes from now on.
+pub fn print_logs(level: LevelFilter) {
+    if log::set_boxed_logger(Box::new(Printer)).is_ok() {
+        log::set_max_level(level);
+    }
+}
+
+/// Tells which machine runs on this thread, and when.
+pub(crate) fn set_context(now: Duration, machine: &str) {
+    if log::max_level() > LevelFilter::Off {
+        NOW.set(now);
+        MACHINE.with_borrow_mut(|held| machine.clone_into(held));
+    }
+}
--- a/crates/emulator/src/process.rs
+++ b/crates/emulator/src/process.rs
@@ -1,176 +1,243 @@
-//! One process: its parts, and the calls that it has made.
+//! One process: the shipped planes of its role on a runtime of its own, whose clock is simulated.
 
-use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
-use batch::{ItemId, JobId, StoreId};
-use fastrand::Rng;
-use lease::GrantorId;
-use register::Member;
-use rollout::ServerId;
-
-use crate::control::Control;
-use crate::disk::Disk;
-use crate::messages::{Body, Endpoint, Envelope, JobCall, Reply, Request};
-use crate::stores::Store;
-
-/// How long a call to another process or a server may take.
-const CALL_TIMEOUT: Duration = Duration::from_millis(600);
-
-/// What a call was made for.
-#[derive(Clone, Debug)]
-pub(crate) enum Purpose {
-    Change(u64, Member),
-    Confirm(u64, Member),
-    Lease(u64, GrantorId),
-    Poll,
-    Ping(Member),
-    Announce,
-    ReadFirst,
-    OfferFirst,
-    Replica(JobId, batch::Ballot, StoreId),
-    Forward { caller: Endpoint, call: u64, job: JobId, asked: JobCall, rank: usize },
-    Load(ServerId),
-    Report(ServerId),
-    Generate(JobId, ItemId),
-    Nothing,
+use batch::{Condition, ItemResult};
+use bytes::Bytes;
+use control_plane::AcceptorService;
+use poem::endpoint::BoxEndpoint;
+use poem::http::Method;
+use poem::{Endpoint, EndpointExt, Response};
+use register::{Incarnation, Versioned};
+use rushrudder::control::{Control, Disk, Edges};
+use rushrudder::jobs::Jobs;
+use rushrudder::node::Node;
+use rushrudder::store::Store;
+use settings::Settings;
+use state::ControlState;
+use storage::simulated::SimulatedDisk;
+use storage::{Journal, Options};
+use store_plane::{JobState, OwnedJob};
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::disk::DiskPace;
+use crate::requests::{carry_out, Request};
+use crate::servers::text_of;
+use crate::wire::{Outcome, SimulatedTransport, Wire};
+
+/// The ring of an acceptor: small, so that it goes round often.
+const NODE_RING: Options = Options { segment_bytes: 128 * 1024, segments: 4 };
+/// The ring of a store.
+const STORE_RING: Options = Options { segment_bytes: 256 * 1024, segments: 8 };
+/// How long an item takes, in milliseconds.
+const ITEM_MS: std::ops::Range<u64> = 20..200;
+
+/// What a machine starts a process with.
+pub(crate) struct Boot<'a> {
+    pub(crate) machine: usize,
+    pub(crate) settings: &'a Settings,
+    pub(crate) disk: &'a SimulatedDisk,
+    pub(crate) pace: &'a DiskPace,
+    pub(crate) wire: &'a Wire,
+    /// Seeds what the runtime draws.
+    pub(crate) seed: u64,
 }
 
-/// A call without a reply yet.
-#[derive(Clone, Debug)]
-pub(crate) struct Pending {
-    pub(crate) purpose: Purpose,
-    pub(crate) sent: Duration,
+/// The parts of a role that others call.
+#[derive(Clone)]
+enum Role {
+    Node { operator: Arc<BoxEndpoint<'static, Response>>, jobs: Arc<Jobs> },
+    Store,
 }
 
-/// What the parts of a process work with.
-pub(crate) struct Context<'a> {
-    /// The steady clock of this machine.
-    pub(crate) now: Duration,
-    pub(crate) random: &'a mut Rng,
-    /// The platform's list.
-    pub(crate) servers: &'a [rollout::Server],
-    pub(crate) this: usize,
-    pub(crate) next_call: &'a mut u64,
-    pub(crate) pending: &'a mut BTreeMap<u64, Pending>,
-    pub(crate) disk: Option<&'a mut Disk>,
-    pub(crate) sent: &'a mut Vec<Envelope>,
+/// A process while it runs. Dropping it kills it.
+pub(crate) struct Process {
+    runtime: Runtime,
+    began: Instant,
+    /// How far its clock has come since it began.
+    clock: Duration,
+    internal: Arc<BoxEndpoint<'static, Response>>,
+    role: Role,
+    control: Control,
+    wire: Wire,
+    incarnation: Incarnation,
 }
 
-impl Context<'_> {
-    pub(crate) fn call(&mut self, to: Endpoint, request: Request, purpose: Purpose) {
-        *self.next_call += 1;
-        let call = *self.next_call;
-        self.pending.insert(call, Pending { purpose, sent: self.now });
-        self.sent.push(Envelope {
-            from: Endpoint::Machine(self.this),
-            to,
-            call,
-            body: Body::Request(request),
-        });
+impl Process {
+    /// Starts a process; `None` if its disk cannot be opened, as the program ends then.
+    pub(crate) fn start(boot: &Boot<'_>) -> Option<Self> {
+        let runtime = runtime(boot.seed);
+        let wire = boot.wire.clone();
+        let transport = Arc::new(SimulatedTransport { wire: wire.clone(), machine: boot.machine });
+        let edges = Edges {
+            client: rpc::Client::over(Arc::clone(&transport) as Arc<dyn rpc::Transport>),
+            list: Some(Arc::clone(&transport) as Arc<dyn control_plane::ListSource>),
+            servers: transport,
+        };
+        let (began, started) = runtime.block_on(async {
+            let disk = open_disk(boot)?;
+            let began = Instant::now();
+            let is_store = boot.settings.serves_store();
+            Some((
+                began,
+                if is_store { start_store(boot, disk, edges) } else { start_node(boot, disk, edges) },
+            ))
+        })?;
+        let Started { internal, role, control, incarnation } = started;
+        let (clock, internal) = (Duration::ZERO, Arc::new(internal));
+        Some(Self { runtime, began, clock, internal, role, control, wire, incarnation })
     }
 
-    pub(crate) fn call_member(&mut self, member: &Member, request: Request, purpose: Purpose) {
-        let machine = member.address.parse().expect("addresses are numbers of machines");
-        self.call(Endpoint::Machine(machine), request, purpose);
+    /// Lets the process run until its clock shows this time since its start.
+    pub(crate) fn run_until(&mut self, clock: Duration) {
+        self.clock = clock;
+        let until = self.began + clock;
+        self.runtime.block_on(async move { tokio::time::sleep_until(until).await });
     }
 
-    pub(crate) fn call_server(&mut self, server: &ServerId, request: Request, purpose: Purpose) {
-        let listed =
-            self.servers.iter().find(|listed| listed.id == *server).expect("only listed servers are called");
-        self.call(Endpoint::Server(listed.address.port().into()), request, purpose);
+    /// The clock goes on without the process, which stood still.
+    pub(crate) fn jump_to(&mut self, clock: Duration) {
+        let jump = clock.saturating_sub(self.clock);
+        self.clock = clock;
+        self.runtime.block_on(tokio::time::advance(jump));
     }
 
-    pub(crate) fn answer(&mut self, (to, call): (Endpoint, u64), reply: Reply) {
-        self.sent.push(Envelope { from: Endpoint::Machine(self.this), to, call, body: Body::Reply(reply) });
+    /// How far its clock has come since it began.
+    pub(crate) fn clock(&self) -> Duration {
+        self.clock
     }
 
-    pub(crate) fn disk(&mut self) -> &mut Disk {
-        self.disk.as_mut().expect("this machine has a disk")
+    /// Takes a call of another process; the answer goes to the network.
+    pub(crate) fn call(&self, call: u64, path: String, body: Bytes) {
+        let (internal, wire) = (Arc::clone(&self.internal), self.wire.clone());
+        self.runtime.spawn(async move {
+            let outcome = answer(&internal, &path, body).await;
+            wire.lock().answers.push((call, outcome));
+        });
     }
-}
 
-/// A process while it runs.
-pub(crate) struct Process {
-    pub(crate) control: Control,
-    pub(crate) store: Option<Store>,
-    pub(crate) disk: Option<Disk>,
-    pub(crate) pending: BTreeMap<u64, Pending>,
-}
+    /// Takes a request of the operator or a trainer; the reply goes to the network.
+    pub(crate) fn request(&self, call: u64, request: Request) {
+        let Role::Node { operator, jobs } = self.role.clone() else { return };
+        let wire = self.wire.clone();
+        self.runtime.spawn(async move {
+            let reply = carry_out(&operator, &jobs, request).await;
+            wire.lock().replies.push((call, reply));
+        });
+    }
 
-impl Process {
-    /// Looks at all that is due.
-    pub(crate) fn tick(&mut self, context: &mut Context<'_>) {
-        let late = |pending: &Pending| context.now >= pending.sent + CALL_TIMEOUT;
-        let late: Vec<u64> = context.pending.iter().filter(|(_, p)| late(p)).map(|(call, _)| *call).collect();
-        for call in late {
-            let pending = context.pending.remove(&call).expect("just seen");
-            self.returned(context, pending, None);
-        }
-        self.control.tick(context);
-        if let Some(store) = &mut self.store {
-            store.tick(context, &self.control);
-        }
+    /// Its acceptor, if it has one.
+    pub(crate) fn acceptor(&self) -> Option<&Arc<AcceptorService>> {
+        self.control.acceptor()
     }
 
-    /// Takes a message.
-    pub(crate) fn take(&mut self, context: &mut Context<'_>, envelope: Envelope) {
-        match envelope.body {
-            Body::Request(request) => self.request(context, (envelope.from, envelope.call), request),
-            Body::Reply(reply) => {
-                if let Some(pending) = context.pending.remove(&envelope.call) {
-                    self.returned(context, pending, Some(reply));
-                }
-            }
-        }
+    /// The incarnation of its disk.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        self.incarnation
     }
 
-    fn request(&mut self, context: &mut Context<'_>, from: (Endpoint, u64), request: Request) {
-        match (request, &mut self.store) {
-            (Request::Job(job, asked), Some(store)) => store.asked(context, &self.control, from, job, asked),
-            (Request::Job(job, asked), None) => self.forward(context, from, job, asked, 0),
-            (Request::Replica(job, request), Some(store)) => store.replica(context, from, &job, request),
-            (Request::Heartbeat(job, ballot, length), Some(store)) => {
-                store.heartbeat(context, from, &job, ballot, length);
-            }
-            (Request::Settled(job, epoch), Some(store)) => store.settled(job, epoch),
-            (Request::Ping, store) => {
-                let settled = store.as_ref().map_or(0, |store| store.settled_epoch());
-                context.answer(from, Reply::Pong(settled));
-            }
-            (request, _) => self.control.request(context, from, request),
-        }
+    /// The newest committed value that it knows.
+    pub(crate) fn committed(&self) -> Option<Versioned<ControlState>> {
+        self.control.view.committed()
+    }
+
+    /// The fencing token, while it holds the leader lease.
+    pub(crate) fn fence(&self) -> Option<u64> {
+        let _context = self.runtime.enter();
+        self.control.leadership.fence()
     }
 
-    /// Sends a call about a batch job to the stores that may keep it, one after the other.
-    fn forward(
-        &mut self,
-        context: &mut Context<'_>,
-        from: (Endpoint, u64),
-        job: JobId,
-        asked: JobCall,
-        rank: usize,
-    ) {
-        let copies = self.control.copies(&job);
-        let Some(store) = copies.get(rank) else { return context.answer(from, Reply::Status(503)) };
-        let request = Request::Job(job.clone(), asked.clone());
-        let purpose = Purpose::Forward { caller: from.0, call: from.1, job, asked, rank };
-        context.call_member(store, request, purpose);
+    /// How long ago a majority has confirmed what it knows.
+    pub(crate) fn confirmed_age(&self) -> Option<Duration> {
+        let _context = self.runtime.enter();
+        self.control.view.confirmed_age()
     }
+}
 
-    /// Takes the reply to a call, or notes that there is none.
-    fn returned(&mut self, context: &mut Context<'_>, pending: Pending, reply: Option<Reply>) {
-        match (pending.purpose, reply) {
-            (Purpose::Forward { caller, call, job, asked, rank }, None | Some(Reply::Status(503))) => {
-                self.forward(context, (caller, call), job, asked, rank + 1);
-            }
-            (Purpose::Forward { caller, call, .. }, Some(reply)) => context.answer((caller, call), reply),
-            (purpose @ (Purpose::Replica(..) | Purpose::Generate(..)), reply) => {
-                if let Some(store) = &mut self.store {
-                    store.returned(purpose, pending.sent, reply);
-                }
-            }
-            (purpose, reply) => self.control.returned(context, purpose, reply),
+/// A runtime whose clock only moves when it is told to. With `--cfg tokio_unstable` also its own draws are seeded,
+/// and a run is the same each time.
+fn runtime(seed: u64) -> Runtime {
+    let mut builder = Builder::new_current_thread();
+    builder.enable_time().start_paused(true);
+    #[cfg(tokio_unstable)]
+    builder.rng_seed(tokio::runtime::RngSeed::from_bytes(&seed.to_le_bytes()));
+    #[cfg(not(tokio_unstable))]
+    let _ = seed;
+    builder.build().expect("a runtime without I/O can be made")
+}
+
+/// What a start gives.
+struct Started {
+    internal: BoxEndpoint<'static, Response>,
+    role: Role,
+    control: Control,
+    incarnation: Incarnation,
+}
+
+fn start_node(boot: &Boot<'_>, disk: Disk, edges: Edges) -> Started {
+    let incarnation = disk.incarnation;
+    let node = Node::new(boot.settings, Some(disk), edges);
+    node.start(boot.settings);
+    let internal = node.control.internal_routes().map_to_response().boxed();
+    let operator = Arc::new(node.operator_routes().map_to_response().boxed());
+    let role = Role::Node { operator, jobs: Arc::new(Jobs::new(&node.control)) };
+    Started { internal, role, control: node.control, incarnation }
+}
+
+fn start_store(boot: &Boot<'_>, disk: Disk, edges: Edges) -> Started {
+    let incarnation = disk.incarnation;
+    let (store, owned) = Store::new(boot.settings, disk, edges);
+    store.start(boot.settings);
+    tokio::spawn(run_jobs(owned));
+    let internal = store.internal_routes().map_to_response().boxed();
+    Started { internal, role: Role::Store, control: store.control, incarnation }
+}
+
+fn open_disk(boot: &Boot<'_>) -> Option<Disk> {
+    let options = if boot.settings.serves_store() { STORE_RING } else { NODE_RING };
+    let pace = boot.pace.clone();
+    let opened =
+        Journal::open_paced(boot.disk.file_system(), Path::new("/data"), options, move || pace.wait());
+    let (journal, recovered, writing) = opened.ok()?;
+    tokio::spawn(writing);
+    Some(Disk { journal, records: recovered.records, incarnation: Incarnation(recovered.incarnation) })
+}
+
+async fn answer(internal: &BoxEndpoint<'static, Response>, path: &str, body: Bytes) -> Outcome {
+    let request = poem::Request::builder().method(Method::POST).uri(path.parse().expect("a path")).body(body);
+    let response = internal.get_response(request).await;
+    let status = response.status().as_u16();
+    Ok((status, response.into_body().into_bytes().await.unwrap_or_default()))
+}
+
+/// Stands in for the runner of items: gives each its text after a while.
+async fn run_jobs(mut owned: mpsc::UnboundedReceiver<OwnedJob>) {
+    while let Some(job) = owned.recv().await {
+        tokio::spawn(run_job(job));
+    }
+}
+
+async fn run_job(owned: OwnedJob) {
+    let state = owned.state();
+    let left = owned.job.items.iter().filter(|item| owned.listed.iter().all(|listed| listed.id != item.id));
+    for item in left {
+        tokio::time::sleep(Duration::from_millis(fastrand::u64(ITEM_MS))).await;
+        if *state.borrow() != JobState::Open {
+            return;
+        }
+        let result = ItemResult {
+            id: item.id.clone(),
+            condition: Condition::Delivered,
+            text: text_of(&item.id),
+            versions: vec![1],
+            grade: None,
+        };
+        if owned.append(vec![result]).await.is_err() {
+            return;
         }
     }
 }
--- a/crates/emulator/src/servers.rs
+++ b/crates/emulator/src/servers.rs
@@ -1,12 +1,15 @@
 //! Model servers.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use rollout::{ModelName, ModelReport, Report, Server};
+use bytes::Bytes;
+use serde::Deserialize;
+use state::{Condition, ServerEntry};
 
-use crate::messages::{Reply, Request};
+use crate::wire::ORDER_PATH;
 
 /// How long a load takes.
 const LOAD: Duration = Duration::from_millis(400);
@@ -19,13 +22,22 @@
     pub(crate) fence: u64,
 }
 
+#[derive(Deserialize)]
+struct OrderBody {
+    model: Arc<str>,
+    #[serde(rename = "edition")]
+    version: u64,
+    holder: String,
+    fence: u64,
+}
+
 /// A model server. It does not check fences, so that a broken rule shows.
 #[derive(Debug)]
 pub struct ModelServer {
     id: Arc<str>,
     index: usize,
-    versions: BTreeMap<ModelName, u64>,
-    loading: Option<(ModelName, u64, Duration)>,
+    versions: BTreeMap<Arc<str>, u64>,
+    loading: Option<(Arc<str>, u64, Duration)>,
     taken: u64,
     pub(crate) orders: Vec<SeenOrder>,
 }
@@ -55,56 +67,65 @@
     }
 
     /// As the platform's list shows it.
-    pub(crate) fn listed(&self) -> Server {
-        Server {
+    pub(crate) fn listed(&self) -> ServerEntry {
+        ServerEntry {
             id: Arc::clone(&self.id),
-            address: ([10, 0, 0, 1], self.index as u16).into(),
+            service: "s".into(),
+            address: address_of(self.index),
             zone: "zone".into(),
-            closing: false,
+            slots: 8,
+            condition: Condition::Open,
+            cold_ms: 0,
             models: self.versions.clone(),
         }
     }
 
-    pub(crate) fn handle(&mut self, now: Duration, request: Request) -> Reply {
-        match request {
-            Request::Load { holder, fence, model, version } => {
-                self.orders.push(SeenOrder { at: now, holder, fence });
-                self.load(now, model, version)
-            }
-            Request::Report => Reply::Report(Box::new(self.report())),
-            Request::Generate(_) if self.loading.is_some() => Reply::Status(503),
-            Request::Generate(item) => {
-                Reply::Text(text_of(&item), *self.versions.values().next().expect("it has a model"))
-            }
-            other => unreachable!("servers are not asked {other:?}"),
+    /// Answers a call.
+    pub(crate) fn answer(&mut self, now: Duration, path: &str, body: &[u8]) -> (u16, Bytes) {
+        if path != ORDER_PATH {
+            return (200, self.report());
         }
+        let Ok(order) = serde_json::from_slice::<OrderBody>(body) else { return (400, Bytes::new()) };
+        self.orders.push(SeenOrder { at: now, holder: order.holder, fence: order.fence });
+        (self.load(now, order.model, order.version), Bytes::new())
     }
 
-    fn load(&mut self, now: Duration, model: ModelName, version: u64) -> Reply {
+    fn load(&mut self, now: Duration, model: Arc<str>, version: u64) -> u16 {
         if self.loading.is_some() {
-            return Reply::Status(409);
+            return 409;
         }
         if self.versions.get(&model) == Some(&version) {
-            return Reply::Status(200);
+            return 200;
         }
         self.taken += 1;
         self.loading = Some((model, version, now + LOAD));
-        Reply::Status(202)
+        202
     }
 
-    fn report(&self) -> Report {
-        let model =
-            |(name, version): (&ModelName, &u64)| ModelReport { name: name.clone(), version: *version };
-        Report {
-            models: self.versions.iter().map(model).collect(),
-            occupied: self.loading.is_some(),
-            orders_taken: self.taken,
-            queued: 0,
-            running: 0,
-        }
+    fn report(&self) -> Bytes {
+        let models = self.versions.iter();
+        let models: Vec<_> =
+            models.map(|(name, version)| serde_json::json!({ "name": name, "edition": version })).collect();
+        let report = serde_json::json!({
+            "models": models,
+            "occupied": self.loading.is_some(),
+            "callCount": self.taken,
+            "queuedCount": 0,
+            "inTransit": 0,
+        });
+        report.to_string().into()
     }
 }
 
+fn address_of(index: usize) -> SocketAddr {
+    ([10, 0, 1, 0], u16::try_from(index + 1).unwrap_or(u16::MAX)).into()
+}
+
+/// The number of the server with an address.
+pub(crate) fn index_of(address: SocketAddr) -> usize {
+    usize::from(address.port()) - 1
+}
+
 /// The text that any server makes for an item.
 pub(crate) fn text_of(item: &str) -> String {
     format!("the text of {item}")
--- a/crates/emulator/tests/common/mod.rs
+++ b/crates/emulator/tests/common/mod.rs
@@ -26,6 +26,9 @@
 impl Story {
     /// The system has started for the first time, and the first configuration is acknowledged.
     pub fn begin(seed: u64, shape: Shape) -> Self {
+        if let Some(level) = std::env::var("EMULATOR_LOG").ok().and_then(|level| level.parse().ok()) {
+            emulator::print_logs(level);
+        }
         let fleet = Fleet::start(seed, shape);
         let mut story = Self { fleet, configuration: (0, String::new()), named: 1, jobs: Vec::new() };
         story.change_configuration_within(START);
--- /dev/null
+++ b/crates/emulator/tests/simulation.rs
@@ -0,0 +1,45 @@
+//! A fixed set of random runs of the shipped code, each watched by the checker.
+
+use std::ops::Range;
+
+use emulator::simulation::{plan, play, shortest, Setup};
+use yare::parameterized;
+
+#[parameterized(
+    small = { Setup::small(), 0..120 },
+    small_too = { Setup::small(), 120..240 },
+    small_as_well = { Setup::small(), 240..360 },
+    large = { Setup::large(), 0..60 },
+    large_too = { Setup::large(), 60..120 },
+    large_as_well = { Setup::large(), 120..180 },
+    many_changes = { Setup::many_changes(), 0..20 },
+    many_changes_too = { Setup::many_changes(), 120..140 },
+)]
+fn given_any_troubles_when_played_then_no_rule_is_broken_and_all_is_well_again(
+    setup: Setup,
+    seeds: Range<u64>,
+) {
+    let mut changes = 0;
+    for seed in seeds {
+        let troubles = plan(seed, &setup);
+        match play(seed, &setup, &troubles) {
+            Ok(seen) => changes += seen.changes,
+            Err(broken) => {
+                let fewest = shortest(seed, &setup, &troubles);
+                panic!("seed {seed}: {broken:?}; with the fewest troubles: {fewest:?}");
+            }
+        }
+    }
+    assert!(changes > 100, "operators get somewhere: {changes} changes");
+}
+
+/// Without `--cfg tokio_unstable` the order in which woken tasks run is not seeded.
+#[cfg(tokio_unstable)]
+#[test]
+fn given_the_same_seed_when_played_again_then_the_run_is_the_same() {
+    for seed in 0..6 {
+        let setup = Setup::small();
+        let troubles = plan(seed, &setup);
+        assert_eq!(play(seed, &setup, &troubles), play(seed, &setup, &troubles));
+    }
+}
--- a/crates/emulator/tests/stories.rs
+++ b/crates/emulator/tests/stories.rs
@@ -11,6 +11,9 @@
 const SEEDS: std::ops::Range<u64> = 0..12;
 const FIVE: Shape = Shape { nodes: 5, stores: 5, servers: 6, machines_lost: 2 };
 
+/// A machine counts as lost for this long after it has returned (`catchUpS` where two may be lost).
+const CATCH_UP: Duration = Duration::from_secs(6);
+
 fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
 }
@@ -152,7 +155,10 @@
         for lost in [0, 1, 5, 6] {
             story.fleet.lose_disk(lost);
         }
+        // All of them are back within a second; from then on they have time to catch up.
+        let caught_up = story.fleet.now + seconds(1) + CATCH_UP;
         story.go_on();
+        story.fleet.run(caught_up.saturating_sub(story.fleet.now));
         for lost in [2, 3, 7, 8] {
             story.fleet.replace(lost);
         }
@@ -161,6 +167,54 @@
     }
 }
 
+/// Whether every machine that was there at the start is a member with the disk that it has now, and no batch job is on
+/// its way to another store set.
+fn is_whole(fleet: &Fleet) -> bool {
+    let newest =
+        fleet.machines().filter_map(|machine| fleet.state(machine)).max_by_key(|state| state.revision);
+    let Some(state) = newest else { return false };
+    let mut members: Vec<_> = state.stores.members.iter().map(|store| &store.member).collect();
+    members.extend(&state.acceptors);
+    let is_member = |machine: usize| {
+        let incarnation = fleet.incarnation(machine);
+        members
+            .iter()
+            .any(|member| member.station == fleet.station(machine) && Some(member.incarnation) == incarnation)
+    };
+    state.previous_stores.is_none() && fleet.machines().all(is_member)
+}
+
+#[parameterized(
+    one_store = { &[5] },
+    two_stores = { &[5, 6] },
+    two_nodes = { &[0, 1] },
+    two_nodes_and_two_stores = { &[0, 1, 5, 6] },
+)]
+fn given_lost_disks_when_the_machines_are_back_then_all_is_whole_again_before_they_count_as_back(
+    lost: &[usize],
+) {
+    let mut times = Vec::new();
+    for seed in 0..60 {
+        let mut story = Story::begin(seed, FIVE);
+        story.submit("first");
+        story.read_all();
+        lost.iter().for_each(|machine| story.fleet.lose_disk(*machine));
+        let begun = story.fleet.now;
+        let all_run = |fleet: &Fleet| fleet.machines().all(|machine| fleet.is_running(machine));
+        assert!(story.fleet.run_until(seconds(2), all_run));
+        let back = story.fleet.now;
+        assert!(story.fleet.run_until(seconds(30), is_whole), "seed {seed}: {:?}", story.fleet.state(4));
+        times.push(story.fleet.now - back);
+        assert!(
+            story.fleet.now - begun <= seconds(1) + CATCH_UP,
+            "seed {seed}: {:?}",
+            story.fleet.now - back
+        );
+    }
+    times.sort_unstable();
+    println!("whole again after {:?} (median), {:?} at most", times[times.len() / 2], times[times.len() - 1]);
+}
+
 #[test]
 fn given_a_replaced_machine_when_it_has_caught_up_then_the_former_is_no_member() {
     for seed in SEEDS {
@@ -220,7 +274,7 @@
         let order = OperatorOrder::Put { expected: 0, body: document(1) };
         assert_status(&fleet.order(seconds(40), &order), 200);
         let revisions =
-            fleet.machines().filter_map(|machine| fleet.state(machine)).map(|state| &state.acceptors);
+            fleet.machines().filter_map(|machine| fleet.state(machine)).map(|state| state.acceptors.clone());
         assert!(revisions.collect::<Vec<_>>().windows(2).all(|pair| pair[0] == pair[1]), "seed {seed}");
     }
 }
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -4,10 +4,14 @@
 //! Each plane owns its paths; [`handler`] turns an async function into an endpoint for one.
 
 mod client;
+mod error;
 mod server;
+mod transport;
 
-pub use client::{CallError, Client};
+pub use client::Client;
+pub use error::CallError;
 pub use server::{handler, serve};
+pub use transport::{HttpTransport, Transport};
 
 use serde::de::DeserializeOwned;
 use serde::Serialize;
--- a/crates/rushrudder/src/command.rs
+++ b/crates/rushrudder/src/command.rs
@@ -9,6 +9,8 @@
 use gumdrop::Options;
 use settings::Settings;
 
+use rushrudder::RoleError;
+
 use crate::local::LocalCommand;
 use crate::logging;
 
@@ -56,18 +58,6 @@
     pub configuration: Option<PathBuf>,
 }
 
-/// The process cannot serve its role.
-#[derive(Debug)]
-pub struct RoleError;
-
-impl std::fmt::Display for RoleError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the process cannot serve its role")
-    }
-}
-
-impl std::error::Error for RoleError {}
-
 /// Runs a role until its end.
 pub fn run_role<Role, Running>(options: RoleOptions, role: Role) -> ExitCode
 where
--- a/crates/rushrudder/src/control.rs
+++ b/crates/rushrudder/src/control.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use control_plane::{
-    paths, AcceptorService, Announcement, Capability, Distribution, FirstStart, Identity, Leadership,
-    Platform, PollRequest, Proposer, ViewCell, LEASE_TTL,
+    paths, AcceptorService, Announcement, Capability, Distribution, FirstStart, HttpServerCalls, Identity,
+    Leadership, ListSource, Platform, PollRequest, Proposer, ServerCalls, ViewCell, LEASE_TTL,
 };
 use error_stack::{Report, ResultExt};
 use lease::{Grantor, GrantorId, LeaseRelease, LeaseRequest};
@@ -16,8 +16,9 @@
 use state::{ControlState, StoreMember};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
-use crate::command::RoleError;
+use crate::RoleError;
 
 /// A process with an acceptor reads the platform's list itself after this silence ...
 const OWN_READ_ACCEPTOR: Duration = Duration::from_millis(1700);
@@ -34,6 +35,28 @@
     pub incarnation: Incarnation,
 }
 
+/// What connects a process with the rest of the world.
+#[derive(Clone)]
+pub struct Edges {
+    /// Calls to other processes.
+    pub client: rpc::Client,
+    /// The platform's list; `None` where there is none.
+    pub list: Option<Arc<dyn ListSource>>,
+    /// Calls to servers.
+    pub servers: Arc<dyn ServerCalls>,
+}
+
+impl Edges {
+    /// Sockets.
+    pub fn sockets(settings: &Settings) -> Self {
+        let list = settings.cloud.as_ref().map(|cloud| {
+            let platform: Arc<dyn ListSource> = Arc::new(Platform::new(cloud.address.clone()));
+            platform
+        });
+        Self { client: rpc::Client::new(), list, servers: Arc::new(HttpServerCalls::new()) }
+    }
+}
+
 /// The control plane of a process.
 pub struct Control {
     /// What the process knows.
@@ -48,11 +71,12 @@
     pub leadership: Arc<Leadership>,
     /// Its internal address.
     pub address: String,
+    edges: Edges,
     seeds: watch::Sender<Vec<String>>,
     first_start: Arc<FirstStart>,
     acceptor: Option<Arc<AcceptorService>>,
     grantor: Arc<Mutex<Grantor>>,
-    started: std::time::Instant,
+    started: Instant,
 }
 
 /// This process as a member, by the incarnation of its disk.
@@ -92,10 +116,15 @@
 }
 
 impl Control {
+    /// The acceptor of this process, if it has one.
+    pub fn acceptor(&self) -> Option<&Arc<AcceptorService>> {
+        self.acceptor.as_ref()
+    }
+
     /// The control plane of a process; one with a `disk` for it has an acceptor.
-    pub fn new(settings: &Settings, disk: Option<Disk>) -> Self {
+    pub fn new(settings: &Settings, disk: Option<Disk>, edges: Edges) -> Self {
         let view = Arc::new(ViewCell::new());
-        let client = rpc::Client::new();
+        let client = edges.client.clone();
         let proposer = Proposer::new(Arc::clone(&view), client.clone());
         let acceptor = disk.map(|disk| AcceptorService::new(disk.journal, disk.incarnation, &disk.records));
         let grantor = Mutex::new(Grantor::new(Duration::ZERO, LEASE_TTL));
@@ -112,11 +141,12 @@
             client,
             proposer,
             address: settings.internal_address(),
+            edges,
             seeds: watch::Sender::new(seed_addresses(settings)),
             first_start: Arc::new(FirstStart::default()),
             acceptor,
             grantor: Arc::new(grantor),
-            started: std::time::Instant::now(),
+            started: Instant::now(),
         }
     }
 
@@ -225,10 +255,10 @@
             self.address.clone(),
             leads,
         ));
-        if let Some(cloud) = &settings.cloud {
+        if let Some(list) = &self.edges.list {
             let own_after = if self.acceptor.is_some() { OWN_READ_ACCEPTOR } else { OWN_READ_OTHER };
             tokio::spawn(control_plane::run_list_reader(
-                Platform::new(cloud.address.clone()),
+                Arc::clone(list),
                 Arc::clone(&self.leadership),
                 Arc::clone(&self.view),
                 own_after,
@@ -288,6 +318,7 @@
             settings.station.clone(),
             Arc::clone(&self.leadership),
             Arc::clone(&view),
+            Arc::clone(&self.edges.servers),
         ));
         tokio::spawn(control_plane::run_upkeep(
             Arc::clone(&self.leadership),
--- a/crates/rushrudder/src/local.rs
+++ b/crates/rushrudder/src/local.rs
@@ -6,8 +6,9 @@
 use gumdrop::Options;
 use local_fleet::{LocalError, LocalOptions, Report, Trouble};
 
+use rushrudder::signals::Signals;
+
 use crate::logging;
-use crate::signals::Signals;
 
 /// Options of `local`.
 #[derive(Debug, Options)]
--- a/crates/rushrudder/src/main.rs
+++ b/crates/rushrudder/src/main.rs
@@ -1,19 +1,15 @@
 //! rushrudder: the roles of the system and commands for operators.
 
 mod command;
-mod control;
-mod jobs;
 mod local;
 mod logging;
-mod node;
-mod signals;
-mod store;
 
 use std::process::ExitCode;
 
 use gumdrop::Options;
 
 use command::{Command, Program};
+use rushrudder::{node, store};
 
 fn main() -> ExitCode {
     let program = Program::parse_args_default_or_exit();
--- a/crates/rushrudder/src/node.rs
+++ b/crates/rushrudder/src/node.rs
@@ -7,13 +7,14 @@
 use control_plane::{operator_routes, Capability};
 use data_plane::{Front, FrontSettings, Sender};
 use error_stack::{Report, ResultExt};
+use register::Member;
 use settings::Settings;
 use tokio::net::TcpListener;
 
-use crate::command::RoleError;
-use crate::control::{member, open_disk, Control};
+use crate::control::{member, open_disk, Control, Disk, Edges};
 use crate::jobs::Jobs;
 use crate::signals::{Signals, Told};
+use crate::RoleError;
 
 /// The journal of an acceptor: few records, each the whole state.
 const JOURNAL: storage::Options = storage::Options { segment_bytes: 2 * 1024 * 1024, segments: 8 };
@@ -28,13 +29,13 @@
 pub async fn run(settings: Settings) -> Result<(), Report<RoleError>> {
     let mut signals = Signals::listen()?;
     let disk = open_disk(&settings, JOURNAL)?;
-    let member = disk.as_ref().map(|disk| member(&settings, disk.incarnation));
-    let control = Control::new(&settings, disk);
+    let node = Node::new(&settings, disk, Edges::sockets(&settings));
+    let control = &node.control;
     let internal = control.listen().await?;
     tokio::spawn(rpc::serve(internal, control.internal_routes()));
-    control.start(&settings, member, Capability::Acceptor);
-    serve_operator(&settings, &control).await?;
-    let front = serve_clients(&settings, &control).await?;
+    node.start(&settings);
+    serve_operator(&settings, &node).await?;
+    let front = serve_clients(&settings, control).await?;
     log::info!("{} serves", settings.station);
     while signals.next().await == Told::Reload {
         control.reload();
@@ -44,15 +45,39 @@
     Ok(())
 }
 
+/// The parts of a traffic node that agree with other processes; those that carry requests are apart.
+pub struct Node {
+    /// Its control plane.
+    pub control: Control,
+    member: Option<Member>,
+}
+
+impl Node {
+    /// A node; one with a disk has an acceptor.
+    pub fn new(settings: &Settings, disk: Option<Disk>, edges: Edges) -> Self {
+        let member = disk.as_ref().map(|disk| member(settings, disk.incarnation));
+        Self { control: Control::new(settings, disk, edges), member }
+    }
+
+    /// The operator's interface.
+    pub fn operator_routes(&self) -> impl poem::Endpoint {
+        operator_routes(Arc::clone(&self.control.view), Arc::clone(&self.control.proposer))
+    }
+
+    /// Starts the tasks.
+    pub fn start(&self, settings: &Settings) {
+        self.control.start(settings, self.member.clone(), Capability::Acceptor);
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, Report<RoleError>> {
     TcpListener::bind(address).await.change_context(RoleError).attach_with(|| address.to_string())
 }
 
-async fn serve_operator(settings: &Settings, control: &Control) -> Result<(), Report<RoleError>> {
+async fn serve_operator(settings: &Settings, node: &Node) -> Result<(), Report<RoleError>> {
     let Some(address) = settings.posts.control else { return Ok(()) };
     let listener = bind(address).await?;
-    let routes = operator_routes(Arc::clone(&control.view), Arc::clone(&control.proposer));
-    tokio::spawn(rpc::serve(listener, routes));
+    tokio::spawn(rpc::serve(listener, node.operator_routes()));
     Ok(())
 }
 
--- a/crates/rushrudder/src/signals.rs
+++ b/crates/rushrudder/src/signals.rs
@@ -3,7 +3,7 @@
 use error_stack::{Report, ResultExt};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
-use crate::command::RoleError;
+use crate::RoleError;
 
 /// What the platform tells by signals.
 pub struct Signals {
--- a/crates/rushrudder/src/store.rs
+++ b/crates/rushrudder/src/store.rs
@@ -6,14 +6,17 @@
 use control_plane::{Capability, Distribution};
 use data_plane::Sender;
 use error_stack::{IntoReport, Report};
+use poem::Route;
+use register::Member;
 use settings::Settings;
 use store_plane::runner::RunnerSettings;
 use store_plane::runner_owned::run_owned_jobs;
-use store_plane::{JobStore, Limits};
+use store_plane::{JobStore, Limits, OwnedJob};
+use tokio::sync::mpsc::UnboundedReceiver;
 
-use crate::command::RoleError;
-use crate::control::{member, open_disk, Control};
+use crate::control::{member, open_disk, Control, Disk, Edges};
 use crate::signals::{Signals, Told};
+use crate::RoleError;
 
 /// Bytes of a segment of the journal.
 const SEGMENT_BYTES: u64 = 16 * 1024 * 1024;
@@ -29,33 +32,65 @@
     let mut signals = Signals::listen()?;
     let disk = open_disk(&settings, journal_options(&settings))?;
     let disk = disk.ok_or_else(|| RoleError.into_report().attach("a store needs dataDir in its settings"))?;
-    let member = member(&settings, disk.incarnation);
-    let control = Control::new(&settings, None);
-    let internal = control.listen().await?;
-    let (store, owned) = JobStore::open(
-        member.clone(),
-        Arc::new(disk.journal),
-        disk.records.into_iter().map(|(position, bytes)| (position.0, bytes)),
-        control.client.clone(),
-        control.view.subscribe(),
-        Limits { results_kept: settings.timetable.status() },
-    );
-    tokio::spawn(rpc::serve(internal, control.internal_routes().nest_no_strip("/batch", store.endpoint())));
-    control.start(&settings, Some(member), Capability::Store);
-    let sender = Sender::new(control.view.subscribe(), settings.zone.as_str().into());
+    let (store, owned) = Store::new(&settings, disk, Edges::sockets(&settings));
+    let internal = store.control.listen().await?;
+    tokio::spawn(rpc::serve(internal, store.internal_routes()));
+    store.start(&settings);
+    let sender = Sender::new(store.control.view.subscribe(), settings.zone.as_str().into());
     tokio::spawn(run_owned_jobs(owned, sender, RunnerSettings::default()));
-    tokio::spawn(store.clone().run());
-    tokio::spawn(report_moves(store.clone(), Arc::clone(&control.distribution)));
     log::info!("{} serves", settings.station);
     while signals.next().await == Told::Reload {
-        control.reload();
+        store.control.reload();
     }
     log::info!("{} ends", settings.station);
     store.resign().await;
-    tokio::time::sleep(LAST_ANSWERS).await;
     Ok(())
 }
 
+/// The parts of a store that keep batch jobs and agree with other processes; those that run items are apart.
+pub struct Store {
+    /// Its control plane.
+    pub control: Control,
+    /// Its batch jobs.
+    pub jobs: JobStore,
+    member: Member,
+}
+
+impl Store {
+    /// A store with what its disk held. The receiver is handed each batch job whose items are to be run here.
+    pub fn new(settings: &Settings, disk: Disk, edges: Edges) -> (Self, UnboundedReceiver<OwnedJob>) {
+        let member = member(settings, disk.incarnation);
+        let control = Control::new(settings, None, edges);
+        let (jobs, owned) = JobStore::open(
+            member.clone(),
+            Arc::new(disk.journal),
+            disk.records.into_iter().map(|(position, bytes)| (position.0, bytes)),
+            control.client.clone(),
+            control.view.subscribe(),
+            Limits { results_kept: settings.timetable.status() },
+        );
+        (Self { control, jobs, member }, owned)
+    }
+
+    /// The endpoints for other processes.
+    pub fn internal_routes(&self) -> Route {
+        self.control.internal_routes().nest_no_strip("/batch", self.jobs.endpoint())
+    }
+
+    /// Starts the tasks.
+    pub fn start(&self, settings: &Settings) {
+        self.control.start(settings, Some(self.member.clone()), Capability::Store);
+        tokio::spawn(self.jobs.clone().run());
+        tokio::spawn(report_moves(self.jobs.clone(), Arc::clone(&self.control.distribution)));
+    }
+
+    /// Hands all batch jobs over, before the process ends.
+    pub async fn resign(&self) {
+        self.jobs.resign().await;
+        tokio::time::sleep(LAST_ANSWERS).await;
+    }
+}
+
 fn journal_options(settings: &Settings) -> storage::Options {
     // A part of the disk stays free for what is written anew while old segments are still in use.
     let fitting = settings.limits.disk_bytes() * 4 / 5 / SEGMENT_BYTES;
--- a/crates/storage/src/journal.rs
+++ b/crates/storage/src/journal.rs
@@ -6,7 +6,8 @@
 use std::thread;
 
 use error_stack::{Report, ResultExt};
-use tokio::sync::oneshot;
+use futures_util::future::BoxFuture;
+use tokio::sync::{oneshot, Notify};
 
 use crate::ring::Identity;
 use crate::{FileSystem, NativeFileSystem, Options, Position, Recovered, Ring, StorageError, Usage};
@@ -22,7 +23,7 @@
 
 #[derive(Clone)]
 enum Backend {
-    Threaded(Arc<Handle>),
+    Queued(Arc<Handle>),
     Inline(Arc<Mutex<Ring>>),
 }
 
@@ -55,6 +56,20 @@
         Ok((Self::threaded(ring)?, recovered(identity, Vec::new())))
     }
 
+    /// A journal without a thread, whose records become durable some time later: for simulations. The future that
+    /// is returned writes them, in batches, whenever `pace` lets it; nothing is written after it is dropped.
+    pub fn open_paced(
+        file_system: Arc<dyn FileSystem>,
+        directory: &Path,
+        options: Options,
+        pace: impl FnMut() -> BoxFuture<'static, ()> + Send + 'static,
+    ) -> Result<(Self, Recovered, BoxFuture<'static, ()>), Report<StorageError>> {
+        let (ring, recovered) = open_ring(file_system, directory, options)?;
+        let shared = Arc::new(Shared::new(&ring));
+        let writing = Box::pin(Arc::clone(&shared).run_paced(ring, pace));
+        Ok((Self { backend: Backend::Queued(Arc::new(Handle { shared })) }, recovered, writing))
+    }
+
     /// A journal without a thread, whose [`append`](Journal::append) waits for the disk itself: for simulations.
     pub fn open_inline(
         file_system: Arc<dyn FileSystem>,
@@ -66,14 +81,11 @@
     }
 
     fn threaded(ring: Ring) -> Result<Self, Report<StorageError>> {
-        let shared = Arc::new(Shared {
-            queue: Mutex::new(Queue { usage: ring.usage(), ..Queue::default() }),
-            changed: Condvar::new(),
-        });
+        let shared = Arc::new(Shared::new(&ring));
         let worker = Arc::clone(&shared);
         let spawned = thread::Builder::new().name(THREAD_NAME.to_owned()).spawn(move || worker.run(ring));
         spawned.map_err(StorageError::from)?;
-        Ok(Self { backend: Backend::Threaded(Arc::new(Handle { shared })) })
+        Ok(Self { backend: Backend::Queued(Arc::new(Handle { shared })) })
     }
 
     /// Appends a record; completes when it is durable. The record takes its place when this is called, not when
@@ -81,7 +93,7 @@
     pub fn append(&self, record: Vec<u8>) -> impl Future<Output = Result<Position, StorageError>> + Send {
         let (sender, receiver) = oneshot::channel();
         match &self.backend {
-            Backend::Threaded(handle) => handle.shared.enqueue(Request { record, sender }),
+            Backend::Queued(handle) => handle.shared.enqueue(Request { record, sender }),
             Backend::Inline(ring) => {
                 let outcome = lock(ring).append(&[record]).pop();
                 let _ = sender.send(outcome.unwrap_or(Err(StorageError::Closed)));
@@ -93,7 +105,7 @@
     /// Tells that the records before `position` are no longer needed. Takes effect with the next append.
     pub fn release(&self, position: Position) {
         match &self.backend {
-            Backend::Threaded(handle) => {
+            Backend::Queued(handle) => {
                 let mut queue = lock(&handle.shared.queue);
                 queue.released = queue.released.max(position);
             }
@@ -104,7 +116,7 @@
     /// How full the ring was after the last append.
     pub fn usage(&self) -> Usage {
         match &self.backend {
-            Backend::Threaded(handle) => lock(&handle.shared.queue).usage,
+            Backend::Queued(handle) => lock(&handle.shared.queue).usage,
             Backend::Inline(ring) => lock(ring).usage(),
         }
     }
@@ -144,7 +156,10 @@
 
 struct Shared {
     queue: Mutex<Queue>,
+    /// For a writer on a thread of its own ...
     changed: Condvar,
+    /// ... and for one that is a future.
+    queued: Notify,
 }
 
 struct Queue {
@@ -168,6 +183,11 @@
 }
 
 impl Shared {
+    fn new(ring: &Ring) -> Self {
+        let queue = Mutex::new(Queue { usage: ring.usage(), ..Queue::default() });
+        Self { queue, changed: Condvar::new(), queued: Notify::new() }
+    }
+
     fn enqueue(&self, request: Request) {
         let mut queue = lock(&self.queue);
         queue.requests.push(request);
@@ -176,23 +196,43 @@
         if is_idle {
             self.changed.notify_one();
         }
+        self.queued.notify_one();
     }
 
     /// Writes what is queued, until the queue is closed and empty.
     fn run(&self, mut ring: Ring) {
         while let Some((requests, released)) = self.next_batch() {
-            ring.release(released);
-            let (records, senders): (Vec<_>, Vec<_>) =
-                requests.into_iter().map(|request| (request.record, request.sender)).unzip();
-            let outcomes = ring.append(&records);
-            lock(&self.queue).usage = ring.usage();
-            for (sender, outcome) in senders.into_iter().zip(outcomes) {
-                // The caller may have stopped waiting.
-                let _ = sender.send(outcome);
+            self.write(&mut ring, requests, released);
+        }
+    }
+
+    /// Writes what is queued when `pace` lets it, until dropped.
+    async fn run_paced(self: Arc<Self>, mut ring: Ring, mut pace: impl FnMut() -> BoxFuture<'static, ()>) {
+        loop {
+            self.queued.notified().await;
+            pace().await;
+            let (requests, released) = {
+                let mut queue = lock(&self.queue);
+                (std::mem::take(&mut queue.requests), queue.released)
+            };
+            if !requests.is_empty() {
+                self.write(&mut ring, requests, released);
             }
         }
     }
 
+    fn write(&self, ring: &mut Ring, requests: Vec<Request>, released: Position) {
+        ring.release(released);
+        let (records, senders): (Vec<_>, Vec<_>) =
+            requests.into_iter().map(|request| (request.record, request.sender)).unzip();
+        let outcomes = ring.append(&records);
+        lock(&self.queue).usage = ring.usage();
+        for (sender, outcome) in senders.into_iter().zip(outcomes) {
+            // The caller may have stopped waiting.
+            let _ = sender.send(outcome);
+        }
+    }
+
     fn next_batch(&self) -> Option<(Vec<Request>, Position)> {
         let mut queue = lock(&self.queue);
         while queue.requests.is_empty() {
--- a/crates/store-plane/src/replication/state.rs
+++ b/crates/store-plane/src/replication/state.rs
@@ -1,6 +1,6 @@
 //! What a store keeps in memory of the batch jobs, and the order in which it becomes durable.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use batch::{
@@ -30,25 +30,25 @@
     pub replica: Replica,
     /// The process is about to end: it owns nothing any more.
     pub is_leaving: bool,
-    pub owned: HashMap<JobId, Owned>,
+    pub owned: BTreeMap<JobId, Owned>,
     /// When another owner of a batch job was last heard of.
-    pub heard: HashMap<JobId, Instant>,
+    pub heard: BTreeMap<JobId, Instant>,
     /// Since when a batch job is known to this process, put back by what other stores told.
-    pub first_seen: HashMap<JobId, Instant>,
+    pub first_seen: BTreeMap<JobId, Instant>,
     /// Epoch under which the owner of a batch job has committed its log.
-    pub settled: HashMap<JobId, u64>,
+    pub settled: BTreeMap<JobId, u64>,
     /// The highest ballot that a claim was rejected for.
-    pub rejected: HashMap<JobId, Ballot>,
+    pub rejected: BTreeMap<JobId, Ballot>,
     /// Batch jobs of which a record was lost: they are written whole the next time.
-    pub tainted: HashSet<JobId>,
+    pub tainted: BTreeSet<JobId>,
     /// Writes on their way to the disk, by batch job.
-    pub undurable: HashMap<JobId, usize>,
+    pub undurable: BTreeMap<JobId, usize>,
     /// Position of the oldest record that a batch job needs.
-    pub oldest: HashMap<JobId, u64>,
+    pub oldest: BTreeMap<JobId, u64>,
     /// Stores that did not answer the last time.
-    pub unreachable: HashSet<StoreId>,
+    pub unreachable: BTreeSet<StoreId>,
     /// Stores that a heartbeat is on its way to.
-    pub beating: HashSet<StoreId>,
+    pub beating: BTreeSet<StoreId>,
     /// The epoch that is durably refused to fall below, and the position of its record.
     pub epoch: (u64, u64),
     pub next_token: u64,
@@ -63,16 +63,16 @@
         let mut state = Self {
             replica: Replica::default(),
             is_leaving: false,
-            owned: HashMap::new(),
-            heard: HashMap::new(),
-            first_seen: HashMap::new(),
-            settled: HashMap::new(),
-            rejected: HashMap::new(),
-            tainted: HashSet::new(),
-            undurable: HashMap::new(),
-            oldest: HashMap::new(),
-            unreachable: HashSet::new(),
-            beating: HashSet::new(),
+            owned: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            first_seen: BTreeMap::new(),
+            settled: BTreeMap::new(),
+            rejected: BTreeMap::new(),
+            tainted: BTreeSet::new(),
+            undurable: BTreeMap::new(),
+            oldest: BTreeMap::new(),
+            unreachable: BTreeSet::new(),
+            beating: BTreeSet::new(),
             epoch: (0, 0),
             next_token: 0,
             writer,
--- a/crates/store-plane/src/replication/tend.rs
+++ b/crates/store-plane/src/replication/tend.rs
@@ -44,6 +44,7 @@
         let mut view_open = true;
         loop {
             tokio::select! {
+                biased;
                 _ = ticks.tick() => {}
                 changed = view.changed(), if view_open => {
                     view_open = changed.is_ok();
--- a/test.sh
+++ b/test.sh
@@ -6,4 +6,6 @@
 cargo clippy --locked --workspace --all-targets -- -D warnings
 RUSTDOCFLAGS="-D warnings" cargo doc --locked --workspace --no-deps --lib
 cargo build --locked --release
-cargo test --locked --workspace
+cargo test --locked --workspace --exclude emulator
+# Simulated fleets: optimised, and with the draws of the runtime seeded, so that a seed gives the same run each time.
+RUSTFLAGS="--cfg tokio_unstable" cargo test --locked --release -p emulator --target-dir target/simulated
