Take an answer without a length as whole when it ends with its connection, and count every send

Cause: data-plane refused an answer with neither length nor chunks, so that a request that had run was told as 502.

No client of ours repeats by itself (reqwest's retry is off everywhere now, as it was for clients' requests).

--- a/crates/control-plane/src/platform.rs
+++ b/crates/control-plane/src/platform.rs
@@ -121,6 +121,7 @@
             .connect_timeout(Duration::from_millis(500))
             .tcp_nodelay(true)
             .no_proxy()
+            .retry(reqwest::retry::never())
             .redirect(reqwest::redirect::Policy::none())
             .build()
             .expect("the HTTP client is set up without I/O");
--- a/crates/control-plane/src/server_calls.rs
+++ b/crates/control-plane/src/server_calls.rs
@@ -45,6 +45,7 @@
             .connect_timeout(CONNECT_TIMEOUT)
             .tcp_nodelay(true)
             .no_proxy()
+            .retry(reqwest::retry::never())
             .redirect(reqwest::redirect::Policy::none())
             .build()
             .expect("the HTTP client is set up without I/O");
--- a/crates/data-plane/src/attempt.rs
+++ b/crates/data-plane/src/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use dispatch::Outcome;
-use http::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_ENCODING, RETRY_AFTER, TRANSFER_ENCODING};
+use http::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_ENCODING, RETRY_AFTER};
 use http::StatusCode;
 use tokio::time::{timeout_at, Instant};
 
@@ -260,12 +260,12 @@
     Failure { retry_after, ..Failure::new(Verdict::NotRun) }
 }
 
-/// Whether the answer can be the server's and its end can be told from a cut.
+/// Whether the answer can be the server's. One without a length ends with its connection; if that is reset, reading
+/// the body fails.
 fn is_proper(response: &reqwest::Response) -> bool {
     let (status, headers) = (response.status(), response.headers());
-    let has_end = response.content_length().is_some() || headers.contains_key(TRANSFER_ENCODING);
     let is_stamped = !status.is_success() || headers.contains_key(POSTMARK);
-    has_end && is_stamped && !status.is_informational() && !headers.contains_key(CONTENT_ENCODING)
+    is_stamped && !status.is_informational() && !headers.contains_key(CONTENT_ENCODING)
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
--- a/crates/rpc/src/transport.rs
+++ b/crates/rpc/src/transport.rs
@@ -51,6 +51,7 @@
             .tcp_user_timeout(UNACKNOWLEDGED_MOST)
             .pool_idle_timeout(IDLE_KEPT)
             .no_proxy()
+            .retry(reqwest::retry::never())
             .redirect(reqwest::redirect::Policy::none())
             .build()
             .expect("the HTTP client is set up without I/O");
