Keep 1,024 taken changes, hash by a library, and send pollers only the changes since theirs

Nothing bounds the time in which a configuration may come again, but the number of changes that pass meanwhile is bounded by its caller's eight orders at once.

A poller is sent the changes since the version that it holds, 20 bytes each, not all of them.

The digest, the rendezvous scores and the candidate's pauses came from hand-made FNV sums, SplitMix64 and xorshift; they are XXH3's (128 and 64 bits) and fastrand's now. Copies of batch jobs are ranked by membership::rendezvous_score; batch's own twin is gone.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -7,7 +7,7 @@
 mod schedule;
 
 pub use job::{Condition, Item, ItemId, ItemResult, Job, JobError, JobId, RewardRequest};
-pub use log::{rendezvous_score, Ballot, Entry, HandedIn, Record, StoreId};
+pub use log::{Ballot, Entry, HandedIn, Record, StoreId};
 pub use ownership::{Copies, Ownership, Phase};
 pub use replica::{Replica, ReplicaLog, ReplicaReply, ReplicaRequest};
 pub use schedule::{Candidate, ItemIndex, ItemPhase, JobOrder, Outlook, Precedence, Urgency};
--- a/crates/batch/src/log.rs
+++ b/crates/batch/src/log.rs
@@ -117,19 +117,3 @@
         }
     }
 }
-
-/// Ranks stores for a batch job by rendezvous hashing; the highest score comes first.
-#[must_use]
-pub fn rendezvous_score(station: &str, job: &str) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    let bytes = station.bytes().chain(std::iter::once(0)).chain(job.bytes());
-    let hash = bytes.fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME));
-    scramble(hash)
-}
-
-fn scramble(value: u64) -> u64 {
-    let value = (value ^ (value >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    let value = (value ^ (value >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-    value ^ (value >> 33)
-}
--- a/crates/control-plane/src/control_updates.rs
+++ b/crates/control-plane/src/control_updates.rs
@@ -5,7 +5,7 @@
 
 use register::Versioned;
 use serde::{Deserialize, Serialize};
-use state::{ControlState, TakenChange};
+use state::{ControlState, TakenChange, TAKEN_KEPT};
 
 /// A newer committed value.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,7 +20,39 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct ConfigurationPart {
     configuration: String,
-    taken: VecDeque<TakenChange>,
+    taken: TakenPart,
+}
+
+/// The changes that were taken: all, or those since the version that the receiver holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum TakenPart {
+    Whole(VecDeque<TakenChange>),
+    Since { edition: u64, changes: Vec<TakenChange> },
+}
+
+impl TakenPart {
+    fn new(taken: VecDeque<TakenChange>, edition_held: u64) -> Self {
+        match taken.iter().position(|change| change.edition == edition_held) {
+            Some(held) => {
+                Self::Since { edition: edition_held, changes: taken.into_iter().skip(held + 1).collect() }
+            }
+            None => Self::Whole(taken),
+        }
+    }
+
+    fn apply(self, held: &ControlState) -> Option<VecDeque<TakenChange>> {
+        match self {
+            Self::Whole(taken) => Some(taken),
+            Self::Since { edition, changes } if held.edition == edition => {
+                let mut taken = held.taken.clone();
+                taken.extend(changes);
+                let surplus = taken.len().saturating_sub(TAKEN_KEPT);
+                taken.drain(..surplus);
+                Some(taken)
+            }
+            Self::Since { .. } => None,
+        }
+    }
 }
 
 impl ControlUpdate {
@@ -29,20 +61,21 @@
     pub fn new(newest: &Versioned<ControlState>, edition_held: u64) -> Self {
         let mut state = ControlState::clone(&newest.value);
         let configuration = std::mem::take(&mut state.configuration);
-        let part = ConfigurationPart { configuration, taken: std::mem::take(&mut state.taken) };
+        let taken = TakenPart::new(std::mem::take(&mut state.taken), edition_held);
+        let part = ConfigurationPart { configuration, taken };
         let is_held = state.edition == edition_held;
         let rest = Versioned { value: Arc::new(state), ..newest.clone() };
         Self { rest, configuration: (!is_held).then_some(part) }
     }
 
-    /// The newest value; `None` where it needs a configuration that is not the one `held`.
+    /// The newest value; `None` where it builds on another version of the configuration than the one `held`.
     #[must_use]
     pub fn apply(self, held: &ControlState) -> Option<Versioned<ControlState>> {
         let mut state = Arc::unwrap_or_clone(self.rest.value);
         match self.configuration {
             Some(part) => {
                 state.configuration = part.configuration;
-                state.taken = part.taken;
+                state.taken = part.taken.apply(held)?;
             }
             None if held.edition == state.edition => {
                 state.configuration.clone_from(&held.configuration);
--- a/crates/control-plane/src/operator.rs
+++ b/crates/control-plane/src/operator.rs
@@ -146,6 +146,10 @@
         Declined::OtherVersion(current) => {
             failure(StatusCode::PRECONDITION_FAILED, &format!("version {current} is in place"))
         }
+        Declined::TooOld => failure(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "it builds on a version so old that it cannot be told whether it was taken",
+        ),
         Declined::Invalid(error) => failure(StatusCode::BAD_REQUEST, &error.to_string()),
         Declined::Unknown => failure(StatusCode::NOT_FOUND, "no such store machine"),
         Declined::TooFew => failure(StatusCode::CONFLICT, "too few store machines would be left"),
--- a/crates/control-plane/tests/control_updates.rs
+++ b/crates/control-plane/tests/control_updates.rs
@@ -5,7 +5,8 @@
 
 use control_plane::ControlUpdate;
 use register::{Ballot, Versioned};
-use state::{ControlState, TakenChange};
+use state::{ControlState, TakenChange, TAKEN_KEPT};
+use yare::parameterized;
 
 /// Far more than the rest of a state takes.
 const CONFIGURATION_BYTES: usize = 10_000;
@@ -41,6 +42,35 @@
     assert_eq!(update.apply(&ControlState::default()), Some(newest));
 }
 
+/// A state after this many changes, each of which raised the version by two.
+fn changed(times: u64) -> ControlState {
+    let newest = (1..=times).rev().take(TAKEN_KEPT).collect::<Vec<_>>();
+    let taken =
+        newest.into_iter().rev().map(|change| TakenChange { digest: change.into(), edition: 2 * change });
+    ControlState { taken: taken.collect(), ..state(2 * times, 1) }
+}
+
+#[parameterized(
+    next = { 5, 6 },
+    many_later = { 5, 900 },
+    when_some_are_forgotten = { 1500, 1510 },
+    when_all_that_is_held_is_forgotten = { 5, 1500 },
+)]
+fn given_a_newer_configuration_when_polled_then_only_the_changes_since_are_sent(held: u64, newest: u64) {
+    let (held, newest) = (changed(held), committed(changed(newest)));
+    let update = ControlUpdate::new(&newest, held.edition);
+    let bytes = rpc::encode(&update).len() - CONFIGURATION_BYTES;
+    let since = (newest.value.edition - held.edition) as usize / 2;
+    assert!(bytes < 200 + 25 * since.min(TAKEN_KEPT), "{bytes} bytes for {since} changes");
+    assert_eq!(update.apply(&held), Some(newest));
+}
+
+#[test]
+fn given_changes_since_a_version_when_another_one_is_held_then_they_are_not_applied() {
+    let newest = committed(changed(6));
+    assert_eq!(ControlUpdate::new(&newest, 10).apply(&changed(4)), None);
+}
+
 #[test]
 fn given_an_update_without_configuration_when_another_one_is_held_then_it_is_not_applied() {
     let newest = committed(state(5, 2));
--- a/crates/lease/src/candidate.rs
+++ b/crates/lease/src/candidate.rs
@@ -3,6 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use fastrand::Rng;
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::{GrantorId, LeaseRelease, LeaseReply, LeaseRequest};
 
 /// A lease is held for its ttl less one part in this many, for clocks that run apart.
@@ -39,7 +42,7 @@
     held_until: Duration,
     next_round: Duration,
     round: Option<Round>,
-    jitter: u64,
+    random: Rng,
     defers: bool,
     has_first_grantors: bool,
 }
@@ -65,7 +68,8 @@
     /// A candidate whose `name` no other process has, nor an earlier life of this one.
     pub fn new(name: impl Into<String>, ttl: Duration) -> Self {
         let name = name.into();
-        let jitter = hash(name.as_bytes());
+        // Candidates with other names draw other pauses.
+        let random = Rng::with_seed(xxh3_64(name.as_bytes()));
         Self {
             name,
             ttl,
@@ -74,7 +78,7 @@
             held_until: Duration::ZERO,
             next_round: Duration::ZERO,
             round: None,
-            jitter,
+            random,
             defers: false,
             has_first_grantors: false,
         }
@@ -209,13 +213,10 @@
         }
     }
 
-    /// A pseudo-random duration below `limit` (xorshift).
+    /// A random duration below `limit`.
     fn draw(&mut self, limit: Duration) -> Duration {
-        self.jitter ^= self.jitter << 13;
-        self.jitter ^= self.jitter >> 7;
-        self.jitter ^= self.jitter << 17;
         let limit = (limit.as_micros() as u64).max(1);
-        Duration::from_micros(self.jitter % limit)
+        Duration::from_micros(self.random.u64(..limit))
     }
 
     fn advance(&mut self, now: Duration) {
@@ -254,11 +255,3 @@
         remaining.max().filter(|_| has_majority)
     }
 }
-
-/// FNV-1a; never zero.
-fn hash(bytes: &[u8]) -> u64 {
-    let start = 0xcbf2_9ce4_8422_2325;
-    let hashed =
-        bytes.iter().fold(start, |hash, &byte| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3));
-    hashed | 1
-}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,6 +1,6 @@
 //! Who exists, and who monitors whom, by rendezvous hashing.
 //!
-//! [`rendezvous`] ranks members for a key, [`monitors`] and [`monitored_by`] spread the work of watching, and
+//! [`rendezvous`] ranks members for a key by their [`rendezvous_score`], [`monitors`] and [`monitored_by`] spread the work of watching, and
 //! [`Detector`] judges silence. Nothing here does I/O or reads a clock.
 
 mod detector;
@@ -8,5 +8,5 @@
 mod placement;
 
 pub use detector::{Detector, Timing};
-pub use hash::hash;
+pub use hash::{hash, rendezvous_score};
 pub use placement::{monitored_by, monitors, rendezvous};
--- a/crates/state/src/change/operator.rs
+++ b/crates/state/src/change/operator.rs
@@ -1,6 +1,7 @@
 //! Changes by the operator and the trainers.
 
 use configuration::{Configuration, ConfigurationError};
+use xxhash_rust::xxh3::Xxh3;
 
 use super::successor;
 use crate::{ControlState, DrainState, TakenChange, TAKEN_KEPT};
@@ -24,6 +25,8 @@
     AlreadyTaken,
     /// It builds on another version than this current one.
     OtherVersion(u64),
+    /// It builds on a version so old that it cannot be told any more whether it was taken.
+    TooOld,
     /// It is invalid.
     Invalid(ConfigurationError),
     /// There is nothing to change.
@@ -34,16 +37,14 @@
     TooFew,
 }
 
-/// A digest of an order's content: two 64-bit FNV-1a sums with different starts.
+/// A digest of an order's content (XXH3, 128 bits).
 #[must_use]
 pub fn change_digest(kind: ChangeKind, expected: u64, body: &[u8]) -> u128 {
-    let head = [u8::from(kind == ChangeKind::Patch)].into_iter().chain(expected.to_be_bytes());
-    let sum = |start: u64| {
-        head.clone()
-            .chain(body.iter().copied())
-            .fold(start, |sum, byte| (sum ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3))
-    };
-    u128::from(sum(0xcbf2_9ce4_8422_2325)) << 64 | u128::from(sum(0x9e37_79b9_7f4a_7c15))
+    let mut hasher = Xxh3::new();
+    hasher.update(&[u8::from(kind == ChangeKind::Patch)]);
+    hasher.update(&expected.to_be_bytes());
+    hasher.update(body);
+    hasher.digest128()
 }
 
 /// Changes the configuration on top of version `expected`.
@@ -62,7 +63,8 @@
         return Err(Declined::AlreadyTaken);
     }
     if expected != state.edition {
-        return Err(Declined::OtherVersion(state.edition));
+        let is_forgotten = state.forgets_changes_on(expected);
+        return Err(if is_forgotten { Declined::TooOld } else { Declined::OtherVersion(state.edition) });
     }
     let document = match kind {
         ChangeKind::Patch => configuration::patch(&state.configuration, body),
--- a/crates/state/src/control.rs
+++ b/crates/state/src/control.rs
@@ -7,8 +7,9 @@
 
 /// The revision of the first state.
 pub const FIRST_REVISION: u64 = 1;
-/// Changes of the configuration that are remembered, so that a repeated order is acknowledged and not refused.
-pub const TAKEN_KEPT: usize = 256;
+/// Changes of the configuration that are remembered, so that a repeated order is acknowledged and not refused. An
+/// order on an older version gets no clear answer.
+pub const TAKEN_KEPT: usize = 1024;
 
 /// A change of the configuration that was taken, known by its content.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -87,6 +88,13 @@
 }
 
 impl ControlState {
+    /// Whether a change on top of this version of the configuration may have been taken and forgotten since.
+    #[must_use]
+    pub fn forgets_changes_on(&self, expected: u64) -> bool {
+        let oldest = self.taken.front().filter(|_| self.taken.len() >= TAKEN_KEPT);
+        oldest.is_some_and(|oldest| expected < oldest.edition)
+    }
+
     /// Whether the acceptors are those of the first start.
     #[must_use]
     pub fn has_first_acceptors(&self) -> bool {
--- a/crates/store-plane/src/replication/copies.rs
+++ b/crates/store-plane/src/replication/copies.rs
@@ -1,9 +1,9 @@
 //! Which stores keep a batch job.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
-use batch::rendezvous_score;
+use membership::rendezvous_score;
 use state::{StoreMember, StoreSet};
 
 /// Orders the copies of all batch jobs alike, so that batch jobs that share copies share an owner.
@@ -18,7 +18,7 @@
 pub fn copies_of<'a>(set: &'a StoreSet, job: &str) -> Vec<&'a StoreMember> {
     let mut candidates: Vec<&StoreMember> = set.members.iter().collect();
     candidates.sort_by_cached_key(|store| Reverse(rendezvous_score(&store.member.station, job)));
-    let mut in_zone: HashMap<&str, usize> = HashMap::new();
+    let mut in_zone: BTreeMap<&str, usize> = BTreeMap::new();
     let mut copies = Vec::with_capacity(set.copies);
     while copies.len() < set.copies && !candidates.is_empty() {
         let used = |store: &StoreMember| in_zone.get(store.zone.as_str()).copied().unwrap_or(0);
