Let a store that missed a move drop what it keeps no more, and end a change of members only when others know

Cause, stores: an owner tells the copies of the set before to forget a batch job that they keep no more. Its hints to present copies were ignored where these owned the batch job. Now the owner answers such a hint by telling it to forget.

Cause, members: the proposer of a change of the acceptors told them of the commit and did not wait. A change of the acceptors now ends when a majority of the new ones has noted it.

A node that is told to end leaves the register in one step if there are more acceptors than wanted, that is, when another came in its place; it does not wait to be found silent. Simulated processes end in good order as well.

The files of store-plane's runner are a folder. Versions are named every 2 s in random runs (6 s before).

--- a/crates/control-plane/src/bootstrap.rs
+++ b/crates/control-plane/src/bootstrap.rs
@@ -6,7 +6,7 @@
 
 use futures_util::future::join_all;
 use register::{AcceptorReply, AcceptorRequest, Ballot, Member, Outcome, Versioned};
-use state::change::{choose_first, first_state, with_acceptor, with_store};
+use state::change::{choose_first, first_state, with_acceptor, with_store, without_acceptor};
 use state::{ControlState, StoreMember};
 use tokio::time::Instant;
 
@@ -23,6 +23,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long joining is tried at a stretch.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(2000);
+/// How long leaving may take.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Pause after a store has joined, before it joins again.
 const REJOIN_PAUSE: Duration = Duration::from_secs(10);
 /// The ballot of the first value; every proposal is above it.
@@ -152,6 +154,18 @@
     stands.inspect_err(|error| log::info!("{} has not taken the first value: {error}", member.station)).ok()
 }
 
+/// Takes this machine out of the acceptors before its process ends, if another has come in its place.
+pub async fn leave_register(member: &Member, view: &ViewCell, proposer: &Proposer) {
+    if without_acceptor(&view.view().control, member).is_err() {
+        return;
+    }
+    let left = proposer.change(Instant::now() + LEAVE_TIMEOUT, |state| without_acceptor(state, member)).await;
+    match left {
+        Ok(value) => log::info!("left the register to {} acceptors", value.value.acceptors.len()),
+        Err(_) => log::warn!("has not left the register: the leader removes it when it is silent"),
+    }
+}
+
 /// Makes this machine an acceptor whenever it is none.
 pub async fn join_register(member: &Member, view: &ViewCell, proposer: &Proposer) {
     let mut views = view.subscribe();
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -20,7 +20,7 @@
 mod view;
 
 pub use acceptor::{run_scrub, AcceptorService};
-pub use bootstrap::{join_register, join_stores, start_first, FirstStart, Identity};
+pub use bootstrap::{join_register, join_stores, leave_register, start_first, FirstStart, Identity};
 pub use control_updates::ControlUpdate;
 pub use distribution::Distribution;
 pub use leader::{run_leader, Leadership, LEASE_TTL};
--- a/crates/control-plane/src/proposer.rs
+++ b/crates/control-plane/src/proposer.rs
@@ -7,6 +7,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use register::{AcceptorReply, AcceptorRequest, Ballot, Member, Proposal, Step, Versioned};
 use state::ControlState;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::acceptor::confirm_once;
@@ -159,7 +160,10 @@
                 Step::Committed(value) => {
                     self.view.adopt_control(&value);
                     self.view.confirm(began);
-                    self.spread(proposal.announcements());
+                    let told = self.spread(proposal.announcements());
+                    if !value.previous.is_empty() {
+                        wait_for_majority(told, &value.value.acceptors).await;
+                    }
                     // The register settles a value that was read in doubt before it takes another.
                     let is_settled_only = wanted.is_some_and(|wanted| wanted != *value.value);
                     return if is_settled_only { Attempt::Preempted } else { Attempt::Committed(value) };
@@ -180,19 +184,30 @@
         Ballot { round, proposer: self.identity }
     }
 
-    /// Tells all acceptors of a committed value. Those that miss it read it when they confirm.
-    fn spread(&self, announcements: Vec<(Member, AcceptorRequest<ControlState>)>) {
+    /// Tells all acceptors of a committed value. Those that miss it read it when they confirm. The receiver is given
+    /// each acceptor that has noted it.
+    fn spread(
+        &self,
+        announcements: Vec<(Member, AcceptorRequest<ControlState>)>,
+    ) -> mpsc::UnboundedReceiver<Member> {
+        let (noted, told) = mpsc::unbounded_channel();
         for (member, request) in announcements {
-            let client = self.client.clone();
+            let (client, noted) = (self.client.clone(), noted.clone());
             tokio::spawn(async move {
                 let path = paths::REGISTER;
                 let told: Result<AcceptorReply<ControlState>, _> =
                     client.call(&member.address, path, &request, CALL_TIMEOUT).await;
-                if let Err(error) = told {
-                    log::debug!("{} was not told of a committed value: {error}", member.station);
+                match told {
+                    // Nobody waits for it where the acceptors stay the same.
+                    Ok(reply) if reply.incarnation == member.incarnation => drop(noted.send(member)),
+                    Ok(_) => {}
+                    Err(error) => {
+                        log::debug!("{} was not told of a committed value: {error}", member.station);
+                    }
                 }
             });
         }
+        told
     }
 
     async fn ask(
@@ -204,3 +219,16 @@
         (member, reply.ok())
     }
 }
+
+/// Waits until a majority of the acceptors has noted a change of the acceptors, or all have been asked. Only then may
+/// one more machine be lost: if this process alone knew that the change is committed, the others would go on asking
+/// for the acceptors before it.
+async fn wait_for_majority(mut told: mpsc::UnboundedReceiver<Member>, acceptors: &[Member]) {
+    let mut noted = 0;
+    while let Some(member) = told.recv().await {
+        noted += usize::from(acceptors.contains(&member));
+        if noted * 2 > acceptors.len() {
+            return;
+        }
+    }
+}
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -73,6 +73,8 @@
     is_slow: bool,
     /// It was taken away for good.
     is_removed: bool,
+    /// It is taken away once its process has ended.
+    leaves: bool,
     /// Calls that came while it was frozen.
     held_up: VecDeque<Event>,
     life: u64,
@@ -159,6 +161,7 @@
             is_frozen: false,
             is_slow: false,
             is_removed: false,
+            leaves: false,
             held_up: VecDeque::new(),
             life: 0,
         });
@@ -267,6 +270,10 @@
                 machine.is_slow,
                 known.map(|known| (known.ballot, known.value.revision, known.value.acceptors.clone()))
             );
+            if let Some(jobs) = process.jobs() {
+                log::info!("{:?}", jobs.moved());
+                log::debug!("{}", jobs.describe());
+            }
             if let Some(acceptor) = process.acceptor() {
                 let of = |value: Option<Versioned<ControlState>>| {
                     value.map(|v| (v.ballot, v.value.revision, v.value.acceptors.clone(), v.previous.clone()))
@@ -304,6 +311,21 @@
         self.start_soon(machine, Duration::from_secs(1));
     }
 
+    /// Tells a process to end in good order; its machine starts it again within a second, or is gone for good.
+    pub fn terminate(&mut self, machine: usize, leaves: bool) {
+        let machine = &mut self.machines[machine];
+        machine.leaves |= leaves;
+        if let Some(process) = &machine.process {
+            process.terminate();
+        }
+    }
+
+    /// Whether a machine is gone for good, or will be once its process has ended.
+    #[must_use]
+    pub fn is_leaving(&self, machine: usize) -> bool {
+        self.machines[machine].leaves || self.machines[machine].is_removed
+    }
+
     /// The next sync of a machine's disk fails.
     pub fn fail_sync(&mut self, machine: usize) {
         self.machines[machine].disk.fail_syncs(1);
@@ -462,6 +484,7 @@
         for index in 0..self.machines.len() {
             self.run_machine(index);
             self.collect();
+            self.end_if_done(index);
         }
     }
 
@@ -477,6 +500,19 @@
         }
     }
 
+    /// Ends a process that was told to, once it is done.
+    fn end_if_done(&mut self, index: usize) {
+        let machine = &self.machines[index];
+        if !machine.process.as_ref().is_some_and(Process::has_ended) {
+            return;
+        }
+        if machine.leaves {
+            self.remove(index);
+        } else {
+            self.kill(index);
+        }
+    }
+
     fn clock_of_running(&self, index: usize) -> Option<Duration> {
         self.is_running(index).then(|| self.clock_of(index))
     }
--- a/crates/emulator/src/process.rs
+++ b/crates/emulator/src/process.rs
@@ -1,6 +1,7 @@
 //! One process: the shipped planes of its role on a runtime of its own, whose clock is simulated.
 
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,7 +20,7 @@
 use state::ControlState;
 use storage::simulated::SimulatedDisk;
 use storage::{Journal, Options};
-use store_plane::{JobState, OwnedJob};
+use store_plane::{JobState, JobStore, OwnedJob};
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -50,8 +51,17 @@
 /// The parts of a role that others call.
 #[derive(Clone)]
 enum Role {
-    Node { operator: Arc<BoxEndpoint<'static, Response>>, jobs: Arc<Jobs> },
-    Store,
+    Node { node: Arc<Node>, operator: Arc<BoxEndpoint<'static, Response>>, jobs: Arc<Jobs> },
+    Store(Arc<Store>),
+}
+
+impl Role {
+    fn control(&self) -> &Control {
+        match self {
+            Self::Node { node, .. } => &node.control,
+            Self::Store(store) => &store.control,
+        }
+    }
 }
 
 /// A process while it runs. Dropping it kills it.
@@ -62,9 +72,9 @@
     clock: Duration,
     internal: Arc<BoxEndpoint<'static, Response>>,
     role: Role,
-    control: Control,
     wire: Wire,
     incarnation: Incarnation,
+    has_ended: Arc<AtomicBool>,
 }
 
 impl Process {
@@ -87,9 +97,9 @@
                 if is_store { start_store(boot, disk, edges) } else { start_node(boot, disk, edges) },
             ))
         })?;
-        let Started { internal, role, control, incarnation } = started;
-        let (clock, internal) = (Duration::ZERO, Arc::new(internal));
-        Some(Self { runtime, began, clock, internal, role, control, wire, incarnation })
+        let Started { internal, role, incarnation } = started;
+        let (clock, internal, has_ended) = (Duration::ZERO, Arc::new(internal), Arc::default());
+        Some(Self { runtime, began, clock, internal, role, wire, incarnation, has_ended })
     }
 
     /// Lets the process run until its clock shows this time since its start.
@@ -122,7 +132,7 @@
 
     /// Takes a request of the operator or a trainer; the reply goes to the network.
     pub(crate) fn request(&self, call: u64, request: Request) {
-        let Role::Node { operator, jobs } = self.role.clone() else { return };
+        let Role::Node { operator, jobs, .. } = self.role.clone() else { return };
         let wire = self.wire.clone();
         self.runtime.spawn(async move {
             let reply = carry_out(&operator, &jobs, request).await;
@@ -130,9 +140,34 @@
         });
     }
 
+    /// Tells the process to end in good order, as the platform does by SIGTERM.
+    pub(crate) fn terminate(&self) {
+        let (role, has_ended) = (self.role.clone(), Arc::clone(&self.has_ended));
+        self.runtime.spawn(async move {
+            match role {
+                Role::Node { node, .. } => node.resign().await,
+                Role::Store(store) => store.resign().await,
+            }
+            has_ended.store(true, Ordering::Relaxed);
+        });
+    }
+
+    /// Whether it has ended after it was told to.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.has_ended.load(Ordering::Relaxed)
+    }
+
+    /// Its batch jobs, if it keeps any.
+    pub(crate) fn jobs(&self) -> Option<&JobStore> {
+        match &self.role {
+            Role::Store(store) => Some(&store.jobs),
+            Role::Node { .. } => None,
+        }
+    }
+
     /// Its acceptor, if it has one.
     pub(crate) fn acceptor(&self) -> Option<&Arc<AcceptorService>> {
-        self.control.acceptor()
+        self.role.control().acceptor()
     }
 
     /// The incarnation of its disk.
@@ -142,19 +177,19 @@
 
     /// The newest committed value that it knows.
     pub(crate) fn committed(&self) -> Option<Versioned<ControlState>> {
-        self.control.view.committed()
+        self.role.control().view.committed()
     }
 
     /// The fencing token, while it holds the leader lease.
     pub(crate) fn fence(&self) -> Option<u64> {
         let _context = self.runtime.enter();
-        self.control.leadership.fence()
+        self.role.control().leadership.fence()
     }
 
     /// How long ago a majority has confirmed what it knows.
     pub(crate) fn confirmed_age(&self) -> Option<Duration> {
         let _context = self.runtime.enter();
-        self.control.view.confirmed_age()
+        self.role.control().view.confirmed_age()
     }
 }
 
@@ -174,7 +209,6 @@
 struct Started {
     internal: BoxEndpoint<'static, Response>,
     role: Role,
-    control: Control,
     incarnation: Incarnation,
 }
 
@@ -184,8 +218,8 @@
     node.start(boot.settings);
     let internal = node.control.internal_routes().map_to_response().boxed();
     let operator = Arc::new(node.operator_routes().map_to_response().boxed());
-    let role = Role::Node { operator, jobs: Arc::new(Jobs::new(&node.control)) };
-    Started { internal, role, control: node.control, incarnation }
+    let jobs = Arc::new(Jobs::new(&node.control));
+    Started { internal, role: Role::Node { node: Arc::new(node), operator, jobs }, incarnation }
 }
 
 fn start_store(boot: &Boot<'_>, disk: Disk, edges: Edges) -> Started {
@@ -194,7 +228,7 @@
     store.start(boot.settings);
     tokio::spawn(run_jobs(owned));
     let internal = store.internal_routes().map_to_response().boxed();
-    Started { internal, role: Role::Store, control: store.control, incarnation }
+    Started { internal, role: Role::Store(Arc::new(store)), incarnation }
 }
 
 fn open_disk(boot: &Boot<'_>) -> Option<Disk> {
--- a/crates/emulator/src/simulation/operators.rs
+++ b/crates/emulator/src/simulation/operators.rs
@@ -19,7 +19,7 @@
 /// The model whose versions are named.
 const MODEL: &str = "m";
 /// The time between two versions that are named.
-const VERSION_EVERY: Duration = Duration::from_secs(6);
+const VERSION_EVERY: Duration = Duration::from_secs(2);
 
 /// What an order is.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/emulator/src/simulation/troubles.rs
+++ b/crates/emulator/src/simulation/troubles.rs
@@ -22,6 +22,10 @@
     LoseDisk,
     /// A machine is gone for good, and an empty one at another address comes.
     Replace,
+    /// A process is told to end in good order, and starts again.
+    Terminate,
+    /// Another machine comes first, then one is told to end in good order and is gone for good.
+    ReplacePlanned,
     /// A machine stands still.
     Freeze,
     /// The holder of the lease stands still.
@@ -46,7 +50,9 @@
     BadNetwork,
 }
 
-const KINDS: [Kind; 18] = [
+const KINDS: [Kind; 20] = [
+    Kind::Terminate,
+    Kind::ReplacePlanned,
     Kind::Kill,
     Kind::KillLeader,
     Kind::LosePower,
@@ -128,6 +134,14 @@
                 fleet.replace(machine);
             }
         }
+        Kind::Terminate => fleet.terminate(machine, false),
+        Kind::ReplacePlanned => {
+            // Stores leave by retire, which has a story of its own.
+            if fleet.is_store(machine) {
+                return None;
+            }
+            fleet.add(false, false);
+        }
         Kind::Freeze | Kind::FreezeLeader => fleet.freeze(machine),
         Kind::SlowDown => fleet.slow_down(machine, true),
         Kind::CutOff | Kind::CutOffLeader => fleet.network.cut_off(machine, fleet.machines().end),
@@ -149,7 +163,8 @@
     }
     let lasts = matches!(
         trouble.kind,
-        Kind::Freeze
+        Kind::ReplacePlanned
+            | Kind::Freeze
             | Kind::FreezeLeader
             | Kind::SlowDown
             | Kind::CutOff
@@ -168,6 +183,7 @@
         Kind::Freeze | Kind::FreezeLeader => fleet.thaw(end.machine),
         Kind::SlowDown => fleet.slow_down(end.machine, false),
         Kind::CutOff | Kind::CutOffLeader | Kind::CutOneWay | Kind::CutApart => fleet.network.heal(),
+        Kind::ReplacePlanned if may_lose_disk(fleet, end.machine) => fleet.terminate(end.machine, true),
         Kind::StallDisk => fleet.stall_disk(end.machine, false),
         Kind::BadNetwork => set_bad_network(fleet, 10),
         _ => {}
@@ -216,7 +232,8 @@
     };
     let is_present = |member: &register::Member| {
         let station = fleet.machines().find(|one| fleet.station(*one) == member.station);
-        station.is_some_and(|one| fleet.incarnation(one) == Some(member.incarnation))
+        station
+            .is_some_and(|one| fleet.incarnation(one) == Some(member.incarnation) && !fleet.is_leaving(one))
     };
     let absent = members.iter().filter(|member| !is_present(member)).count();
     let is_moving = is_store && state.previous_stores.is_some();
--- a/crates/rushrudder/src/control.rs
+++ b/crates/rushrudder/src/control.rs
@@ -16,6 +16,7 @@
 use state::{ControlState, StoreMember};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 use crate::RoleError;
@@ -77,6 +78,8 @@
     acceptor: Option<Arc<AcceptorService>>,
     grantor: Arc<Mutex<Grantor>>,
     started: Instant,
+    /// The task that makes this machine an acceptor.
+    joining: Mutex<Option<AbortHandle>>,
 }
 
 /// This process as a member, by the incarnation of its disk.
@@ -147,6 +150,7 @@
             acceptor,
             grantor: Arc::new(grantor),
             started: Instant::now(),
+            joining: Mutex::default(),
         }
     }
 
@@ -326,6 +330,15 @@
             Arc::clone(&proposer),
             self.client.clone(),
         ));
-        tokio::spawn(async move { control_plane::join_register(&member, &view, &proposer).await });
+        let joining =
+            tokio::spawn(async move { control_plane::join_register(&member, &view, &proposer).await });
+        *self.joining.lock().unwrap_or_else(PoisonError::into_inner) = Some(joining.abort_handle());
+    }
+
+    /// From now on this process does not make its machine an acceptor any more.
+    pub fn stop_joining(&self) {
+        if let Some(joining) = self.joining.lock().unwrap_or_else(PoisonError::into_inner).take() {
+            joining.abort();
+        }
     }
 }
--- a/crates/rushrudder/src/node.rs
+++ b/crates/rushrudder/src/node.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use control_plane::{operator_routes, Capability};
+use control_plane::{leave_register, operator_routes, Capability};
 use data_plane::{Front, FrontSettings, Sender};
 use error_stack::{Report, ResultExt};
 use register::Member;
@@ -41,7 +41,7 @@
         control.reload();
     }
     log::info!("{} ends", settings.station);
-    tokio::join!(control.leadership.resign(), front.drain());
+    tokio::join!(node.resign(), front.drain());
     Ok(())
 }
 
@@ -64,6 +64,15 @@
         operator_routes(Arc::clone(&self.control.view), Arc::clone(&self.control.proposer))
     }
 
+    /// Gives the lease back and leaves the register to another that came in this one's place, before the process ends.
+    pub async fn resign(&self) {
+        self.control.stop_joining();
+        self.control.leadership.resign().await;
+        if let Some(member) = &self.member {
+            leave_register(member, &self.control.view, &self.control.proposer).await;
+        }
+    }
+
     /// Starts the tasks.
     pub fn start(&self, settings: &Settings) {
         self.control.start(settings, self.member.clone(), Capability::Acceptor);
--- a/crates/rushrudder/src/store.rs
+++ b/crates/rushrudder/src/store.rs
@@ -9,8 +9,8 @@
 use poem::Route;
 use register::Member;
 use settings::Settings;
+use store_plane::runner::owned::run_owned_jobs;
 use store_plane::runner::RunnerSettings;
-use store_plane::runner_owned::run_owned_jobs;
 use store_plane::{JobStore, Limits, OwnedJob};
 use tokio::sync::mpsc::UnboundedReceiver;
 
--- a/crates/state/src/change/members.rs
+++ b/crates/state/src/change/members.rs
@@ -1,6 +1,6 @@
 //! Who is an acceptor of the register, and who keeps batch jobs.
 
-use register::{with_member, with_replaced, Member, Versioned};
+use register::{with_member, with_replaced, without_member, Member, Versioned};
 
 use super::successor;
 use crate::{ControlState, StoreMember, StoreSet, FIRST_REVISION};
@@ -66,6 +66,25 @@
     Ok(next)
 }
 
+/// An acceptor stays: there are no more than wanted, or it is none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StillWanted;
+
+/// An acceptor whose process ends in good order leaves, if there are more than wanted: another one has come in its
+/// place. Otherwise it is expected back.
+///
+/// # Errors
+///
+/// When it is wanted, or is no acceptor.
+pub fn without_acceptor(state: &ControlState, member: &Member) -> Result<ControlState, StillWanted> {
+    if state.acceptors.len() <= state.acceptors_wanted || !state.acceptors.contains(member) {
+        return Err(StillWanted);
+    }
+    let mut next = successor(state);
+    next.set_acceptors(without_member(&state.acceptors, member.incarnation));
+    Ok(next)
+}
+
 /// Adds a machine to the store set, in the place of its former self where its disk was lost.
 ///
 /// While everything is still on its way from the set before, only a former self is replaced, and the set before
--- a/crates/state/src/change/mod.rs
+++ b/crates/state/src/change/mod.rs
@@ -9,7 +9,9 @@
 mod upkeep;
 
 pub use leader::{may_order_at_once, with_fence, with_order_holder, HeldLease, Superseded};
-pub use members::{choose_first, first_state, with_acceptor, with_store, AlreadyMember};
+pub use members::{
+    choose_first, first_state, with_acceptor, with_store, without_acceptor, AlreadyMember, StillWanted,
+};
 pub use operator::{change_digest, with_configuration, with_draining, with_version, ChangeKind, Declined};
 pub use upkeep::{next_upkeep, Observation, Reachability};
 
--- a/crates/state/tests/members.rs
+++ b/crates/state/tests/members.rs
@@ -9,7 +9,8 @@
 use register::{Ballot, Member, Versioned};
 use state::change::{
     choose_first, first_state, may_order_at_once, next_upkeep, with_acceptor, with_draining, with_fence,
-    with_order_holder, with_store, AlreadyMember, HeldLease, Observation, Reachability, Superseded,
+    with_order_holder, with_store, without_acceptor, AlreadyMember, HeldLease, Observation, Reachability,
+    StillWanted, Superseded,
 };
 use state::{ControlState, DrainState};
 use yare::parameterized;
@@ -73,6 +74,15 @@
     assert_eq!(stations(&joined.acceptors), ["a", "b", "c", "d"]);
 }
 
+#[test]
+fn given_an_acceptor_that_ends_when_another_has_come_in_its_place_then_it_leaves_in_one_step() {
+    assert_eq!(without_acceptor(&system(3), &member("c", 3)), Err(StillWanted), "it is expected back");
+    let state = with_acceptor(&system(3), &member("d", 4)).expect("it joins");
+    let left = without_acceptor(&state, &member("c", 3)).expect("it leaves");
+    assert_eq!(stations(&left.acceptors), ["a", "b", "d"]);
+    assert_eq!(without_acceptor(&state, &member("e", 9)), Err(StillWanted));
+}
+
 #[test]
 fn given_the_same_disk_at_another_address_when_it_joins_then_the_address_is_replaced() {
     let moved = Member { address: "b:2".into(), ..member("b", 2) };
--- a/crates/store-plane/src/replication/messages.rs
+++ b/crates/store-plane/src/replication/messages.rs
@@ -34,8 +34,10 @@
 /// A store is asked to own a batch job.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(super) struct TakeOver {
-    /// The owner that gives it up, if one does.
-    pub resigned: Option<StoreId>,
+    /// Who asks.
+    pub from: StoreId,
+    /// Whether the one who asks owned it and gives it up. Otherwise it holds a copy that it is not to keep any more.
+    pub resigned: bool,
 }
 
 /// An owner tells another store which batch jobs it owns.
--- a/crates/store-plane/src/replication/resign.rs
+++ b/crates/store-plane/src/replication/resign.rs
@@ -46,7 +46,7 @@
     async fn hand_over(&self, job: JobId, successors: Vec<StoreId>) {
         for store in successors {
             let Some(address) = self.address_of(store) else { continue };
-            let request = TakeOver { resigned: Some(self.id()) };
+            let request = TakeOver { from: self.id(), resigned: true };
             let call = Call { to: store, job: Arc::clone(&job), request };
             let told: Result<(), _> = self.rpc.call(&address, TAKE_OVER_PATH, &call, HAND_OVER_TIMEOUT).await;
             if told.is_ok() {
--- a/crates/store-plane/src/replication/state.rs
+++ b/crates/store-plane/src/replication/state.rs
@@ -148,6 +148,18 @@
 }
 
 impl State {
+    /// What is held of each batch job and who owns it, one line each.
+    pub fn describe(&self) -> String {
+        let logs = self.replica.logs().map(|(job, log)| {
+            let owned = self.owned.get(job).map(|owned| (owned.ownership.phase(), owned.ownership.ballot()));
+            let (promised, accepted) = (log.promised, log.accepted);
+            let settled = self.settled.get(job);
+            let held = log.entries.len();
+            format!("{job}: {held} entries, promised {promised:?}, accepted {accepted:?}, settled {settled:?}, {owned:?}")
+        });
+        logs.collect::<Vec<_>>().join("\n")
+    }
+
     /// Gives up an ownership.
     pub fn depose(&mut self, job: &JobId) {
         if let Some(owned) = self.owned.remove(job) {
--- a/crates/store-plane/src/replication/store.rs
+++ b/crates/store-plane/src/replication/store.rs
@@ -69,6 +69,12 @@
         self.shared.moved()
     }
 
+    /// What is held of each batch job and who owns it, for logs.
+    #[must_use]
+    pub fn describe(&self) -> String {
+        self.shared.lock().describe()
+    }
+
     /// Hands all batch jobs over to other stores, before the process ends. It goes on keeping its copies.
     pub async fn resign(&self) {
         self.shared.resign().await;
--- a/crates/store-plane/src/replication/tend.rs
+++ b/crates/store-plane/src/replication/tend.rs
@@ -168,7 +168,7 @@
             let shared = Arc::clone(self);
             tokio::spawn(async move {
                 let address = shared.address_of(store)?;
-                let call = Call { to: store, job, request: TakeOver { resigned: None } };
+                let call = Call { to: store, job, request: TakeOver { from: shared.id(), resigned: false } };
                 shared.rpc.call::<_, ()>(&address, TAKE_OVER_PATH, &call, HINT_TIMEOUT).await.ok()
             });
         }
@@ -176,10 +176,13 @@
 
     /// Takes over a batch job that this store is to keep and that another one told of.
     pub(super) fn take_over(self: &Arc<Self>, job: &JobId, request: TakeOver) {
+        if !request.resigned && self.dismiss(job, request.from) {
+            return;
+        }
         let is_owned_elsewhere = {
             let mut state = self.lock();
             let owner = state.replica.log(job).map(|log| log.promised.owner);
-            if request.resigned.is_some() && owner == request.resigned {
+            if request.resigned && owner == Some(request.from) {
                 state.heard.remove(job);
             }
             state.heard.get(job).is_some_and(|heard| heard.elapsed() < OWNER_SILENT)
@@ -189,6 +192,24 @@
         }
     }
 
+    /// Tells a store that is not to keep a batch job any more to drop its copy, if this store owns the batch job and
+    /// has committed it. A store that missed the move to the present store set hears of it in no other way, and would
+    /// never count as moved again.
+    fn dismiss(self: &Arc<Self>, job: &JobId, from: StoreId) -> bool {
+        let ballot = {
+            let state = self.lock();
+            let Some(owned) = state.owned.get(job) else { return false };
+            let is_kept_there = owned.ownership.copies().present.contains(&from);
+            if is_kept_there || !owned.ownership.is_established() || owned.ownership.committed().is_empty() {
+                return false;
+            }
+            owned.ownership.ballot()
+        };
+        let (shared, job) = (Arc::clone(self), Arc::clone(job));
+        tokio::spawn(async move { shared.ask(from, &job, ReplicaRequest::Forget { ballot }).await });
+        true
+    }
+
     /// Drops batch jobs that are over and whose results need not be readable any more.
     fn drop_old(self: &Arc<Self>) {
         let kept = self.limits.results_kept + self.limits.results_kept / KEPT_MARGIN_DIVISOR;
--- a/crates/store-plane/src/runner_end.rs
+++ b/crates/store-plane/src/runner/end.rs
@@ -6,10 +6,10 @@
 use batch::{ItemIndex, ItemPhase};
 use bytes::Bytes;
 
+use crate::runner::job::{pause_after, ActiveJob, ItemWork, TaskGuard};
+use crate::runner::ports::{ItemEnd, ItemExecutor, ItemProgress, JobLog, RewardEnd};
+use crate::runner::texts::KeptText;
 use crate::runner::{Event, JobKey, Runner};
-use crate::runner_job::{pause_after, ActiveJob, ItemWork, TaskGuard};
-use crate::runner_ports::{ItemEnd, ItemExecutor, ItemProgress, JobLog, RewardEnd};
-use crate::runner_texts::KeptText;
 
 /// Runs that found no server in a row, after which a text is begun anew instead of continued.
 const NOT_RUN_MOST: u32 = 3;
--- a/crates/store-plane/src/runner_job.rs
+++ b/crates/store-plane/src/runner/job.rs
@@ -9,8 +9,8 @@
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
-use crate::runner_ports::{Deposed, ItemProgress, JobAddress, JobLog, JobState, RouteTerms};
-use crate::runner_texts::versions_fit;
+use crate::runner::ports::{Deposed, ItemProgress, JobAddress, JobLog, JobState, RouteTerms};
+use crate::runner::texts::versions_fit;
 
 /// First pause after a setback of an item; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(30);
--- a/crates/store-plane/src/runner.rs
+++ b/crates/store-plane/src/runner/mod.rs
@@ -4,6 +4,14 @@
 //! once its text is whole, the reward call. Every request ends with an event to the holder of the state. Items start
 //! in the order of [`batch::Precedence`] as far as the executor has room.
 
+mod end;
+mod job;
+pub mod owned;
+pub mod ports;
+pub mod sender;
+mod start;
+pub mod texts;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,10 +20,10 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::runner_job::{append_results, ActiveJob, HandIn, TaskGuard};
-use crate::runner_ports::{ItemEnd, ItemExecutor, JobAddress, JobLog, JobState, RewardEnd, RunnableJob};
-use crate::runner_start::UnseenStarts;
-use crate::runner_texts::{KeptText, KeptTexts};
+use crate::runner::job::{append_results, ActiveJob, HandIn, TaskGuard};
+use crate::runner::ports::{ItemEnd, ItemExecutor, JobAddress, JobLog, JobState, RewardEnd, RunnableJob};
+use crate::runner::start::UnseenStarts;
+use crate::runner::texts::{KeptText, KeptTexts};
 
 /// Age of the origin of times at the start of the runner, so that earlier times can be told.
 const ORIGIN_AGE: Duration = Duration::from_secs(24 * 60 * 60);
--- a/crates/store-plane/src/runner_owned.rs
+++ b/crates/store-plane/src/runner/owned.rs
@@ -6,9 +6,9 @@
 use data_plane::Sender;
 use tokio::sync::{mpsc, watch};
 
+use crate::runner::ports::{Deposed, JobLog, JobState, RunnableJob};
+use crate::runner::sender::SenderExecutor;
 use crate::runner::{Runner, RunnerSettings};
-use crate::runner_ports::{Deposed, JobLog, JobState, RunnableJob};
-use crate::runner_sender::SenderExecutor;
 use crate::OwnedJob;
 
 impl JobLog for OwnedJob {
--- a/crates/store-plane/src/runner_sender.rs
+++ b/crates/store-plane/src/runner/sender.rs
@@ -9,7 +9,7 @@
 use configuration::{Configuration, Route};
 use data_plane::{ItemCall, Sender};
 
-use crate::runner_ports::{ItemAttempt, ItemEnd, ItemExecutor, JobAddress, RewardEnd, RouteTerms};
+use crate::runner::ports::{ItemAttempt, ItemEnd, ItemExecutor, JobAddress, RewardEnd, RouteTerms};
 
 /// Items are due after this time where their route does not say.
 const DUE_BY_DEFAULT: Duration = Duration::from_secs(10);
--- a/crates/store-plane/src/runner_start.rs
+++ b/crates/store-plane/src/runner/start.rs
@@ -9,9 +9,9 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::runner::job::TaskGuard;
+use crate::runner::ports::{ItemAttempt, ItemExecutor, ItemProgress, JobAddress, JobLog};
 use crate::runner::{Event, JobKey, Runner, RunnerSettings};
-use crate::runner_job::TaskGuard;
-use crate::runner_ports::{ItemAttempt, ItemExecutor, ItemProgress, JobAddress, JobLog};
 
 /// A run is interrupted after this many times the usual length of a run.
 const USUAL_RUNS_MOST: u32 = 3;
--- a/crates/store-plane/src/runner_texts.rs
+++ b/crates/store-plane/src/runner/texts.rs
@@ -5,7 +5,7 @@
 
 use batch::{Item, ItemId};
 
-use crate::runner_ports::{ItemProgress, JobAddress};
+use crate::runner::ports::{ItemProgress, JobAddress};
 
 /// Memory that is counted for a kept text besides its events.
 const ENTRY_BYTES: usize = 256;
--- a/crates/store-plane/tests/runner/carried.rs
+++ b/crates/store-plane/tests/runner/carried.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{job_of, pass, paused, progress, whole, Bench, FakeExecutor, RUN};
 use std::time::Duration;
-use store_plane::runner_ports::{ItemEnd, JobState, RewardEnd};
+use store_plane::runner::ports::{ItemEnd, JobState, RewardEnd};
 use yare::parameterized;
 
 const LONG: Duration = Duration::from_secs(30);
--- a/crates/store-plane/tests/runner/runs.rs
+++ b/crates/store-plane/tests/runner/runs.rs
@@ -7,7 +7,7 @@
     item, job, job_of, pass, paused, progress, terms, whole, Bench, FakeExecutor, FakeLog, RUN,
 };
 use batch::Condition;
-use store_plane::runner_ports::{ItemEnd, JobState, RewardEnd, RouteTerms};
+use store_plane::runner::ports::{ItemEnd, JobState, RewardEnd, RouteTerms};
 use yare::parameterized;
 
 const LONG: Duration = Duration::from_secs(30);
--- a/crates/store-plane/tests/runner/sender.rs
+++ b/crates/store-plane/tests/runner/sender.rs
@@ -6,8 +6,8 @@
 use configuration::Configuration;
 use data_plane::Sender;
 use state::View;
-use store_plane::runner_ports::{ItemExecutor, JobAddress, RouteTerms};
-use store_plane::runner_sender::SenderExecutor;
+use store_plane::runner::ports::{ItemExecutor, JobAddress, RouteTerms};
+use store_plane::runner::sender::SenderExecutor;
 use tokio::sync::watch;
 
 const CONFIGURATION: &str = r#"{
--- a/crates/store-plane/tests/runner/support.rs
+++ b/crates/store-plane/tests/runner/support.rs
@@ -7,11 +7,11 @@
 
 use batch::{Item, ItemResult, Job, RewardRequest};
 use bytes::Bytes;
-use store_plane::runner::{Runner, RunnerHandle, RunnerSettings};
-use store_plane::runner_ports::{
+use store_plane::runner::ports::{
     Deposed, ItemAttempt, ItemEnd, ItemExecutor, ItemProgress, JobAddress, JobLog, JobState, RewardEnd,
     RouteTerms, RunnableJob,
 };
+use store_plane::runner::{Runner, RunnerHandle, RunnerSettings};
 use tokio::sync::watch;
 
 /// How long a scripted request takes.
--- a/crates/store-plane/tests/runner/texts.rs
+++ b/crates/store-plane/tests/runner/texts.rs
@@ -4,8 +4,8 @@
 
 use batch::Item;
 use bytes::Bytes;
-use store_plane::runner_ports::{ItemProgress, JobAddress};
-use store_plane::runner_texts::{versions_fit, KeptText, KeptTexts};
+use store_plane::runner::ports::{ItemProgress, JobAddress};
+use store_plane::runner::texts::{versions_fit, KeptText, KeptTexts};
 use yare::parameterized;
 
 fn address() -> JobAddress {
