--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -210,6 +210,12 @@
         self.machines[machine].is_store
     }
 
+    /// The traffic nodes that the operators' list shows: all that are not gone for good.
+    #[must_use]
+    pub fn present_nodes(&self) -> Vec<usize> {
+        self.machines().filter(|machine| !self.is_store(*machine) && !self.is_leaving(*machine)).collect()
+    }
+
     /// Whether a process runs there, and is not frozen.
     #[must_use]
     pub fn is_running(&self, machine: usize) -> bool {
--- a/crates/emulator/src/servers.rs
+++ b/crates/emulator/src/servers.rs
@@ -9,8 +9,10 @@
 use serde::Deserialize;
 use state::{Condition, ServerEntry};
 
-use crate::wire::ORDER_PATH;
-
+/// Path of an order.
+pub(crate) const ORDER_PATH: &str = "order";
+/// Path of a report.
+pub(crate) const REPORT_PATH: &str = "report";
 /// How long a load takes.
 const LOAD: Duration = Duration::from_millis(400);
 
--- a/crates/emulator/src/simulation/operators.rs
+++ b/crates/emulator/src/simulation/operators.rs
@@ -192,7 +192,7 @@
     }
 
     fn send(&mut self, fleet: &mut Fleet) {
-        let nodes = fleet.machines().filter(|machine| !fleet.is_store(*machine)).collect::<Vec<_>>();
+        let nodes = fleet.present_nodes();
         for order in &mut self.orders {
             if order.call.is_none() && order.next_try <= fleet.now {
                 let node = nodes[self.random.usize(..nodes.len())];
--- a/crates/emulator/src/simulation/trainers.rs
+++ b/crates/emulator/src/simulation/trainers.rs
@@ -100,8 +100,7 @@
         let Some((call, until)) = job.call else {
             let is_over = job.stage == Stage::Ended && job.checks == 0;
             if !is_over && job.next_try <= fleet.now {
-                let nodes: Vec<usize> =
-                    fleet.machines().filter(|machine| !fleet.is_store(*machine)).collect();
+                let nodes: Vec<usize> = fleet.present_nodes();
                 let node = nodes[self.random.usize(..nodes.len())];
                 let call = fleet.request(node, Request::Job(job.id.clone(), job.next_call()));
                 job.call = Some((call, fleet.now + PATIENCE));
--- a/crates/emulator/src/wire.rs
+++ b/crates/emulator/src/wire.rs
@@ -12,12 +12,8 @@
 use tokio::sync::oneshot;
 
 use crate::requests::Reply;
-use crate::servers;
+use crate::servers::{self, ORDER_PATH, REPORT_PATH};
 
-/// Path of an order at a server.
-pub(crate) const ORDER_PATH: &str = "order";
-/// Path of a server's report.
-pub(crate) const REPORT_PATH: &str = "report";
 /// Path of the platform's list.
 pub(crate) const LIST_PATH: &str = "list";
 /// How long a server or the platform may take to answer.
--- a/crates/emulator/tests/common/mod.rs
+++ b/crates/emulator/tests/common/mod.rs
@@ -49,6 +49,25 @@
         assert_status(&self.fleet.order(most, &order), 200);
     }
 
+    /// Another configuration is acknowledged by other nodes than this one; tells its version.
+    pub fn change_configuration_elsewhere(&mut self, node: usize) -> u64 {
+        let expected = self.configuration.0;
+        let body = document(expected + 3);
+        let order = emulator::Request::Operator(OperatorOrder::Put { expected, body: body.clone() });
+        let until = self.fleet.now + CLEAR;
+        let others: Vec<usize> = self.fleet.nodes().filter(|other| *other != node).collect();
+        for other in others.iter().cycle() {
+            assert!(self.fleet.now < until, "the others do not take it");
+            match self.fleet.call(*other, order.clone()) {
+                Some(Reply::Status(200)) => break,
+                None | Some(Reply::Status(503)) => {}
+                reply => panic!("{reply:?}"),
+            }
+        }
+        self.configuration = (expected + 3, body);
+        expected + 3
+    }
+
     /// The next version is named.
     pub fn name_version(&mut self) {
         self.named += 1;
--- a/crates/emulator/tests/stories.rs
+++ b/crates/emulator/tests/stories.rs
@@ -307,3 +307,122 @@
     assert!(matches!(reply, None | Some(Reply::Status(503))), "{reply:?}");
     story.fleet.network.heal();
 }
+
+/// How a node is cut off for twenty seconds.
+type Cut = fn(&mut Fleet, usize);
+
+fn both_ways(fleet: &mut Fleet, node: usize) {
+    fleet.network.cut_off(node, fleet.machines().end);
+}
+
+fn with_a_store_on_its_side(fleet: &mut Fleet, node: usize) {
+    fleet.network.cut_apart(&[node, fleet.nodes().end], fleet.machines().end);
+}
+
+fn heard_by_nobody(fleet: &mut Fleet, node: usize) {
+    for other in fleet.machines().filter(|other| *other != node) {
+        fleet.network.cut_one_way(node, other);
+    }
+}
+
+fn hears_nobody(fleet: &mut Fleet, node: usize) {
+    for other in fleet.machines().filter(|other| *other != node) {
+        fleet.network.cut_one_way(other, node);
+    }
+}
+
+fn frozen(fleet: &mut Fleet, node: usize) {
+    fleet.freeze(node);
+}
+
+#[parameterized(
+    leader_both_ways = { true, both_ways },
+    leader_with_a_store = { true, with_a_store_on_its_side },
+    leader_heard_by_nobody = { true, heard_by_nobody },
+    leader_hears_nobody = { true, hears_nobody },
+    leader_frozen = { true, frozen },
+    follower_both_ways = { false, both_ways },
+    follower_with_a_store = { false, with_a_store_on_its_side },
+    follower_heard_by_nobody = { false, heard_by_nobody },
+    follower_hears_nobody = { false, hears_nobody },
+    follower_frozen = { false, frozen },
+)]
+fn given_a_node_that_is_cut_off_for_twenty_seconds_when_the_others_go_on_then_it_confirms_and_leads_nothing(
+    is_leader: bool,
+    cut: Cut,
+) {
+    for seed in SEEDS {
+        let mut story = Story::begin(seed, Shape::default());
+        assert!(story.fleet.run_until(seconds(5), |fleet| fleet.leader().is_some()), "seed {seed}");
+        let leader = story.fleet.leader().expect("somebody leads");
+        let node = if is_leader { leader } else { (leader + 1) % 3 };
+        let known = story.fleet.state(node).map(|state| state.revision);
+        cut(&mut story.fleet, node);
+        let until = story.fleet.now + seconds(20);
+        // The others go on, with orders and a lease of their own.
+        story.fleet.run(seconds(3));
+        let edition = story.change_configuration_elsewhere(node);
+        while story.fleet.now < until {
+            // It builds on the version that the node knows, and that the others have left behind.
+            let order = OperatorOrder::Put { expected: edition - 3, body: document(edition + 1) };
+            let reply = story.fleet.call(node, emulator::Request::Operator(order));
+            assert!(matches!(reply, None | Some(Reply::Status(503))), "seed {seed}: {reply:?}");
+            let reply = story.fleet.call(node, emulator::Request::Operator(OperatorOrder::Read));
+            assert!(matches!(reply, None | Some(Reply::Status(503))), "seed {seed}: {reply:?}");
+            assert_eq!(story.fleet.fence(node), None, "seed {seed}: it leads");
+            let age = story.fleet.confirmed_age(node);
+            assert!(
+                !story.fleet.is_running(node) || age.is_some_and(|age| age > seconds(1)),
+                "seed {seed}: {age:?}"
+            );
+        }
+        story.fleet.network.heal();
+        if !story.fleet.is_running(node) {
+            story.fleet.thaw(node);
+        }
+        let newest = |fleet: &Fleet| {
+            fleet.machines().filter_map(|one| fleet.state(one)).map(|state| state.revision).max()
+        };
+        let has_caught_up = |fleet: &Fleet| {
+            fleet.state(node).map(|state| state.revision) == newest(fleet)
+                && fleet.confirmed_age(node).is_some_and(|age| age < seconds(1))
+        };
+        assert!(story.fleet.run_until(seconds(3), has_caught_up), "seed {seed}: from {known:?}");
+        story.go_on();
+    }
+}
+
+#[test]
+fn given_a_thousand_changes_when_members_are_away_for_hundreds_of_them_then_each_catches_up() {
+    let mut story = Story::begin(1, Shape::default());
+    let newest =
+        |fleet: &Fleet| fleet.machines().filter_map(|one| fleet.state(one)).map(|state| state.revision).max();
+    for change in 0..1200 {
+        match change {
+            100 => story.fleet.freeze(1),
+            400 => story.fleet.thaw(1),
+            500 => story.fleet.network.cut_off(2, 6),
+            800 => story.fleet.network.heal(),
+            900 => story.fleet.lose_disk(0),
+            950 => story.fleet.kill(1),
+            1000 => all_lose_power(&mut story.fleet),
+            1100 => story.fleet.lose_disk(2),
+            _ => {}
+        }
+        if [400, 800, 900, 950, 1000, 1100].contains(&change) {
+            let began = story.fleet.now;
+            let all_know = |fleet: &Fleet| {
+                let is_whole = fleet.machines().all(|one| fleet.is_running(one));
+                is_whole
+                    && fleet
+                        .machines()
+                        .all(|one| fleet.state(one).map(|state| state.revision) == newest(fleet))
+            };
+            assert!(story.fleet.run_until(seconds(4), all_know), "after change {change}");
+            println!("after change {change}: all know the newest state {:?} later", story.fleet.now - began);
+        }
+        story.change_configuration();
+    }
+    assert!(story.fleet.state(0).is_some_and(|state| state.edition >= 3600));
+    story.go_on();
+}
