Count the reply to a ping only for the disk that gave it

Cause: a store that lost its disk answers pings at the address of its former self, and its reply was taken for that one: the lost disk counted as having moved all it held. Two lost disks would have let a move of five copies end with one of three survivors done. A reply to a ping names its incarnation now and counts for that member alone.

Test: given_a_store_that_is_cut_off_when_another_loses_its_disk_then_the_move_does_not_end_without_the_first.

--- a/crates/control-plane/src/distribution.rs
+++ b/crates/control-plane/src/distribution.rs
@@ -1,10 +1,10 @@
 //! Answers the long polls of other processes from what this process knows.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
-use register::Ballot;
+use register::{Ballot, Incarnation};
 use state::View;
 use tokio::time::Instant;
 
@@ -19,6 +19,7 @@
 pub struct Distribution {
     view: Arc<ViewCell>,
     settled_epoch: AtomicU64,
+    incarnation: OnceLock<Incarnation>,
     recent_lists: Mutex<RecentLists>,
 }
 
@@ -26,7 +27,17 @@
     /// A distribution of what `view` knows.
     #[must_use]
     pub fn new(view: Arc<ViewCell>) -> Arc<Self> {
-        Arc::new(Self { view, settled_epoch: AtomicU64::new(0), recent_lists: Mutex::default() })
+        Arc::new(Self {
+            view,
+            settled_epoch: AtomicU64::new(0),
+            incarnation: OnceLock::new(),
+            recent_lists: Mutex::default(),
+        })
+    }
+
+    /// Tells which incarnation of its disk this process has.
+    pub fn set_incarnation(&self, incarnation: Incarnation) {
+        let _ = self.incarnation.set(incarnation);
     }
 
     /// Tells how far this process has moved its batch jobs; until then it has moved none.
@@ -37,7 +48,8 @@
     /// Answers whether this process is there.
     #[must_use]
     pub fn ping(&self) -> PingReply {
-        PingReply { settled_epoch: self.settled_epoch.load(Ordering::Relaxed) }
+        let settled_epoch = self.settled_epoch.load(Ordering::Relaxed);
+        PingReply { incarnation: self.incarnation.get().copied(), settled_epoch }
     }
 
     /// Answers a long poll as soon as something is newer, or after the time it may be held.
--- a/crates/control-plane/src/messages.rs
+++ b/crates/control-plane/src/messages.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use register::{Ballot, Member};
+use register::{Ballot, Incarnation, Member};
 use serde::{Deserialize, Serialize};
 use state::ServerListVersion;
 
@@ -91,6 +91,9 @@
 /// The state of a process that was asked whether it is there.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PingReply {
+    /// The incarnation of the disk of this process, if it has one: a reply counts for that member alone. A machine that
+    /// lost its disk answers at the address of its former self.
+    pub incarnation: Option<Incarnation>,
     /// The epoch of the store set to which all its batch jobs have moved; 0 until it is known.
     pub settled_epoch: u64,
 }
--- a/crates/control-plane/src/upkeep.rs
+++ b/crates/control-plane/src/upkeep.rs
@@ -77,5 +77,7 @@
 }
 
 async fn ping(client: &rpc::Client, member: &Member) -> Option<PingReply> {
-    client.call(&member.address, paths::PING, &(), PING_TIMEOUT).await.ok()
+    let reply: PingReply = client.call(&member.address, paths::PING, &(), PING_TIMEOUT).await.ok()?;
+    // Its former self, or its successor with another disk, has not moved what this member held.
+    (reply.incarnation == Some(member.incarnation)).then_some(reply)
 }
--- a/crates/emulator/tests/stories.rs
+++ b/crates/emulator/tests/stories.rs
@@ -426,3 +426,21 @@
     assert!(story.fleet.state(0).is_some_and(|state| state.edition >= 3600));
     story.go_on();
 }
+
+#[test]
+fn given_a_store_that_is_cut_off_when_another_loses_its_disk_then_the_move_does_not_end_without_the_first() {
+    for seed in SEEDS {
+        let mut story = Story::begin(seed, Shape::default());
+        story.submit("first");
+        story.read_all();
+        story.fleet.network.cut_off(3, 6);
+        story.fleet.lose_disk(5);
+        story.fleet.run(seconds(12));
+        // The new disk answers at the address of the lost one; it has not moved what that one held.
+        let is_moving = story.fleet.state(0).is_some_and(|state| state.previous_stores.is_some());
+        assert!(is_moving, "seed {seed}: {:?}", story.fleet.state(0));
+        story.fleet.network.heal();
+        assert!(story.fleet.run_until(seconds(10), is_whole), "seed {seed}");
+        story.go_on();
+    }
+}
--- a/crates/rushrudder/src/control.rs
+++ b/crates/rushrudder/src/control.rs
@@ -272,6 +272,7 @@
             self.start_first(settings, seeds, member.clone(), capability);
         }
         if let Some(member) = member {
+            self.distribution.set_incarnation(member.incarnation);
             self.start_member(settings, member, capability);
         }
     }
