--- a/crates/control-plane/src/poll.rs
+++ b/crates/control-plane/src/poll.rs
@@ -16,6 +16,8 @@
 const GRACE: Duration = Duration::from_millis(300);
 /// Pause after a failed poll.
 const PAUSE: Duration = Duration::from_millis(60);
+/// A process that finds no fresh peer says so after this time, and again each time that it has passed.
+const WARN_EVERY: Duration = Duration::from_secs(3);
 
 /// Polls one peer after the other, and stays with one that is confirmed by a majority and has a fresh list.
 ///
@@ -30,9 +32,11 @@
 ) {
     let mut next: usize = if leadership.is_some() { 0 } else { fastrand::usize(..1024) };
     let mut leader = None;
+    let mut search = Search::begin();
     loop {
         if leadership.as_ref().is_some_and(|leadership| leadership.fence().is_some()) {
             next = 0;
+            search = Search::begin();
             tokio::time::sleep(HOLD).await;
             continue;
         }
@@ -46,15 +50,43 @@
             continue;
         };
         match poll_once(&view, &client, peer).await {
-            Some(reply) if reply.is_fresh() => {}
+            Some(reply) if reply.is_fresh() => search = Search::begin(),
             Some(_) | None => {
                 next += 1;
+                search.warn_if_long(&view, &peers);
                 tokio::time::sleep(PAUSE).await;
             }
         }
     }
 }
 
+/// The search for a peer that is confirmed by a majority and has a fresh list.
+struct Search {
+    began: Instant,
+    warned: Instant,
+}
+
+impl Search {
+    fn begin() -> Self {
+        let now = Instant::now();
+        Self { began: now, warned: now }
+    }
+
+    /// Tells now and then that it goes on for long, so that a process that has lost the others can be seen.
+    fn warn_if_long(&mut self, view: &ViewCell, peers: &[String]) {
+        if self.warned.elapsed() < WARN_EVERY {
+            return;
+        }
+        self.warned = Instant::now();
+        log::warn!(
+            "for {} ms no peer has told a confirmed state and a fresh list; {} acceptors are known, asked are {}",
+            self.began.elapsed().as_millis(),
+            view.view().control.acceptors.len(),
+            peers.join(" ")
+        );
+    }
+}
+
 /// The acceptors, the leader first where wanted; the seeds too where none is known or nothing was confirmed of late.
 fn peers(view: &ViewCell, seeds: &[String], this_address: &str, leader_first: bool) -> Vec<String> {
     let control = &view.view().control;
--- a/crates/control-plane/src/upkeep.rs
+++ b/crates/control-plane/src/upkeep.rs
@@ -5,7 +5,7 @@
 
 use futures_util::future::join_all;
 use register::Member;
-use state::change::{next_upkeep, Observation};
+use state::change::{next_upkeep, Observation, QuorumMargin};
 use state::ControlState;
 use tokio::time::Instant;
 
@@ -31,15 +31,18 @@
 ) {
     let mut observed = Observation::default();
     let mut last_round = Instant::now();
+    let mut told_margin = None;
     loop {
         tokio::time::sleep(EVERY).await;
         let Some(fence) = leadership.fence() else {
             observed = Observation::default();
             last_round = Instant::now();
+            told_margin = None;
             continue;
         };
         let control = Arc::clone(&view.view().control);
         ping_all(&control, &client, &mut observed, last_round).await;
+        tell_margin(observed.reachability.quorum_margin(&control), &mut told_margin);
         // The lease is looked up anew: the process may have been frozen.
         if leadership.fence() == Some(fence) && next_upkeep(&control, fence, &observed).is_some() {
             change(&proposer, fence, &observed).await;
@@ -48,6 +51,23 @@
     }
 }
 
+/// Logs how many further losses are borne, whenever that has changed.
+fn tell_margin(margin: QuorumMargin, told: &mut Option<QuorumMargin>) {
+    if told.replace(margin) == Some(margin) {
+        return;
+    }
+    let QuorumMargin { acceptors, answering, further_losses } = margin;
+    match further_losses {
+        Some(0) => {
+            log::warn!("quorum: {answering} of {acceptors} acceptors answer, no further loss is borne");
+        }
+        Some(losses) => {
+            log::info!("quorum: {answering} of {acceptors} acceptors answer, further losses borne: {losses}");
+        }
+        None => log::warn!("quorum: no majority of {acceptors} acceptors answers"),
+    }
+}
+
 async fn change(proposer: &Proposer, fence: u64, observed: &Observation) {
     let decide = |state: &ControlState| next_upkeep(state, fence, observed).ok_or(());
     let Ok(value) = proposer.change(Instant::now() + CHANGE_TIMEOUT, decide).await else { return };
--- a/crates/rushrudder/src/control.rs
+++ b/crates/rushrudder/src/control.rs
@@ -251,6 +251,7 @@
     /// Starts the tasks of the control plane.
     pub fn start(&self, settings: &Settings, member: Option<Member>, capability: Capability) {
         let seeds = seed_addresses(settings);
+        log::info!("internal address {}, seeds {}", self.address, seeds.join(" "));
         let leads = self.acceptor.is_some().then(|| Arc::clone(&self.leadership));
         tokio::spawn(control_plane::run_poller(
             Arc::clone(&self.view),
--- a/crates/state/src/change/mod.rs
+++ b/crates/state/src/change/mod.rs
@@ -13,7 +13,7 @@
     choose_first, first_state, with_acceptor, with_store, without_acceptor, AlreadyMember, StillWanted,
 };
 pub use operator::{change_digest, with_configuration, with_draining, with_version, ChangeKind, Declined};
-pub use upkeep::{next_upkeep, Observation, Reachability};
+pub use upkeep::{next_upkeep, Observation, QuorumMargin, Reachability};
 
 use crate::ControlState;
 
--- a/crates/state/src/change/upkeep.rs
+++ b/crates/state/src/change/upkeep.rs
@@ -42,6 +42,15 @@
         self.missed.get(&member.incarnation) == Some(&0)
     }
 
+    /// How many further losses the register can bear.
+    #[must_use]
+    pub fn quorum_margin(&self, state: &ControlState) -> QuorumMargin {
+        let acceptors = state.acceptors.len();
+        let answering = state.acceptors.iter().filter(|member| self.is_heard(member)).count();
+        let majority = acceptors / 2 + 1;
+        QuorumMargin { acceptors, answering, further_losses: answering.checked_sub(majority) }
+    }
+
     /// Whether a member was silent for too long.
     #[must_use]
     pub fn is_lost(&self, member: &Member) -> bool {
@@ -59,6 +68,17 @@
     members
 }
 
+/// How many further losses the register can bear.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuorumMargin {
+    /// Acceptors in the set.
+    pub acceptors: usize,
+    /// Those that answered the last round of pings.
+    pub answering: usize,
+    /// How many of these may be lost while a majority of the set still answers; `None` where no majority does.
+    pub further_losses: Option<usize>,
+}
+
 /// What the pings told.
 #[derive(Clone, Debug, Default)]
 pub struct Observation {
--- a/crates/state/tests/members.rs
+++ b/crates/state/tests/members.rs
@@ -9,8 +9,8 @@
 use register::{Ballot, Member, Versioned};
 use state::change::{
     choose_first, first_state, may_order_at_once, next_upkeep, with_acceptor, with_draining, with_fence,
-    with_order_holder, with_store, without_acceptor, AlreadyMember, HeldLease, Observation, Reachability,
-    StillWanted, Superseded,
+    with_order_holder, with_store, without_acceptor, AlreadyMember, HeldLease, Observation, QuorumMargin,
+    Reachability, StillWanted, Superseded,
 };
 use state::{ControlState, DrainState};
 use yare::parameterized;
@@ -140,6 +140,21 @@
     assert_eq!(next_upkeep(&state, 0, &observe(&state, &["b", "c"], 50)), None);
 }
 
+#[parameterized(
+    all_answer = { &[], 3, Some(1) },
+    no_more_to_lose = { &["c"], 2, Some(0) },
+    no_majority = { &["b", "c"], 0, None },
+)]
+fn given_silent_acceptors_when_the_margin_is_asked_then_it_tells_how_many_more_may_be_lost(
+    silent: &[&str],
+    answering: usize,
+    further_losses: Option<usize>,
+) {
+    let state = system(3);
+    let margin = observe(&state, silent, 1).reachability.quorum_margin(&state);
+    assert_eq!(margin, QuorumMargin { acceptors: 3, answering, further_losses });
+}
+
 #[test]
 fn given_an_answer_now_and_then_when_pinged_then_the_member_stays() {
     let state = with_acceptor(&system(3), &member("d", 4)).expect("it joins");
