--- a/crates/emulator/src/fleet/faults.rs
+++ b/crates/emulator/src/fleet/faults.rs
@@ -65,7 +65,7 @@
     /// Takes a machine away for good and adds another with the same role, a new address and an empty disk.
     pub fn replace(&mut self, machine: usize) -> usize {
         self.remove(machine);
-        self.add(self.machines[machine].is_store, false)
+        self.add(self.machines[machine].kind, false)
     }
 
     /// Stops a machine in its tracks; what is sent to it waits.
@@ -100,6 +100,17 @@
         }
     }
 
+    /// Names other seeds in all settings; processes that run read them again.
+    pub fn name_seeds(&mut self, seeds: Vec<usize>) {
+        self.seeds = Some(seeds);
+        for machine in self.machines() {
+            let settings = self.settings_of(machine);
+            if let Some(process) = &self.machines[machine].process {
+                process.reload(&settings);
+            }
+        }
+    }
+
     pub(super) fn end(&mut self, index: usize, is_reset: bool) {
         let machine = &mut self.machines[index];
         (machine.process, machine.is_frozen, machine.is_slow) = (None, false, false);
--- a/crates/emulator/src/fleet/looks.rs
+++ b/crates/emulator/src/fleet/looks.rs
@@ -7,8 +7,7 @@
 use register::Versioned;
 use state::ControlState;
 
-use super::Fleet;
-use super::Shape;
+use super::{Fleet, MachineKind, Shape};
 use crate::logging::set_context;
 use crate::process::Process;
 
@@ -37,10 +36,16 @@
         &self.machines[machine].station
     }
 
+    /// What a machine is for.
+    #[must_use]
+    pub fn kind(&self, machine: usize) -> MachineKind {
+        self.machines[machine].kind
+    }
+
     /// Whether a machine keeps batch jobs.
     #[must_use]
     pub fn is_store(&self, machine: usize) -> bool {
-        self.machines[machine].is_store
+        self.machines[machine].kind == MachineKind::Store
     }
 
     /// The traffic nodes that the operators' list shows: all that are not gone for good.
@@ -49,16 +54,29 @@
         self.machines().filter(|machine| !self.is_store(*machine) && !self.is_leaving(*machine)).collect()
     }
 
+    /// Whether a process is there, frozen or not.
+    #[must_use]
+    pub fn has_process(&self, machine: usize) -> bool {
+        self.machines[machine].process.is_some()
+    }
+
     /// Whether a process runs there, and is not frozen.
     #[must_use]
     pub fn is_running(&self, machine: usize) -> bool {
         self.machines[machine].process.is_some() && !self.machines[machine].is_frozen
     }
 
-    /// The incarnation of the disk of a machine, while its process runs.
+    /// The traffic nodes without a disk that were there at the start.
+    #[must_use]
+    pub fn diskless_nodes(&self) -> std::ops::Range<usize> {
+        let first = self.shape.nodes + self.shape.stores;
+        first..first + self.shape.diskless
+    }
+
+    /// The incarnation of the disk of a machine, if it has one, while its process runs.
     #[must_use]
     pub fn incarnation(&self, machine: usize) -> Option<Incarnation> {
-        self.machines[machine].process.as_ref().map(Process::incarnation)
+        self.machines[machine].process.as_ref().and_then(Process::incarnation)
     }
 
     /// How many times a process has ended there.
--- a/crates/emulator/src/fleet/mod.rs
+++ b/crates/emulator/src/fleet/mod.rs
@@ -36,6 +36,8 @@
 const OUTSIDE_WAIT: Duration = Duration::from_millis(1500);
 /// Pause of a caller from outside between two tries.
 const OUTSIDE_PAUSE: Duration = Duration::from_millis(200);
+/// How many seeds the settings name.
+const SEEDS: usize = 3;
 /// The port for internal calls and the one of the operator's interface.
 const INTERNAL_PORT: u16 = 7000;
 const OPERATOR_PORT: u16 = 9000;
@@ -43,8 +45,10 @@
 /// The size of a fleet.
 #[derive(Clone, Copy, Debug)]
 pub struct Shape {
-    /// Traffic nodes, each with a disk.
+    /// Traffic nodes with a disk.
     pub nodes: usize,
+    /// Traffic nodes without a disk.
+    pub diskless: usize,
     /// Stores.
     pub stores: usize,
     /// Model servers.
@@ -55,13 +59,30 @@
 
 impl Default for Shape {
     fn default() -> Self {
-        Self { nodes: 3, stores: 3, servers: 4, machines_lost: 1 }
+        Self { nodes: 3, diskless: 0, stores: 3, servers: 4, machines_lost: 1 }
     }
 }
 
+/// A machine counts as lost for this long after its start (`catchUpS`), as the deployments of this size have it.
+#[must_use]
+pub fn catch_up(shape: Shape) -> Duration {
+    Duration::from_millis(if shape.machines_lost > 1 { 6000 } else { 4500 })
+}
+
+/// What a machine is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MachineKind {
+    /// A traffic node with a disk.
+    Node,
+    /// A traffic node without a disk.
+    DisklessNode,
+    /// A store.
+    Store,
+}
+
 struct Machine {
     station: String,
-    is_store: bool,
+    kind: MachineKind,
     first_start: bool,
     disk: SimulatedDisk,
     pace: DiskPace,
@@ -116,6 +137,8 @@
     pub random: Rng,
     machines: Vec<Machine>,
     shape: Shape,
+    /// The nodes that settings name as seeds from now on; `None`: the first that are there.
+    seeds: Option<Vec<usize>>,
     wire: Wire,
     events: BTreeMap<(Duration, u64), Event>,
     numbers: u64,
@@ -135,24 +158,28 @@
             random: Rng::with_seed(seed),
             machines: Vec::new(),
             shape,
+            seeds: None,
             wire: Wire::default(),
             events: BTreeMap::new(),
             numbers: 0,
             calls: BTreeMap::new(),
             replies: BTreeMap::new(),
         };
-        for index in 0..shape.nodes + shape.stores {
-            fleet.add(index >= shape.nodes, true);
+        let nodes = std::iter::repeat_n(MachineKind::Node, shape.nodes);
+        let stores = std::iter::repeat_n(MachineKind::Store, shape.stores);
+        let diskless = std::iter::repeat_n(MachineKind::DisklessNode, shape.diskless);
+        for kind in nodes.chain(stores).chain(diskless) {
+            fleet.add(kind, true);
         }
         fleet
     }
 
     /// Adds a machine with an empty disk, and starts it soon.
-    pub fn add(&mut self, is_store: bool, first_start: bool) -> usize {
+    pub fn add(&mut self, kind: MachineKind, first_start: bool) -> usize {
         let index = self.machines.len();
         self.machines.push(Machine {
-            station: format!("{}-{index}", if is_store { "store" } else { "node" }),
-            is_store,
+            station: format!("{}-{index}", if kind == MachineKind::Store { "store" } else { "node" }),
+            kind,
             first_start,
             disk: SimulatedDisk::new(self.random.u64(..)),
             pace: DiskPace::default(),
@@ -203,20 +230,25 @@
     fn settings_of(&self, index: usize) -> Settings {
         let machine = &self.machines[index];
         // The platform names nodes that are there when it writes the file.
-        let is_present = |node: &usize| !self.machines[*node].is_store && !self.machines[*node].is_removed;
-        let present = self.machines().filter(is_present).take(3);
-        let seeds: Vec<String> = present.map(|node| format!("\"{}:{OPERATOR_PORT}\"", ip_of(node))).collect();
-        let serves = if machine.is_store { "\"vault\"" } else { "\"counter\", \"dispatch\"" };
+        let is_present = |node: &usize| !self.is_store(*node) && !self.machines[*node].is_removed;
+        let present = self.machines().filter(is_present).take(SEEDS);
+        let seeds = self.seeds.clone().unwrap_or_else(|| present.collect());
+        let seeds: Vec<String> =
+            seeds.into_iter().map(|node| format!("\"{}:{OPERATOR_PORT}\"", ip_of(node))).collect();
+        let serves = if self.is_store(index) { "\"vault\"" } else { "\"counter\", \"dispatch\"" };
+        let data = if machine.kind == MachineKind::DisklessNode { "" } else { "dataDir = \"/data\"\n" };
         let text = format!(
             "station = \"{}\"\nip = \"{}\"\nzone = \"zone-{}\"\ninnerPorts = [{INTERNAL_PORT}, {INTERNAL_PORT}]\n\
-             serves = [{serves}]\nseedStations = [{}]\nfirstStart = {}\ndataDir = \"/data\"\n\
-             [withstand]\nmachines = {}\n[timetable]\nleaseMs = 3000\nthawMs = 300\nstatusS = 120\n",
+             serves = [{serves}]\nseedStations = [{}]\nfirstStart = {}\n{data}\
+             [withstand]\nmachines = {}\n[timetable]\nleaseMs = 3000\nthawMs = 300\nstatusS = 120\n\
+             catchUpS = {}\n",
             machine.station,
             ip_of(index),
             index % 3,
             seeds.join(", "),
             machine.first_start,
             self.shape.machines_lost,
+            catch_up(self.shape).as_secs_f64(),
         );
         Settings::parse(&text).expect("the settings are proper")
     }
--- a/crates/emulator/src/fleet/outside.rs
+++ b/crates/emulator/src/fleet/outside.rs
@@ -56,7 +56,8 @@
     pub(super) fn ask_until_clear(&mut self, most: Duration, request: &Request) -> Reply {
         let until = self.now + most;
         while self.now < until {
-            let node = self.random.usize(..self.shape.nodes);
+            let present = self.present_nodes();
+            let node = present[self.random.usize(..present.len())];
             match self.call(node, request.clone()) {
                 None | Some(Reply::Status(503 | 504)) => self.run(OUTSIDE_PAUSE),
                 Some(reply) => return reply,
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod simulation;
 mod wire;
 
-pub use fleet::{Fleet, Shape};
+pub use fleet::{catch_up, Fleet, MachineKind, Shape};
 pub use logging::print_logs;
 pub use network::Network;
 pub use requests::{JobCall, OperatorOrder, Reply, Request};
--- a/crates/emulator/src/process.rs
+++ b/crates/emulator/src/process.rs
@@ -73,7 +73,7 @@
     internal: Arc<BoxEndpoint<'static, Response>>,
     role: Role,
     wire: Wire,
-    incarnation: Incarnation,
+    incarnation: Option<Incarnation>,
     has_ended: Arc<AtomicBool>,
 }
 
@@ -89,13 +89,14 @@
             servers: transport,
         };
         let (began, started) = runtime.block_on(async {
-            let disk = open_disk(boot)?;
+            let has_disk = boot.settings.data_dir.is_some();
+            let disk = if has_disk { Some(open_disk(boot)?) } else { None };
             let began = Instant::now();
-            let is_store = boot.settings.serves_store();
-            Some((
-                began,
-                if is_store { start_store(boot, disk, edges) } else { start_node(boot, disk, edges) },
-            ))
+            let started = match disk {
+                Some(disk) if boot.settings.serves_store() => start_store(boot, disk, edges),
+                disk => start_node(boot, disk, edges),
+            };
+            Some((began, started))
         })?;
         let Started { internal, role, incarnation } = started;
         let (clock, internal, has_ended) = (Duration::ZERO, Arc::new(internal), Arc::default());
@@ -152,6 +153,11 @@
         });
     }
 
+    /// Lets the process read its settings again, as the platform asks for by SIGHUP.
+    pub(crate) fn reload(&self, settings: &Settings) {
+        self.role.control().adopt_settings(settings);
+    }
+
     /// Whether it has ended after it was told to.
     pub(crate) fn has_ended(&self) -> bool {
         self.has_ended.load(Ordering::Relaxed)
@@ -170,8 +176,8 @@
         self.role.control().acceptor()
     }
 
-    /// The incarnation of its disk.
-    pub(crate) fn incarnation(&self) -> Incarnation {
+    /// The incarnation of its disk, if it has one.
+    pub(crate) fn incarnation(&self) -> Option<Incarnation> {
         self.incarnation
     }
 
@@ -209,12 +215,12 @@
 struct Started {
     internal: BoxEndpoint<'static, Response>,
     role: Role,
-    incarnation: Incarnation,
+    incarnation: Option<Incarnation>,
 }
 
-fn start_node(boot: &Boot<'_>, disk: Disk, edges: Edges) -> Started {
-    let incarnation = disk.incarnation;
-    let node = Node::new(boot.settings, Some(disk), edges);
+fn start_node(boot: &Boot<'_>, disk: Option<Disk>, edges: Edges) -> Started {
+    let incarnation = disk.as_ref().map(|disk| disk.incarnation);
+    let node = Node::new(boot.settings, disk, edges);
     node.start(boot.settings);
     let internal = node.control.internal_routes().map_to_response().boxed();
     let operator = Arc::new(node.operator_routes().map_to_response().boxed());
@@ -223,7 +229,7 @@
 }
 
 fn start_store(boot: &Boot<'_>, disk: Disk, edges: Edges) -> Started {
-    let incarnation = disk.incarnation;
+    let incarnation = Some(disk.incarnation);
     let (store, owned) = Store::new(boot.settings, disk, edges);
     store.start(boot.settings);
     tokio::spawn(run_jobs(owned));
--- a/crates/emulator/src/simulation/troubles.rs
+++ b/crates/emulator/src/simulation/troubles.rs
@@ -5,7 +5,7 @@
 use fastrand::Rng;
 
 use super::Setup;
-use crate::Fleet;
+use crate::{Fleet, MachineKind};
 
 /// What befalls a fleet. Machines are picked when it begins, by the number drawn here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -140,7 +140,7 @@
             if fleet.is_store(machine) {
                 return None;
             }
-            fleet.add(false, false);
+            fleet.add(MachineKind::Node, false);
         }
         Kind::Freeze | Kind::FreezeLeader => fleet.freeze(machine),
         Kind::SlowDown => fleet.slow_down(machine, true),
--- a/crates/rushrudder/src/control.rs
+++ b/crates/rushrudder/src/control.rs
@@ -234,15 +234,18 @@
     /// Reads the settings file again. The seeds take effect at once, everything else at the next start.
     pub fn reload(&self) {
         match Settings::from_env() {
-            Ok(settings) => {
-                let seeds = seed_addresses(&settings);
-                log::info!("settings read again: seeds {}", seeds.join(" "));
-                self.seeds.send_replace(seeds);
-            }
+            Ok(settings) => self.adopt_settings(&settings),
             Err(error) => log::error!("the settings stay as they are: {error}"),
         }
     }
 
+    /// Goes on with these settings: the seeds take effect at once, everything else at the next start.
+    pub fn adopt_settings(&self, settings: &Settings) {
+        let seeds = seed_addresses(settings);
+        log::info!("settings read again: seeds {}", seeds.join(" "));
+        self.seeds.send_replace(seeds);
+    }
+
     /// Listens at the internal address.
     pub async fn listen(&self) -> Result<TcpListener, Report<RoleError>> {
         TcpListener::bind(&self.address).await.change_context(RoleError).attach_with(|| self.address.clone())
