Introduce the acceptors to the seeds, so that who was given seeds without a disk finds them

After a loss of power of all, one without an acceptor knows its seeds alone. Where the settings name three nodes without a disk, these know nothing either, and nobody who knows calls them: acceptors know each other and the stores from their disks, and nodes without a disk from nowhere.

Ruled out: the list of servers (the poll fails before it matters), epochs of the stores (they never saw a control state).

Change: who knows the acceptors introduces them to its own seeds, at once when it comes to know them or is given other seeds, and now and then after; the leader introduces them to members whose ping says that they know nothing. What one process knows so reaches all that are connected with it by seeds in either direction.

--- a/crates/control-plane/src/distribution.rs
+++ b/crates/control-plane/src/distribution.rs
@@ -49,7 +49,8 @@
     #[must_use]
     pub fn ping(&self) -> PingReply {
         let settled_epoch = self.settled_epoch.load(Ordering::Relaxed);
-        PingReply { incarnation: self.incarnation.get().copied(), settled_epoch }
+        let knows_control = self.view.committed().is_some();
+        PingReply { incarnation: self.incarnation.get().copied(), settled_epoch, knows_control }
     }
 
     /// Answers a long poll as soon as something is newer, or after the time it may be held.
--- a/crates/control-plane/src/messages.rs
+++ b/crates/control-plane/src/messages.rs
@@ -22,6 +22,8 @@
     pub const ANNOUNCE: &str = "/control/announce";
     /// The first value of the register.
     pub const FIRST: &str = "/control/first";
+    /// The acceptors are introduced to a process that may not know them.
+    pub const INTRODUCE: &str = "/control/introduce";
     /// Whether a process is there.
     pub const PING: &str = "/control/ping";
 }
@@ -50,6 +52,15 @@
     pub capability: Capability,
 }
 
+/// Tells a process where the acceptors are.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Introduction {
+    /// The revision of the control state that names them.
+    pub revision: u64,
+    /// Their internal addresses.
+    pub acceptors: Vec<String>,
+}
+
 /// The long poll of a process.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PollRequest {
@@ -96,4 +107,6 @@
     pub incarnation: Option<Incarnation>,
     /// The epoch of the store set to which all its batch jobs have moved; 0 until it is known.
     pub settled_epoch: u64,
+    /// Whether it knows a control state, and so the acceptors.
+    pub knows_control: bool,
 }
--- a/crates/control-plane/src/poll.rs
+++ b/crates/control-plane/src/poll.rs
@@ -8,7 +8,7 @@
 
 use crate::distribution::NO_BALLOT;
 use crate::messages::{paths, PollReply, PollRequest, CONFIRMED_AGE_MOST};
-use crate::{Leadership, ViewCell};
+use crate::{Introductions, Leadership, ViewCell};
 
 /// How long a peer may hold a poll.
 const HOLD: Duration = Duration::from_millis(450);
@@ -21,12 +21,13 @@
 
 /// Polls one peer after the other, and stays with one that is confirmed by a majority and has a fresh list.
 ///
-/// `seeds` are asked until the acceptors are known; `this_address` is this process, which is not asked. A process
+/// `seeds`, and the acceptors that others introduced, are asked until the acceptors are known; `this_address` is this process, which is not asked. A process
 /// that may lead gives its `leadership`: it polls the leader first, and nobody while it leads itself.
 pub async fn run_poller(
     view: Arc<ViewCell>,
     client: rpc::Client,
     seeds: watch::Receiver<Vec<String>>,
+    introductions: Arc<Introductions>,
     this_address: String,
     leadership: Option<Arc<Leadership>>,
 ) {
@@ -44,7 +45,9 @@
         if leadership.is_some() && present != leader {
             (next, leader) = (0, present);
         }
-        let peers = peers(&view, &seeds.borrow(), &this_address, leadership.is_some());
+        let mut others = introductions.acceptors();
+        others.extend(seeds.borrow().iter().cloned());
+        let peers = peers(&view, &others, &this_address, leadership.is_some());
         let Some(peer) = peers.get(next % peers.len().max(1)) else {
             tokio::time::sleep(HOLD).await;
             continue;
@@ -87,8 +90,8 @@
     }
 }
 
-/// The acceptors, the leader first where wanted; the seeds too where none is known or nothing was confirmed of late.
-fn peers(view: &ViewCell, seeds: &[String], this_address: &str, leader_first: bool) -> Vec<String> {
+/// The acceptors, the leader first where wanted; `others` too where none is known or nothing was confirmed of late.
+fn peers(view: &ViewCell, others: &[String], this_address: &str, leader_first: bool) -> Vec<String> {
     let control = &view.view().control;
     let mut known: Vec<_> = control.acceptors.iter().collect();
     if leader_first {
@@ -98,8 +101,11 @@
     let mut peers: Vec<String> = known.filter(|address| address != this_address).collect();
     let lost = view.confirmed_age().is_none_or(|age| age > 4 * CONFIRMED_AGE_MOST);
     if peers.is_empty() || lost {
-        peers.extend(seeds.iter().filter(|seed| *seed != this_address).cloned());
-        peers.dedup();
+        for other in others.iter().filter(|other| *other != this_address) {
+            if !peers.contains(other) {
+                peers.push(other.clone());
+            }
+        }
     }
     peers
 }
--- a/crates/control-plane/src/upkeep.rs
+++ b/crates/control-plane/src/upkeep.rs
@@ -9,7 +9,8 @@
 use state::ControlState;
 use tokio::time::Instant;
 
-use crate::messages::{paths, PingReply};
+use crate::introductions::introduce;
+use crate::messages::{paths, Introduction, PingReply};
 use crate::{Leadership, Proposer, ViewCell};
 
 /// How often members are pinged.
@@ -88,7 +89,8 @@
     last_round: Instant,
 ) {
     let members = Observation::to_ping(control);
-    let replies = join_all(members.iter().map(|member| ping(client, member))).await;
+    let introduction = Introduction::of(control);
+    let replies = join_all(members.iter().map(|member| ping(client, member, &introduction))).await;
     let answers =
         || members.iter().zip(&replies).filter_map(|(member, reply)| Some((member, reply.as_ref()?)));
     observed.settled = answers().map(|(member, reply)| (member.incarnation, reply.settled_epoch)).collect();
@@ -96,8 +98,12 @@
     observed.reachability.round(control, &answered, last_round.elapsed(), ROUND_MOST);
 }
 
-async fn ping(client: &rpc::Client, member: &Member) -> Option<PingReply> {
+/// Pings a member. Where its process knows nothing after a restart, the acceptors are introduced to it.
+async fn ping(client: &rpc::Client, member: &Member, introduction: &Introduction) -> Option<PingReply> {
     let reply: PingReply = client.call(&member.address, paths::PING, &(), PING_TIMEOUT).await.ok()?;
+    if !reply.knows_control {
+        introduce(client, &member.address, introduction).await;
+    }
     // Its former self, or its successor with another disk, has not moved what this member held.
     (reply.incarnation == Some(member.incarnation)).then_some(reply)
 }
--- a/crates/emulator/src/fleet/faults.rs
+++ b/crates/emulator/src/fleet/faults.rs
@@ -100,14 +100,12 @@
         }
     }
 
-    /// Names other seeds in all settings; processes that run read them again.
-    pub fn name_seeds(&mut self, seeds: Vec<usize>) {
-        self.seeds = Some(seeds);
-        for machine in self.machines() {
-            let settings = self.settings_of(machine);
-            if let Some(process) = &self.machines[machine].process {
-                process.reload(&settings);
-            }
+    /// Names other seeds in the settings of a machine; if its process runs, it reads them again.
+    pub fn name_seeds(&mut self, machine: usize, seeds: Vec<usize>) {
+        self.seeds.insert(machine, seeds);
+        let settings = self.settings_of(machine);
+        if let Some(process) = &self.machines[machine].process {
+            process.reload(&settings);
         }
     }
 
--- a/crates/emulator/src/fleet/mod.rs
+++ b/crates/emulator/src/fleet/mod.rs
@@ -137,8 +137,8 @@
     pub random: Rng,
     machines: Vec<Machine>,
     shape: Shape,
-    /// The nodes that settings name as seeds from now on; `None`: the first that are there.
-    seeds: Option<Vec<usize>>,
+    /// The nodes that the settings of a machine name as seeds; where it is not listed: the first that are there.
+    seeds: BTreeMap<usize, Vec<usize>>,
     wire: Wire,
     events: BTreeMap<(Duration, u64), Event>,
     numbers: u64,
@@ -158,7 +158,7 @@
             random: Rng::with_seed(seed),
             machines: Vec::new(),
             shape,
-            seeds: None,
+            seeds: BTreeMap::new(),
             wire: Wire::default(),
             events: BTreeMap::new(),
             numbers: 0,
@@ -232,7 +232,7 @@
         // The platform names nodes that are there when it writes the file.
         let is_present = |node: &usize| !self.is_store(*node) && !self.machines[*node].is_removed;
         let present = self.machines().filter(is_present).take(SEEDS);
-        let seeds = self.seeds.clone().unwrap_or_else(|| present.collect());
+        let seeds = self.seeds.get(&index).cloned().unwrap_or_else(|| present.collect());
         let seeds: Vec<String> =
             seeds.into_iter().map(|node| format!("\"{}:{OPERATOR_PORT}\"", ip_of(node))).collect();
         let serves = if self.is_store(index) { "\"vault\"" } else { "\"counter\", \"dispatch\"" };
--- a/crates/emulator/tests/stories.rs
+++ b/crates/emulator/tests/stories.rs
@@ -476,21 +476,39 @@
     })
 }
 
+/// Which seeds the settings come to name.
+type Seeds = fn(&mut Fleet);
+
+fn the_same_diskless_nodes(fleet: &mut Fleet) {
+    let seeds: Vec<usize> = fleet.diskless_nodes().take(3).collect();
+    fleet.machines().for_each(|machine| fleet.name_seeds(machine, seeds.clone()));
+}
+
+/// Each diskless node is given the one before as its seed, and all other machines the last.
+fn a_chain_of_diskless_nodes(fleet: &mut Fleet) {
+    let diskless = fleet.diskless_nodes();
+    for machine in fleet.machines() {
+        let is_behind_another = diskless.contains(&machine) && machine > diskless.start;
+        fleet.name_seeds(machine, vec![if is_behind_another { machine - 1 } else { diskless.end - 1 }]);
+    }
+}
+
 #[parameterized(
-    all_killed = { all_are_killed },
-    power_lost = { all_lose_power },
-    power_and_disk_of_store_lost = { all_lose_power_and_a_store_its_disk },
-    power_and_disk_of_node_lost = { all_lose_power_and_a_node_its_disk },
+    all_killed = { the_same_diskless_nodes, all_are_killed },
+    power_lost = { the_same_diskless_nodes, all_lose_power },
+    power_and_disk_of_store_lost = { the_same_diskless_nodes, all_lose_power_and_a_store_its_disk },
+    power_and_disk_of_node_lost = { the_same_diskless_nodes, all_lose_power_and_a_node_its_disk },
+    chain_and_power_lost = { a_chain_of_diskless_nodes, all_lose_power },
 )]
 fn given_seeds_that_are_nodes_without_a_disk_when_all_machines_go_down_then_all_find_the_acceptors_again(
+    name_seeds: Seeds,
     loss: Loss,
 ) {
     for shape in [WITH_DISKLESS, FIVE_WITH_DISKLESS] {
         for seed in SEEDS {
             let mut story = Story::begin(seed, shape);
             story.submit("first");
-            let seeds: Vec<usize> = story.fleet.diskless_nodes().take(3).collect();
-            story.fleet.name_seeds(seeds);
+            name_seeds(&mut story.fleet);
             story.read_all();
             loss(&mut story.fleet);
             let is_back = |fleet: &Fleet| fleet.machines().all(|machine| fleet.is_running(machine));
--- a/crates/rushrudder/src/control.rs
+++ b/crates/rushrudder/src/control.rs
@@ -6,7 +6,8 @@
 
 use control_plane::{
     paths, AcceptorService, Announcement, Capability, Distribution, FirstStart, HttpServerCalls, Identity,
-    Leadership, ListSource, Platform, PollRequest, Proposer, ServerCalls, ViewCell, LEASE_TTL,
+    Introduction, Introductions, Leadership, ListSource, Platform, PollRequest, Proposer, ServerCalls,
+    ViewCell, LEASE_TTL,
 };
 use error_stack::{Report, ResultExt};
 use lease::{Grantor, GrantorId, LeaseRelease, LeaseRequest};
@@ -75,6 +76,7 @@
     edges: Edges,
     seeds: watch::Sender<Vec<String>>,
     first_start: Arc<FirstStart>,
+    introductions: Arc<Introductions>,
     acceptor: Option<Arc<AcceptorService>>,
     grantor: Arc<Mutex<Grantor>>,
     started: Instant,
@@ -147,6 +149,7 @@
             edges,
             seeds: watch::Sender::new(seed_addresses(settings)),
             first_start: Arc::new(FirstStart::default()),
+            introductions: Arc::new(Introductions::default()),
             acceptor,
             grantor: Arc::new(grantor),
             started: Instant::now(),
@@ -157,7 +160,7 @@
     /// The endpoints for other processes; a role may add its own.
     pub fn internal_routes(&self) -> Route {
         let (distribution, pinged) = (Arc::clone(&self.distribution), Arc::clone(&self.distribution));
-        let first_start = Arc::clone(&self.first_start);
+        let (first_start, introductions) = (Arc::clone(&self.first_start), Arc::clone(&self.introductions));
         let mut routes = Route::new()
             .at(
                 paths::POLL,
@@ -173,6 +176,13 @@
                     async move { Some(reply) }
                 })),
             )
+            .at(
+                paths::INTRODUCE,
+                poem::post(rpc::handler(move |introduction: Introduction| {
+                    introductions.receive(introduction);
+                    async move { Some(()) }
+                })),
+            )
             .at(
                 paths::ANNOUNCE,
                 poem::post(rpc::handler(move |announcement: Announcement| {
@@ -260,9 +270,17 @@
             Arc::clone(&self.view),
             self.client.clone(),
             self.seeds.subscribe(),
+            Arc::clone(&self.introductions),
             self.address.clone(),
             leads,
         ));
+        tokio::spawn(control_plane::run_introductions(
+            Arc::clone(&self.view),
+            self.client.clone(),
+            self.seeds.subscribe(),
+            self.address.clone(),
+            self.acceptor.is_some(),
+        ));
         if let Some(list) = &self.edges.list {
             let own_after = if self.acceptor.is_some() { OWN_READ_ACCEPTOR } else { OWN_READ_OTHER };
             tokio::spawn(control_plane::run_list_reader(
