Do not wake who waits for progress when a store gave no reply

Cause: an owner tells stores of the set before to forget a batch job. Once the move has ended such a store has no address, so that the call fails without any time passing; the failure counted as progress, whoever waited for progress asked again, and the process spun for ever.

Ruled out: a loop of the simulation itself (a debugger and a trace show the same call to the same store at one moment).

Change: a missing reply frees the store to be asked again at the next tick, and tells nobody of progress.

--- a/crates/store-plane/src/replication/owner.rs
+++ b/crates/store-plane/src/replication/owner.rs
@@ -78,15 +78,11 @@
 
     async fn deliver(self: Arc<Self>, job: JobId, ballot: Ballot, store: StoreId, request: ReplicaRequest) {
         let sent = Instant::now();
-        let reply = self.ask(store, &job, request).await;
-        let answered = reply.is_some();
+        let Some(reply) = self.ask(store, &job, request).await else {
+            self.note_no_reply(&job, ballot, store);
+            return;
+        };
         self.with_ownership(&job, ballot, |shared, state| {
-            let Some(reply) = reply else {
-                if let Some(owned) = state.owned.get_mut(&job) {
-                    owned.ownership.no_reply(store);
-                }
-                return;
-            };
             // Counted from now, not from when it was asked: an age must never be more than the truth.
             let now = Instant::now();
             let known_since = now.checked_sub(Duration::from_millis(reply.age_ms)).unwrap_or(now);
@@ -96,8 +92,16 @@
                 owned.ownership.reply(store, reply.reply, shared.time(sent));
             }
         });
-        if answered {
-            self.drive(&job);
+        self.drive(&job);
+    }
+
+    /// The store may be asked again. Nobody is told of progress: who waits for it would ask again at once, and a store
+    /// that is a member no more gives no reply without any time passing.
+    fn note_no_reply(&self, job: &JobId, ballot: Ballot, store: StoreId) {
+        let mut state = self.lock();
+        let owned = state.owned.get_mut(job).filter(|owned| owned.ownership.ballot() == ballot);
+        if let Some(owned) = owned {
+            owned.ownership.no_reply(store);
         }
     }
 
