Keep the size of the set of acceptors, and replace stores that are gone in one step

The lost one went on counting: of four acceptors with one gone, the next loss that catchUpS allows left no majority. Stores alike: a store joined beside, and the lost one was removed by a second move; batch jobs with two copies lost of three could be read no more (LOST).

Change: the set of acceptors keeps its size. A machine that comes stands by, without a vote. It takes the place of an acceptor in one step when that one does not answer it and a majority of the acceptors has not heard of it for two fifths of catchUpS (`member_silence`, the one place of the bound); no leader is needed. Acceptors learn who is silent from the scrub, whose late answers are now noted and no longer dropped. At SIGTERM an acceptor hands over to a standby that answers. Stores wait for the leader, which puts them in the place of those that are gone, all in one move, or adds them once it is sure that none is. A store that is told to end leaves if there are more than wanted. Rounds of pings keep their pace while a member is gone, and what stores told of a move is kept.

--- a/crates/control-plane/src/acceptor.rs
+++ b/crates/control-plane/src/acceptor.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use crate::messages::paths;
-use crate::{Proposer, ViewCell};
+use crate::{Contacts, Proposer, ViewCell};
 
 /// How often the newest value is confirmed with a majority.
 const CONFIRM_EVERY: Duration = Duration::from_millis(400);
@@ -184,13 +184,14 @@
     loop {
         let began = Instant::now();
         if let Some(known) = view.committed() {
+            proposer.contacts().begin_round(&known.value.acceptors);
             confirm_once(&view, &client, &proposer, known, began).await;
         }
         tokio::time::sleep(CONFIRM_EVERY.saturating_sub(began.elapsed()).max(CONFIRM_EVERY / 4)).await;
     }
 }
 
-/// Asks a majority once. A value that is accepted somewhere but not provably committed is settled by a proposal.
+/// Asks all acceptors once, until a majority has confirmed; the others' answers are still noted. A value that is accepted somewhere but not provably committed is settled by a proposal.
 pub(crate) async fn confirm_once(
     view: &ViewCell,
     client: &rpc::Client,
@@ -199,28 +200,46 @@
     began: Instant,
 ) -> bool {
     let (mut confirmation, requests) = Confirmation::start(known);
+    let contacts = Arc::clone(proposer.contacts());
     let mut calls: FuturesUnordered<_> =
-        requests.into_iter().map(|(member, request)| ask(client, member, request)).collect();
+        requests.into_iter().map(|(member, request)| ask(client.clone(), member, request)).collect();
+    let mut decided = Verdict::Wait;
     while let Some((member, reply)) = calls.next().await {
         let Some(reply) = reply else { continue };
-        match confirmation.on_reply(&member, reply) {
-            Verdict::Wait => {}
-            Verdict::Confirmed => {
-                view.confirm(began);
-                return true;
-            }
-            Verdict::Newer(value) => {
-                view.adopt_control(&value);
-                return false;
-            }
-            Verdict::Undecided(_) => return proposer.settle().await,
+        note_contact(&contacts, &member, &reply);
+        decided = confirmation.on_reply(&member, reply);
+        if !matches!(decided, Verdict::Wait) {
+            break;
+        }
+    }
+    tokio::spawn(async move {
+        while let Some((member, reply)) = calls.next().await {
+            reply.iter().for_each(|reply| note_contact(&contacts, &member, reply));
+        }
+    });
+    match decided {
+        Verdict::Wait => false,
+        Verdict::Confirmed => {
+            view.confirm(began);
+            true
         }
+        Verdict::Newer(value) => {
+            view.adopt_control(&value);
+            false
+        }
+        Verdict::Undecided(_) => proposer.settle().await,
+    }
+}
+
+/// Only the acceptor itself counts, not another disk at its address.
+fn note_contact(contacts: &Contacts, member: &Member, reply: &AcceptorReply<ControlState>) {
+    if reply.incarnation == member.incarnation {
+        contacts.heard(member.incarnation);
     }
-    false
 }
 
 async fn ask(
-    client: &rpc::Client,
+    client: rpc::Client,
     member: Member,
     request: AcceptorRequest<ControlState>,
 ) -> (Member, Option<AcceptorReply<ControlState>>) {
--- a/crates/control-plane/src/bootstrap.rs
+++ b/crates/control-plane/src/bootstrap.rs
@@ -1,4 +1,4 @@
-//! The first start, and how a machine with a disk joins later.
+//! The first start, and how a store joins later.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -6,7 +6,7 @@
 
 use futures_util::future::join_all;
 use register::{AcceptorReply, AcceptorRequest, Ballot, Member, Outcome, Versioned};
-use state::change::{choose_first, first_state, with_acceptor, with_store, without_acceptor};
+use state::change::{choose_first, first_state, with_store, without_store};
 use state::{ControlState, StoreMember};
 use tokio::time::Instant;
 
@@ -23,10 +23,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long joining is tried at a stretch.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(2000);
-/// How long leaving may take.
-const LEAVE_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Pause after a store has joined, before it joins again.
-const REJOIN_PAUSE: Duration = Duration::from_secs(10);
+/// How long leaving the stores may take.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// The ballot of the first value; every proposal is above it.
 const FIRST_BALLOT: Ballot = Ballot { round: 1, proposer: 0 };
 
@@ -154,41 +152,6 @@
     stands.inspect_err(|error| log::info!("{} has not taken the first value: {error}", member.station)).ok()
 }
 
-/// Takes this machine out of the acceptors before its process ends, if another has come in its place.
-pub async fn leave_register(member: &Member, view: &ViewCell, proposer: &Proposer) {
-    if without_acceptor(&view.view().control, member).is_err() {
-        return;
-    }
-    let left = proposer.change(Instant::now() + LEAVE_TIMEOUT, |state| without_acceptor(state, member)).await;
-    match left {
-        Ok(value) => log::info!("left the register to {} acceptors", value.value.acceptors.len()),
-        Err(_) => log::warn!("has not left the register: the leader removes it when it is silent"),
-    }
-}
-
-/// Makes this machine an acceptor whenever it is none.
-pub async fn join_register(member: &Member, view: &ViewCell, proposer: &Proposer) {
-    let mut views = view.subscribe();
-    loop {
-        let known = views.borrow_and_update().control.clone();
-        let is_known = view.committed().is_some();
-        if is_known && with_acceptor(&known, member).is_err() {
-            if views.changed().await.is_err() {
-                return;
-            }
-            continue;
-        }
-        if is_known {
-            let joined =
-                proposer.change(Instant::now() + JOIN_TIMEOUT, |state| with_acceptor(state, member)).await;
-            if let Ok(value) = joined {
-                log::info!("joined the register as one of {} acceptors", value.value.acceptors.len());
-            }
-        }
-        tokio::time::sleep(PAUSE).await;
-    }
-}
-
 /// Makes this machine a member of the store set whenever it is none, unless the operator has it emptied.
 pub async fn join_stores(member: &StoreMember, view: &ViewCell, proposer: &Proposer) {
     let mut views = view.subscribe();
@@ -206,11 +169,25 @@
         }
         let joined = proposer.change(Instant::now() + JOIN_TIMEOUT, |state| with_store(state, member)).await;
         if let Ok(value) = joined {
-            let stores = &value.value.stores;
-            log::info!("joined the stores of epoch {} as one of {}", stores.epoch, stores.members.len());
-            // A member that the leader cannot reach is removed again: not too often.
-            tokio::time::sleep(REJOIN_PAUSE).await;
+            let state = &value.value;
+            if state.stores.members.contains(member) {
+                log::info!("back in the stores of epoch {}, without its former disk", state.stores.epoch);
+            } else {
+                log::info!("waits to become one of the stores");
+            }
         }
         tokio::time::sleep(PAUSE).await;
     }
 }
+
+/// Takes this machine out of the store set before its process ends, if there are more than wanted: another one has
+/// come in its place, and the batch jobs are to be whole without this one as soon as it is gone.
+pub async fn leave_stores(member: &Member, view: &ViewCell, proposer: &Proposer) {
+    if without_store(&view.view().control, member).is_err() {
+        return;
+    }
+    match proposer.change(Instant::now() + LEAVE_TIMEOUT, |state| without_store(state, member)).await {
+        Ok(value) => log::info!("left the stores of epoch {}", value.value.stores.epoch),
+        Err(_) => log::warn!("has not left the stores: the leader removes it when it is silent"),
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/contacts.rs
@@ -0,0 +1,63 @@
+//! When this acceptor last heard of each of the others.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use register::{Incarnation, Member};
+use tokio::time::Instant;
+
+/// After a pause of this length between two rounds the silence says more of this process than of the others, as it was
+/// frozen or starved: all begin anew.
+const INTERRUPTED_AFTER: Duration = Duration::from_millis(1200);
+
+/// When each acceptor answered last, as noted by the rounds of the scrub.
+#[derive(Default)]
+pub struct Contacts {
+    known: Mutex<Known>,
+}
+
+#[derive(Default)]
+struct Known {
+    last_round: Option<Instant>,
+    heard: BTreeMap<Incarnation, Instant>,
+}
+
+impl Contacts {
+    /// Begins a round in which all of these acceptors are asked.
+    pub fn begin_round(&self, acceptors: &[Member]) {
+        let now = Instant::now();
+        let mut known = self.lock();
+        let was_interrupted = known.last_round.is_some_and(|last| now - last > INTERRUPTED_AFTER);
+        known.last_round = Some(now);
+        if was_interrupted {
+            known.heard.clear();
+        }
+        known.heard.retain(|heard, _| acceptors.iter().any(|member| member.incarnation == *heard));
+        for member in acceptors {
+            known.heard.entry(member.incarnation).or_insert(now);
+        }
+    }
+
+    /// Notes that an acceptor has answered.
+    pub fn heard(&self, acceptor: Incarnation) {
+        if let Some(last) = self.lock().heard.get_mut(&acceptor) {
+            *last = Instant::now();
+        }
+    }
+
+    /// The acceptors that have been silent for this long; none while the rounds themselves are interrupted.
+    #[must_use]
+    pub fn silent_for(&self, silence: Duration) -> Vec<Incarnation> {
+        let known = self.lock();
+        if known.last_round.is_none_or(|last| last.elapsed() > INTERRUPTED_AFTER) {
+            return Vec::new();
+        }
+        let silent = known.heard.iter().filter(|(_, heard)| heard.elapsed() >= silence);
+        silent.map(|(acceptor, _)| *acceptor).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/control-plane/src/distribution.rs
+++ b/crates/control-plane/src/distribution.rs
@@ -10,7 +10,7 @@
 
 use crate::messages::{PingReply, PollReply, PollRequest};
 use crate::server_updates::RecentLists;
-use crate::{ControlUpdate, ViewCell};
+use crate::{Contacts, ControlUpdate, ViewCell};
 
 /// The longest that a poll is held.
 const HOLD_MOST: Duration = Duration::from_millis(1000);
@@ -20,17 +20,22 @@
     view: Arc<ViewCell>,
     settled_epoch: AtomicU64,
     incarnation: OnceLock<Incarnation>,
+    contacts: Arc<Contacts>,
+    silence: Duration,
     recent_lists: Mutex<RecentLists>,
 }
 
 impl Distribution {
-    /// A distribution of what `view` knows.
+    /// A distribution of what `view` knows. Acceptors that `contacts` have not heard of for the time `silence` are told
+    /// to be silent.
     #[must_use]
-    pub fn new(view: Arc<ViewCell>) -> Arc<Self> {
+    pub fn new(view: Arc<ViewCell>, contacts: Arc<Contacts>, silence: Duration) -> Arc<Self> {
         Arc::new(Self {
             view,
             settled_epoch: AtomicU64::new(0),
             incarnation: OnceLock::new(),
+            contacts,
+            silence,
             recent_lists: Mutex::default(),
         })
     }
@@ -50,7 +55,8 @@
     pub fn ping(&self) -> PingReply {
         let settled_epoch = self.settled_epoch.load(Ordering::Relaxed);
         let knows_control = self.view.committed().is_some();
-        PingReply { incarnation: self.incarnation.get().copied(), settled_epoch, knows_control }
+        let silent = self.contacts.silent_for(self.silence);
+        PingReply { incarnation: self.incarnation.get().copied(), settled_epoch, knows_control, silent }
     }
 
     /// Answers a long poll as soon as something is newer, or after the time it may be held.
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -2,7 +2,9 @@
 //! their distribution.
 
 mod acceptor;
+mod acceptor_membership;
 mod bootstrap;
+mod contacts;
 mod control_updates;
 mod distribution;
 mod introductions;
@@ -22,7 +24,9 @@
 mod view;
 
 pub use acceptor::{run_scrub, AcceptorService};
-pub use bootstrap::{join_register, join_stores, leave_register, start_first, FirstStart, Identity};
+pub use acceptor_membership::{join_register, leave_register};
+pub use bootstrap::{join_stores, leave_stores, start_first, FirstStart, Identity};
+pub use contacts::Contacts;
 pub use control_updates::ControlUpdate;
 pub use distribution::Distribution;
 pub use introductions::{run_introductions, Introductions};
--- a/crates/control-plane/src/messages.rs
+++ b/crates/control-plane/src/messages.rs
@@ -109,4 +109,6 @@
     pub settled_epoch: u64,
     /// Whether it knows a control state, and so the acceptors.
     pub knows_control: bool,
+    /// The acceptors of which this one, if it is an acceptor, has not heard for long.
+    pub silent: Vec<Incarnation>,
 }
--- a/crates/control-plane/src/proposer.rs
+++ b/crates/control-plane/src/proposer.rs
@@ -12,7 +12,7 @@
 
 use crate::acceptor::confirm_once;
 use crate::messages::paths;
-use crate::ViewCell;
+use crate::{Contacts, ViewCell};
 
 /// How long one acceptor may take for one request.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -39,6 +39,7 @@
     /// Random number of this process, so that ballots are unique.
     identity: u64,
     round: AtomicU64,
+    contacts: Arc<Contacts>,
     /// Changes of one process take turns: their proposals would only preempt each other.
     turn: tokio::sync::Mutex<()>,
 }
@@ -58,10 +59,17 @@
             client,
             identity: fastrand::u64(1..),
             round: AtomicU64::new(1),
+            contacts: Arc::default(),
             turn: tokio::sync::Mutex::default(),
         })
     }
 
+    /// When this process last heard of each acceptor.
+    #[must_use]
+    pub fn contacts(&self) -> &Arc<Contacts> {
+        &self.contacts
+    }
+
     /// Changes the committed state to what `decide` makes of it. `decide` may be called several times.
     ///
     /// # Errors
--- a/crates/control-plane/src/upkeep.rs
+++ b/crates/control-plane/src/upkeep.rs
@@ -5,38 +5,44 @@
 
 use futures_util::future::join_all;
 use register::Member;
-use state::change::{next_upkeep, Observation, QuorumMargin};
+use state::change::{next_upkeep, Observation, QuorumMargin, Reachability};
 use state::ControlState;
-use tokio::time::Instant;
+use tokio::time::{Instant, MissedTickBehavior};
 
 use crate::introductions::introduce;
 use crate::messages::{paths, Introduction, PingReply};
 use crate::{Leadership, Proposer, ViewCell};
 
-/// How often members are pinged.
-const EVERY: Duration = Duration::from_millis(700);
+/// How often members are pinged. A round with a member that is gone must not take longer than any other.
+const EVERY: Duration = Duration::from_millis(600);
 /// How long a ping may take.
 const PING_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a change may take.
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// A round that takes longer was interrupted: this process was frozen or starved.
-const ROUND_MOST: Duration = Duration::from_millis(2 * (700 + 500));
+const ROUND_MOST: Duration = Duration::from_millis(4 * 600);
 
-/// Tends the members while this process leads.
+/// Tends the members while this process leads. A store that is silent for the time `silence` is replaced where another
+/// machine waits to take its place.
 pub async fn run_upkeep(
     leadership: Arc<Leadership>,
     view: Arc<ViewCell>,
     proposer: Arc<Proposer>,
     client: rpc::Client,
+    silence: Duration,
 ) {
-    let mut observed = Observation::default();
+    let nothing =
+        Observation { reachability: Reachability::counting(EVERY, silence), ..Observation::default() };
+    let mut observed = nothing.clone();
     let mut last_round = Instant::now();
     let mut told_margin = None;
+    let mut rounds = tokio::time::interval(EVERY);
+    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        tokio::time::sleep(EVERY).await;
+        rounds.tick().await;
         let Some(fence) = leadership.fence() else {
-            observed = Observation::default();
+            observed = nothing.clone();
             last_round = Instant::now();
             told_margin = None;
             continue;
@@ -93,7 +99,7 @@
     let replies = join_all(members.iter().map(|member| ping(client, member, &introduction))).await;
     let answers =
         || members.iter().zip(&replies).filter_map(|(member, reply)| Some((member, reply.as_ref()?)));
-    observed.settled = answers().map(|(member, reply)| (member.incarnation, reply.settled_epoch)).collect();
+    answers().for_each(|(member, reply)| observed.note_settled(member.incarnation, reply.settled_epoch));
     let answered: Vec<Member> = answers().map(|(member, _)| member.clone()).collect();
     observed.reachability.round(control, &answered, last_round.elapsed(), ROUND_MOST);
 }
--- a/crates/rushrudder/src/control.rs
+++ b/crates/rushrudder/src/control.rs
@@ -80,7 +80,7 @@
     acceptor: Option<Arc<AcceptorService>>,
     grantor: Arc<Mutex<Grantor>>,
     started: Instant,
-    /// The task that makes this machine an acceptor.
+    /// The task that makes this machine an acceptor or a store.
     joining: Mutex<Option<AbortHandle>>,
 }
 
@@ -140,7 +140,11 @@
             view.adopt_control(&known);
         }
         Self {
-            distribution: Distribution::new(Arc::clone(&view)),
+            distribution: Distribution::new(
+                Arc::clone(&view),
+                Arc::clone(proposer.contacts()),
+                settings.timetable.member_silence(),
+            ),
             leadership: Arc::new(Leadership::new(Arc::clone(&view))),
             view,
             client,
@@ -329,7 +333,9 @@
         let (view, proposer) = (Arc::clone(&self.view), Arc::clone(&self.proposer));
         if capability == Capability::Store {
             let member = StoreMember { member, zone: settings.zone.clone() };
-            tokio::spawn(async move { control_plane::join_stores(&member, &view, &proposer).await });
+            let joining =
+                tokio::spawn(async move { control_plane::join_stores(&member, &view, &proposer).await });
+            self.note_joining(&joining);
             return;
         }
         tokio::spawn(control_plane::run_scrub(Arc::clone(&view), self.client.clone(), Arc::clone(&proposer)));
@@ -352,13 +358,20 @@
             Arc::clone(&view),
             Arc::clone(&proposer),
             self.client.clone(),
+            settings.timetable.member_silence(),
         ));
-        let joining =
-            tokio::spawn(async move { control_plane::join_register(&member, &view, &proposer).await });
+        let client = self.client.clone();
+        let joining = tokio::spawn(async move {
+            control_plane::join_register(&member, &view, &proposer, &client).await;
+        });
+        self.note_joining(&joining);
+    }
+
+    fn note_joining(&self, joining: &tokio::task::JoinHandle<()>) {
         *self.joining.lock().unwrap_or_else(PoisonError::into_inner) = Some(joining.abort_handle());
     }
 
-    /// From now on this process does not make its machine an acceptor any more.
+    /// From now on this process does not make its machine an acceptor or a store any more.
     pub fn stop_joining(&self) {
         if let Some(joining) = self.joining.lock().unwrap_or_else(PoisonError::into_inner).take() {
             joining.abort();
--- a/crates/rushrudder/src/node.rs
+++ b/crates/rushrudder/src/node.rs
@@ -69,7 +69,8 @@
         self.control.stop_joining();
         self.control.leadership.resign().await;
         if let Some(member) = &self.member {
-            leave_register(member, &self.control.view, &self.control.proposer).await;
+            let Control { view, proposer, client, .. } = &self.control;
+            leave_register(member, view, proposer, client).await;
         }
     }
 
--- a/crates/rushrudder/src/store.rs
+++ b/crates/rushrudder/src/store.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use control_plane::{Capability, Distribution};
+use control_plane::{leave_stores, Capability, Distribution};
 use data_plane::Sender;
 use error_stack::{IntoReport, Report};
 use poem::Route;
@@ -86,6 +86,8 @@
 
     /// Hands all batch jobs over, before the process ends.
     pub async fn resign(&self) {
+        self.control.stop_joining();
+        leave_stores(&self.member, &self.control.view, &self.control.proposer).await;
         self.jobs.resign().await;
         tokio::time::sleep(LAST_ANSWERS).await;
     }
--- a/crates/settings/src/figures.rs
+++ b/crates/settings/src/figures.rs
@@ -87,6 +87,11 @@
     fence_checked: Option<bool>,
 }
 
+/// The shortest silence after which a member may be replaced ...
+const MEMBER_SILENCE_LEAST: Duration = Duration::from_secs(1);
+/// ... and the longest that is waited for.
+const MEMBER_SILENCE_MOST: Duration = Duration::from_secs(4);
+
 impl Timetable {
     pub(crate) const BEAT_DEFAULT: Duration = Duration::from_millis(1200);
 
@@ -120,6 +125,17 @@
         seconds(self.catch_up, Duration::from_secs(5))
     }
 
+    /// A member that is silent for this long is gone where another machine waits to take its place.
+    ///
+    /// The successor of a machine that is gone has [`Self::catch_up`] from its start until the next machine may be
+    /// lost. In that time its process must find the others, the silence must be noticed, and the change must be
+    /// committed and known to a majority. Two fifths of it for the silence leave as much for the rest, and more than
+    /// the second in which a killed process is back, for the shortest catch-up time that the operators give.
+    #[must_use]
+    pub fn member_silence(&self) -> Duration {
+        (self.catch_up() * 2 / 5).clamp(MEMBER_SILENCE_LEAST, MEMBER_SILENCE_MOST)
+    }
+
     /// How long a closing server may still be sent requests.
     #[must_use]
     pub fn drain(&self) -> Duration {
--- a/crates/state/src/change/members.rs
+++ b/crates/state/src/change/members.rs
@@ -1,6 +1,6 @@
 //! Who is an acceptor of the register, and who keeps batch jobs.
 
-use register::{with_member, with_replaced, without_member, Member, Versioned};
+use register::{with_member, with_replaced, Incarnation, Member, Versioned};
 
 use super::successor;
 use crate::{ControlState, StoreMember, StoreSet, FIRST_REVISION};
@@ -19,11 +19,13 @@
     if acceptors.is_empty() {
         return None;
     }
-    let stores = StoreSet { epoch: 1, wanted: stores.len(), members: stores, copies: 2 * machines_lost + 1 };
+    let copies = 2 * machines_lost + 1;
+    let wanted = stores.len().max(copies);
+    let stores = StoreSet { epoch: 1, wanted, members: stores, copies };
     Some(ControlState {
         revision: FIRST_REVISION,
         acceptors_since: FIRST_REVISION,
-        acceptors_wanted: acceptors.len(),
+        acceptors_wanted: acceptors.len().max(copies),
         acceptors,
         stores,
         ..ControlState::default()
@@ -44,21 +46,34 @@
     Some(standing.unwrap_or(own))
 }
 
-/// Adds an acceptor in one step: in the place of its former self where its disk was lost, otherwise in the place of
-/// one that the holder of the lease has noted as lost, otherwise beside the others.
+/// There is no place for another acceptor: all that are wanted are there, and none of them is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoPlace;
+
+/// Makes a machine an acceptor in one step: in the place of its former self where its disk was lost, beside the others
+/// where there are too few, otherwise in the place of one of those that are `gone`.
 ///
 /// # Errors
 ///
-/// When it is one already.
-pub fn with_acceptor(state: &ControlState, member: &Member) -> Result<ControlState, AlreadyMember> {
+/// When it is one already, or has to stand by.
+pub fn with_acceptor(
+    state: &ControlState,
+    member: &Member,
+    gone: &[Incarnation],
+) -> Result<ControlState, NoPlace> {
     if state.acceptors.contains(member) {
-        return Err(AlreadyMember);
+        return Err(NoPlace);
     }
-    let mut next = successor(state);
     let is_former = |other: &&Member| other.station == member.station;
-    let is_lost = |other: &&Member| state.lost_acceptors.contains(&other.incarnation);
+    let is_gone = |other: &&Member| gone.contains(&other.incarnation);
     let acceptors = state.acceptors.iter();
-    let replaced = acceptors.clone().find(is_former).or_else(|| acceptors.clone().find(is_lost));
+    let is_too_few = state.acceptors.len() < state.acceptors_wanted;
+    let replaced = match acceptors.clone().find(is_former) {
+        Some(former) => Some(former),
+        None if is_too_few => None,
+        None => Some(acceptors.clone().find(is_gone).ok_or(NoPlace)?),
+    };
+    let mut next = successor(state);
     next.set_acceptors(match replaced {
         Some(replaced) => with_replaced(&state.acceptors, replaced.incarnation, member.clone()),
         None => with_member(&state.acceptors, member.clone()),
@@ -66,26 +81,45 @@
     Ok(next)
 }
 
-/// An acceptor stays: there are no more than wanted, or it is none.
+/// Notes that a machine waits to take the place of an acceptor that is gone.
+///
+/// # Errors
+///
+/// When it is an acceptor, or is noted already.
+pub fn with_standby(state: &ControlState, member: &Member) -> Result<ControlState, AlreadyMember> {
+    if state.acceptors.contains(member) || state.standbys.contains(member) {
+        return Err(AlreadyMember);
+    }
+    let mut next = successor(state);
+    next.standbys.retain(|other| other.station != member.station);
+    next.standbys.push(member.clone());
+    Ok(next)
+}
+
+/// An acceptor stays: it is none, or the standby is none any more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StillWanted;
 
-/// An acceptor whose process ends in good order leaves, if there are more than wanted: another one has come in its
-/// place. Otherwise it is expected back.
+/// An acceptor whose process ends in good order hands its place to a standby.
 ///
 /// # Errors
 ///
-/// When it is wanted, or is no acceptor.
-pub fn without_acceptor(state: &ControlState, member: &Member) -> Result<ControlState, StillWanted> {
-    if state.acceptors.len() <= state.acceptors_wanted || !state.acceptors.contains(member) {
+/// When it is no acceptor, or the other one no standby.
+pub fn without_acceptor(
+    state: &ControlState,
+    member: &Member,
+    standby: &Member,
+) -> Result<ControlState, StillWanted> {
+    if !state.acceptors.contains(member) || !state.standbys.contains(standby) {
         return Err(StillWanted);
     }
     let mut next = successor(state);
-    next.set_acceptors(without_member(&state.acceptors, member.incarnation));
+    next.set_acceptors(with_replaced(&state.acceptors, member.incarnation, standby.clone()));
     Ok(next)
 }
 
-/// Adds a machine to the store set, in the place of its former self where its disk was lost.
+/// Takes a machine that lost its disk back into the store set, in the place of its former self; notes any other
+/// machine as one that waits to be added.
 ///
 /// While everything is still on its way from the set before, only a former self is replaced, and the set before
 /// stays. That is safe: copies are chosen by station, so the copies of a batch job differ by such replacements only,
@@ -95,21 +129,38 @@
 ///
 /// # Errors
 ///
-/// When it is a member, when the set before has not moved everything yet, or when the machine is being emptied.
+/// When it is a member or is noted already, or when the machine is being emptied.
 pub fn with_store(state: &ControlState, member: &StoreMember) -> Result<ControlState, AlreadyMember> {
     let is_former = |other: &StoreMember| other.member.station == member.member.station;
     let is_emptied = state.draining.contains_key(&member.member.station);
-    if state.stores.members.contains(member) || is_emptied {
+    let is_noted = state.joining_stores.contains(member);
+    if state.stores.members.contains(member) || is_noted || is_emptied {
         return Err(AlreadyMember);
     }
     let mut next = successor(state);
-    if state.previous_stores.is_none() {
-        next.previous_stores = Some(state.stores.clone());
-    } else if !state.stores.members.iter().any(is_former) {
-        return Err(AlreadyMember);
+    next.joining_stores.retain(|other| !is_former(other));
+    if !state.stores.members.iter().any(is_former) {
+        next.joining_stores.push(member.clone());
+        return Ok(next);
     }
+    next.previous_stores.get_or_insert_with(|| state.stores.clone());
     next.stores.epoch += 1;
     next.stores.members.retain(|other| !is_former(other));
     next.stores.members.push(member.clone());
     Ok(next)
 }
+
+/// A store whose process ends in good order leaves the store set if there are more than wanted: another one has come
+/// in its place. Otherwise it is expected back.
+///
+/// # Errors
+///
+/// When it is wanted or no store, or while another move is under way.
+pub fn without_store(state: &ControlState, member: &Member) -> Result<ControlState, StillWanted> {
+    let position = state.stores.members.iter().position(|store| store.member == *member);
+    let may_leave = state.previous_stores.is_none() && state.has_surplus_store();
+    let position = position.filter(|_| may_leave).ok_or(StillWanted)?;
+    let mut next = successor(state);
+    next.move_stores(|members| drop(members.remove(position)));
+    Ok(next)
+}
--- a/crates/state/src/change/mod.rs
+++ b/crates/state/src/change/mod.rs
@@ -10,7 +10,8 @@
 
 pub use leader::{may_order_at_once, with_fence, with_order_holder, HeldLease, Superseded};
 pub use members::{
-    choose_first, first_state, with_acceptor, with_store, without_acceptor, AlreadyMember, StillWanted,
+    choose_first, first_state, with_acceptor, with_standby, with_store, without_acceptor, without_store,
+    AlreadyMember, NoPlace, StillWanted,
 };
 pub use operator::{change_digest, with_configuration, with_draining, with_version, ChangeKind, Declined};
 pub use upkeep::{next_upkeep, Observation, QuorumMargin, Reachability};
--- a/crates/state/src/change/upkeep.rs
+++ b/crates/state/src/change/upkeep.rs
@@ -3,23 +3,40 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use register::{without_member, Incarnation, Member};
+use register::{Incarnation, Member};
 
 use super::successor;
 use crate::{ControlState, DrainState, StoreMember, StoreSet};
 
 /// A member is silent for too long after this many rounds of pings in a row without an answer.
 const LOST_AFTER_ROUNDS: u32 = 5;
+/// A store is gone after so many such rounds where another machine waits to take its place, unless told otherwise.
+const GONE_AFTER_ROUNDS: u32 = 3;
 
 /// Counts for each member the rounds of pings since it was last heard of.
 ///
 /// Silence is counted in rounds, not in time: a leader that was frozen has missed the answers itself.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Reachability {
     missed: BTreeMap<Incarnation, u32>,
+    gone_after: u32,
+}
+
+impl Default for Reachability {
+    fn default() -> Self {
+        Self { missed: BTreeMap::new(), gone_after: GONE_AFTER_ROUNDS }
+    }
 }
 
 impl Reachability {
+    /// A count with rounds of this length, in which a store counts as gone after this silence.
+    #[must_use]
+    pub fn counting(round: Duration, silence: Duration) -> Self {
+        let rounds = silence.as_millis().div_ceil(round.as_millis().max(1));
+        let gone_after = u32::try_from(rounds).unwrap_or(LOST_AFTER_ROUNDS).clamp(1, LOST_AFTER_ROUNDS);
+        Self { gone_after, ..Self::default() }
+    }
+
     /// Takes the answers of one round that took `took`. A round that took longer than `longest`, or in which no
     /// majority of the acceptors answered, says more of this process than of the others: all begin anew.
     pub fn round(&mut self, state: &ControlState, answered: &[Member], took: Duration, longest: Duration) {
@@ -51,6 +68,12 @@
         QuorumMargin { acceptors, answering, further_losses: answering.checked_sub(majority) }
     }
 
+    /// Whether a member is gone, where another one waits to take its place.
+    #[must_use]
+    pub fn is_gone(&self, member: &Member) -> bool {
+        self.missed.get(&member.incarnation).is_some_and(|missed| *missed >= self.gone_after)
+    }
+
     /// Whether a member was silent for too long.
     #[must_use]
     pub fn is_lost(&self, member: &Member) -> bool {
@@ -62,7 +85,9 @@
 fn members_of(state: &ControlState) -> Vec<&Member> {
     let sets = [Some(&state.stores), state.previous_stores.as_ref()];
     let stores = sets.into_iter().flatten().flat_map(|set| &set.members).map(|store| &store.member);
-    let mut members: Vec<&Member> = state.acceptors.iter().chain(stores).collect();
+    let joining = state.joining_stores.iter().map(|store| &store.member);
+    let waiting = state.standbys.iter().chain(joining);
+    let mut members: Vec<&Member> = state.acceptors.iter().chain(stores).chain(waiting).collect();
     members.sort();
     members.dedup();
     members
@@ -84,11 +109,18 @@
 pub struct Observation {
     /// Who answers.
     pub reachability: Reachability,
-    /// The epoch to which each store that answered has moved all its batch jobs.
+    /// The epoch to which each store has moved all its batch jobs, as it told last.
     pub settled: BTreeMap<Incarnation, u64>,
 }
 
 impl Observation {
+    /// A store tells the epoch to which it has moved all its batch jobs. What it told once stays true: it takes nothing
+    /// of an older epoch after.
+    pub fn note_settled(&mut self, store: Incarnation, epoch: u64) {
+        let settled = self.settled.entry(store).or_default();
+        *settled = epoch.max(*settled);
+    }
+
     /// Everyone to ping.
     #[must_use]
     pub fn to_ping(state: &ControlState) -> Vec<Member> {
@@ -104,10 +136,11 @@
     }
     let mut next = successor(state);
     finish_move(&mut next, observed)
+        .or_else(|| replace_gone_stores(&mut next, observed))
         .or_else(|| start_drain(&mut next))
+        .or_else(|| add_stores(&mut next, observed))
         .or_else(|| remove_store(&mut next, observed))
-        .or_else(|| remove_acceptor(&mut next, observed))
-        .or_else(|| note_lost_acceptors(&mut next, observed))?;
+        .or_else(|| forget_silent_waiting(&mut next, observed))?;
     Some(next)
 }
 
@@ -144,49 +177,72 @@
     }
     let is_leaving = |store: &StoreMember| next.draining.contains_key(&store.member.station);
     let leaving = next.stores.members.iter().position(is_leaving)?;
-    remove_from_stores(next, leaving);
+    next.move_stores(|members| drop(members.remove(leaving)));
     next.stores.wanted = next.stores.wanted.min(next.stores.members.len());
     Some(())
 }
 
-/// Removes a store that another has replaced.
-fn remove_store(next: &mut ControlState, observed: &Observation) -> Option<()> {
-    let stores = &next.stores;
-    if next.previous_stores.is_some() || stores.members.len() <= stores.wanted.max(stores.copies) {
+/// The machines that wait to become stores and can be reached.
+fn reachable_joining(next: &ControlState, observed: &Observation) -> Vec<StoreMember> {
+    let is_heard = |store: &&StoreMember| observed.reachability.is_heard(&store.member);
+    next.joining_stores.iter().filter(is_heard).cloned().collect()
+}
+
+/// Stores wait no more.
+fn forget_joined(next: &mut ControlState) {
+    let present = &next.stores.members;
+    next.joining_stores.retain(|store| !present.contains(store));
+}
+
+/// Puts machines that wait in the place of stores that are gone, all in one step.
+fn replace_gone_stores(next: &mut ControlState, observed: &Observation) -> Option<()> {
+    if next.previous_stores.is_some() {
+        return None;
+    }
+    let is_gone = |store: &&StoreMember| observed.reachability.is_gone(&store.member);
+    let gone: Vec<StoreMember> = next.stores.members.iter().filter(is_gone).cloned().collect();
+    let joining = reachable_joining(next, observed);
+    if gone.is_empty() || joining.is_empty() {
         return None;
     }
-    let lost = stores.members.iter().position(|store| observed.reachability.is_lost(&store.member))?;
-    remove_from_stores(next, lost);
+    next.move_stores(|members| {
+        for (gone, joining) in gone.iter().zip(joining) {
+            members.retain(|store| store != gone);
+            members.push(joining);
+        }
+    });
+    forget_joined(next);
     Some(())
 }
 
-fn remove_from_stores(next: &mut ControlState, index: usize) {
-    next.previous_stores = Some(next.stores.clone());
-    next.stores.epoch += 1;
-    next.stores.members.remove(index);
-}
-
-/// Removes an acceptor that another has replaced.
-fn remove_acceptor(next: &mut ControlState, observed: &Observation) -> Option<()> {
-    if next.acceptors.len() <= next.acceptors_wanted {
+/// Adds machines that wait to the store set, once it is sure that none of its stores is about to be found gone.
+fn add_stores(next: &mut ControlState, observed: &Observation) -> Option<()> {
+    let is_heard = |store: &StoreMember| observed.reachability.is_heard(&store.member);
+    let joining = reachable_joining(next, observed);
+    if next.previous_stores.is_some() || joining.is_empty() || !next.stores.members.iter().all(is_heard) {
         return None;
     }
-    let lost = next.acceptors.iter().find(|member| observed.reachability.is_lost(member))?;
-    next.set_acceptors(without_member(&next.acceptors, lost.incarnation));
+    next.move_stores(|members| members.extend(joining));
+    forget_joined(next);
     Some(())
 }
 
-/// Notes which acceptors cannot be reached, so that one that joins takes the place of such a one in a single step.
-fn note_lost_acceptors(next: &mut ControlState, observed: &Observation) -> Option<()> {
-    let reachability = &observed.reachability;
-    let is_lost = |member: &&Member| {
-        let was_lost = next.lost_acceptors.contains(&member.incarnation);
-        reachability.is_lost(member) || (was_lost && !reachability.is_heard(member))
-    };
-    let lost = next.acceptors.iter().filter(is_lost).map(|member| member.incarnation).collect();
-    if next.lost_acceptors == lost {
+/// Removes a store that is lost, where there are more than wanted.
+fn remove_store(next: &mut ControlState, observed: &Observation) -> Option<()> {
+    if next.previous_stores.is_some() || !next.has_surplus_store() {
         return None;
     }
-    next.lost_acceptors = lost;
+    let is_lost = |store: &StoreMember| observed.reachability.is_lost(&store.member);
+    let lost = next.stores.members.iter().position(is_lost)?;
+    next.move_stores(|members| drop(members.remove(lost)));
     Some(())
 }
+
+/// Forgets machines that waited for a place and are silent for too long. One that is back tells so again.
+fn forget_silent_waiting(next: &mut ControlState, observed: &Observation) -> Option<()> {
+    let is_kept = |member: &Member| !observed.reachability.is_lost(member);
+    let before = next.standbys.len() + next.joining_stores.len();
+    next.standbys.retain(is_kept);
+    next.joining_stores.retain(|store| is_kept(&store.member));
+    (next.standbys.len() + next.joining_stores.len() < before).then_some(())
+}
--- a/crates/state/src/control.rs
+++ b/crates/state/src/control.rs
@@ -1,8 +1,8 @@
 //! The value of the replicated register.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
-use register::{Incarnation, Member, RegisterValue};
+use register::{Member, RegisterValue};
 use serde::{Deserialize, Serialize};
 
 /// The revision of the first state.
@@ -58,13 +58,12 @@
     pub revision: u64,
     /// The acceptors of the register.
     pub acceptors: Vec<Member>,
-    /// How many acceptors there should be; beyond these, one that cannot be reached is removed.
+    /// How many acceptors there should be.
     pub acceptors_wanted: usize,
     /// The revision with which the acceptors changed last; [`FIRST_REVISION`] if they never did.
     pub acceptors_since: u64,
-    /// Acceptors that the holder of the lease could not reach for long. The next one that joins takes the place of
-    /// such a one.
-    pub lost_acceptors: BTreeSet<Incarnation>,
+    /// Machines with a disk that wait to take the place of an acceptor that is gone.
+    pub standbys: Vec<Member>,
     /// The operator's configuration in force, as JSON; empty before the first.
     pub configuration: String,
     /// Its version; 0 before the first.
@@ -81,6 +80,9 @@
     pub order_holder: Option<String>,
     /// The machines that keep batch jobs.
     pub stores: StoreSet,
+    /// Machines that wait for the holder of the lease to add them to the store set, or to put them in the place of a
+    /// store that is gone.
+    pub joining_stores: Vec<StoreMember>,
     /// The set before, until all that it kept is whole in the present one.
     pub previous_stores: Option<StoreSet>,
     /// Store machines that the operator wants emptied, by station.
@@ -101,9 +103,21 @@
         self.acceptors_since == FIRST_REVISION
     }
 
+    /// Whether there are more stores than wanted, so that one may go without another in its place.
+    pub(crate) fn has_surplus_store(&self) -> bool {
+        self.stores.members.len() > self.stores.wanted.max(self.stores.copies)
+    }
+
+    /// Begins a move of the batch jobs to a changed store set. The set before is kept until it has ended.
+    pub(crate) fn move_stores(&mut self, change: impl FnOnce(&mut Vec<StoreMember>)) {
+        self.previous_stores = Some(self.stores.clone());
+        self.stores.epoch += 1;
+        change(&mut self.stores.members);
+    }
+
     /// Puts others in the place of the acceptors.
     pub(crate) fn set_acceptors(&mut self, acceptors: Vec<Member>) {
-        self.lost_acceptors.retain(|lost| acceptors.iter().any(|member| member.incarnation == *lost));
+        self.standbys.retain(|standby| acceptors.iter().all(|member| member.station != standby.station));
         self.acceptors = acceptors;
         self.acceptors_since = self.revision;
     }
