--- a/crates/emulator/src/bin/simulate.rs
+++ b/crates/emulator/src/bin/simulate.rs
@@ -28,7 +28,8 @@
     /// Threads; 0: one for each core.
     #[options(default = "0")]
     jobs: usize,
-    /// What is played: small, large (two may be lost), changes (many changes).
+    /// What is played: small, large (two may be lost), changes (many changes), turnover (machines are replaced one after
+    /// the other, other seeds, a loss of power of all in the end), large-turnover.
     #[options(default = "small")]
     setup: String,
     /// Play only this many of the first troubles, and print the log lines of all processes.
@@ -62,8 +63,10 @@
         "small" => Setup::small(),
         "large" => Setup::large(),
         "changes" => Setup::many_changes(),
+        "turnover" => Setup::turnover(),
+        "large-turnover" => Setup::large_turnover(),
         other => {
-            eprintln!("simulate: there is no setup {other}; small, large and changes can be played");
+            eprintln!("simulate: there is no setup {other}; small, large, changes, turnover and large-turnover can be played");
             return ExitCode::from(2);
         }
     };
--- a/crates/emulator/src/fleet/faults.rs
+++ b/crates/emulator/src/fleet/faults.rs
@@ -4,12 +4,13 @@
 
 use storage::simulated::RandomFates;
 
-use super::Fleet;
+use super::{catch_up, Fleet, MachineKind};
 use crate::wire::Place;
 
 impl Fleet {
     /// Kills a process; its machine starts it again within a second.
     pub fn kill(&mut self, machine: usize) {
+        self.note_loss(machine, Duration::from_secs(1));
         self.machines[machine].disk.kill();
         self.end(machine, true);
         self.start_soon(machine, Duration::from_secs(1));
@@ -17,6 +18,7 @@
 
     /// Cuts the power of a machine, at times amid a write; it starts again within a second.
     pub fn lose_power(&mut self, machine: usize) {
+        self.note_loss(machine, Duration::from_secs(1));
         let mut fates = RandomFates::new(self.random.u64(..));
         self.machines[machine].disk.lose_power(&mut fates);
         self.end(machine, false);
@@ -25,6 +27,7 @@
 
     /// Tells a process to end in good order; its machine starts it again within a second, or is gone for good.
     pub fn terminate(&mut self, machine: usize, leaves: bool) {
+        self.note_loss(machine, Duration::from_secs(1));
         let machine = &mut self.machines[machine];
         machine.leaves |= leaves;
         if let Some(process) = &machine.process {
@@ -50,11 +53,28 @@
 
     /// Takes the disk of a machine; it starts again with an empty one within a second.
     pub fn lose_disk(&mut self, machine: usize) {
+        self.note_loss(machine, Duration::from_secs(1));
         self.machines[machine].disk.wipe();
         self.end(machine, false);
         self.start_soon(machine, Duration::from_secs(1));
     }
 
+    /// A machine counts as lost until it, or its successor, has returned within this time and has caught up.
+    pub fn note_loss(&mut self, machine: usize, returns_within: Duration) {
+        if self.kind(machine) == MachineKind::DisklessNode {
+            return;
+        }
+        let until = self.now + returns_within + catch_up(self.shape);
+        let known = self.lost_until.entry(machine).or_default();
+        *known = until.max(*known);
+    }
+
+    /// How many machines with a disk count as lost now.
+    #[must_use]
+    pub fn machines_lost(&self) -> usize {
+        self.lost_until.values().filter(|until| **until > self.now).count()
+    }
+
     /// Takes a machine away for good.
     pub fn remove(&mut self, machine: usize) {
         self.machines[machine].disk.wipe();
@@ -64,6 +84,7 @@
 
     /// Takes a machine away for good and adds another with the same role, a new address and an empty disk.
     pub fn replace(&mut self, machine: usize) -> usize {
+        self.note_loss(machine, Duration::from_secs(1));
         self.remove(machine);
         self.add(self.machines[machine].kind, false)
     }
@@ -75,6 +96,7 @@
 
     /// Lets a frozen machine go on.
     pub fn thaw(&mut self, machine: usize) {
+        self.note_loss(machine, Duration::ZERO);
         self.machines[machine].is_frozen = false;
         let clock = self.clock_of(machine);
         if let Some(process) = &mut self.machines[machine].process {
--- a/crates/emulator/src/fleet/mod.rs
+++ b/crates/emulator/src/fleet/mod.rs
@@ -144,6 +144,8 @@
     numbers: u64,
     calls: BTreeMap<u64, Pending>,
     replies: BTreeMap<u64, Reply>,
+    /// Until when each machine with a disk counts as lost.
+    lost_until: BTreeMap<usize, Duration>,
 }
 
 impl Fleet {
@@ -164,6 +166,7 @@
             numbers: 0,
             calls: BTreeMap::new(),
             replies: BTreeMap::new(),
+            lost_until: BTreeMap::new(),
         };
         let nodes = std::iter::repeat_n(MachineKind::Node, shape.nodes);
         let stores = std::iter::repeat_n(MachineKind::Store, shape.stores);
--- a/crates/emulator/src/simulation/mod.rs
+++ b/crates/emulator/src/simulation/mod.rs
@@ -14,12 +14,14 @@
 use checker::Checker;
 use operators::Operators;
 use trainers::Trainers;
-pub use troubles::{Kind, Trouble};
+pub use troubles::{Kind, Mix, Trouble};
 
 /// How often operators, trainers and the checker look.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 /// Within this time after the last trouble all must be well again.
 const RECOVERY: Duration = Duration::from_secs(60);
+/// After the loss of power in the end, operators and trainers begin new work for this long.
+const AFTER_CLOSE: Duration = Duration::from_secs(10);
 /// The first configuration is acknowledged within this time.
 const START: Duration = Duration::from_secs(30);
 
@@ -34,6 +36,10 @@
     pub pause: Duration,
     /// How many changes the operators try in a second, together.
     pub changes_per_second: f64,
+    /// Which troubles come.
+    pub mix: Mix,
+    /// In the end all machines lose power at one moment, and some of them their disks.
+    pub closes: bool,
 }
 
 impl Setup {
@@ -45,6 +51,8 @@
             length: Duration::from_secs(40),
             pause: Duration::from_millis(1500),
             changes_per_second: 2.0,
+            mix: Mix::All,
+            closes: false,
         }
     }
 
@@ -55,6 +63,21 @@
         Self { shape, ..Self::small() }
     }
 
+    /// Machines are replaced one after the other, each as soon as the one before counts as back; seeds without a disk
+    /// are named; in the end all lose power.
+    #[must_use]
+    pub fn turnover() -> Self {
+        let shape = Shape { diskless: 3, ..Shape::default() };
+        Self { shape, mix: Mix::Turnover, closes: true, ..Self::small() }
+    }
+
+    /// As [`Setup::turnover`], with five nodes and five stores of which two may be lost.
+    #[must_use]
+    pub fn large_turnover() -> Self {
+        let shape = Shape { diskless: 3, ..Self::large().shape };
+        Self { shape, ..Self::turnover() }
+    }
+
     /// Many changes of the configuration.
     #[must_use]
     pub fn many_changes() -> Self {
@@ -139,25 +162,30 @@
         let began = self.fleet.now;
         let mut ends = Vec::new();
         for trouble in troubles {
-            self.run_until(began + trouble.at, &mut ends)?;
-            if let Some(end) = troubles::begin(trouble, &mut self.fleet) {
+            self.run_until(began + trouble.at, setup.mix, &mut ends)?;
+            if let Some(end) = troubles::begin(trouble, setup.mix, &mut self.fleet) {
                 ends.push(end);
             }
         }
-        self.run_until(began + setup.length, &mut ends)?;
-        ends.drain(..).for_each(|end| troubles::end(&end, &mut self.fleet));
+        self.run_until(began + setup.length, setup.mix, &mut ends)?;
+        ends.drain(..).for_each(|end| troubles::end(&end, setup.mix, &mut self.fleet));
         self.fleet.network.heal();
+        if setup.closes {
+            troubles::close(&mut self.fleet);
+            let until = self.fleet.now + AFTER_CLOSE;
+            self.run_until(until, setup.mix, &mut ends)?;
+        }
         self.recover()
     }
 
     /// Operators and trainers go on while troubles end in time.
-    fn run_until(&mut self, until: Duration, ends: &mut Vec<troubles::End>) -> Result<(), String> {
+    fn run_until(&mut self, until: Duration, mix: Mix, ends: &mut Vec<troubles::End>) -> Result<(), String> {
         while self.fleet.now < until {
             let now = self.fleet.now;
             ends.retain(|end| {
                 let is_over = end.at <= now;
                 if is_over {
-                    troubles::end(end, &mut self.fleet);
+                    troubles::end(end, mix, &mut self.fleet);
                 }
                 !is_over
             });
--- a/crates/emulator/src/simulation/troubles.rs
+++ b/crates/emulator/src/simulation/troubles.rs
@@ -48,8 +48,38 @@
     FailSync,
     /// The network loses, repeats and delays a tenth of all messages.
     BadNetwork,
+    /// All settings come to name other nodes as seeds, with or without a disk.
+    NameSeeds,
 }
 
+/// Which troubles come, and when the next disk may be lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mix {
+    /// All kinds; a disk is lost only when what was lost before is whole again.
+    All,
+    /// Mostly machines that are replaced, and seeds; a disk may be lost as soon as those lost before count as back.
+    Turnover,
+}
+
+const TURNOVER_KINDS: [Kind; 16] = [
+    Kind::Replace,
+    Kind::Replace,
+    Kind::Replace,
+    Kind::Replace,
+    Kind::LoseDisk,
+    Kind::LoseDisk,
+    Kind::ReplacePlanned,
+    Kind::ReplacePlanned,
+    Kind::NameSeeds,
+    Kind::NameSeeds,
+    Kind::LosePowerOfMany,
+    Kind::Terminate,
+    Kind::KillLeader,
+    Kind::CutOff,
+    Kind::CutApart,
+    Kind::Freeze,
+];
+
 const KINDS: [Kind; 20] = [
     Kind::Terminate,
     Kind::ReplacePlanned,
@@ -100,7 +130,8 @@
     let mut troubles = Vec::new();
     let mut at = setup.pause.mul_f64(random.f64());
     while at < setup.length {
-        let kind = KINDS[random.usize(..KINDS.len())];
+        let kinds: &[Kind] = if setup.mix == Mix::All { &KINDS } else { &TURNOVER_KINDS };
+        let kind = kinds[random.usize(..kinds.len())];
         // Most are short; some last as long as the operators' longest cut.
         let longest = if random.u8(..4) == 0 { 20_000 } else { 4_000 };
         let lasts = Duration::from_millis(random.u64(200..longest));
@@ -113,7 +144,7 @@
 }
 
 /// Begins a trouble; tells when it ends, if it lasts.
-pub(super) fn begin(trouble: &Trouble, fleet: &mut Fleet) -> Option<End> {
+pub(super) fn begin(trouble: &Trouble, mix: Mix, fleet: &mut Fleet) -> Option<End> {
     let machine = pick(trouble, fleet)?;
     match trouble.kind {
         Kind::Kill | Kind::KillLeader => fleet.kill(machine),
@@ -125,12 +156,12 @@
             struck.into_iter().for_each(|one| lose_power(fleet, one));
         }
         Kind::LoseDisk => {
-            if may_lose_disk(fleet, machine) {
+            if may_lose_disk(fleet, mix, machine) {
                 fleet.lose_disk(machine);
             }
         }
         Kind::Replace => {
-            if may_lose_disk(fleet, machine) {
+            if may_lose_disk(fleet, mix, machine) {
                 fleet.replace(machine);
             }
         }
@@ -160,6 +191,7 @@
         Kind::StallDisk => fleet.stall_disk(machine, true),
         Kind::FailSync => fleet.fail_sync(machine),
         Kind::BadNetwork => set_bad_network(fleet, 100),
+        Kind::NameSeeds => name_seeds(fleet),
     }
     let lasts = matches!(
         trouble.kind,
@@ -174,16 +206,28 @@
             | Kind::StallDisk
             | Kind::BadNetwork
     );
+    if lasts {
+        note_lost(trouble, fleet, machine);
+    }
     lasts.then(|| End { at: fleet.now + trouble.lasts, kind: trouble.kind, machine })
 }
 
+/// Machines that are cut off or stand still count as lost while it lasts.
+fn note_lost(trouble: &Trouble, fleet: &mut Fleet, machine: usize) {
+    match trouble.kind {
+        Kind::ReplacePlanned | Kind::StallDisk | Kind::BadNetwork => {}
+        Kind::CutApart => fleet.machines().for_each(|one| fleet.note_loss(one, trouble.lasts)),
+        _ => fleet.note_loss(machine, trouble.lasts),
+    }
+}
+
 /// Ends a trouble.
-pub(super) fn end(end: &End, fleet: &mut Fleet) {
+pub(super) fn end(end: &End, mix: Mix, fleet: &mut Fleet) {
     match end.kind {
         Kind::Freeze | Kind::FreezeLeader => fleet.thaw(end.machine),
         Kind::SlowDown => fleet.slow_down(end.machine, false),
         Kind::CutOff | Kind::CutOffLeader | Kind::CutOneWay | Kind::CutApart => fleet.network.heal(),
-        Kind::ReplacePlanned if may_lose_disk(fleet, end.machine) => fleet.terminate(end.machine, true),
+        Kind::ReplacePlanned if may_lose_disk(fleet, mix, end.machine) => fleet.terminate(end.machine, true),
         Kind::StallDisk => fleet.stall_disk(end.machine, false),
         Kind::BadNetwork => set_bad_network(fleet, 10),
         _ => {}
@@ -220,9 +264,38 @@
         (per_mille, per_mille, per_mille / 2);
 }
 
-/// Whether one more disk of this machine's kind may be lost: as many as the settings tell, until what was lost before
-/// is whole again.
-fn may_lose_disk(fleet: &Fleet, machine: usize) -> bool {
+/// Other nodes than before, drawn anew, are the seeds of all machines.
+fn name_seeds(fleet: &mut Fleet) {
+    let mut nodes = fleet.present_nodes();
+    fleet.random.shuffle(&mut nodes);
+    nodes.truncate(3);
+    fleet.machines().for_each(|machine| fleet.name_seeds(machine, nodes.clone()));
+}
+
+/// The end of a day: all machines lose power at one moment, and some of them their disks, as many as may be lost.
+pub(super) fn close(fleet: &mut Fleet) {
+    let mut machines: Vec<usize> = running(fleet).collect();
+    fleet.random.shuffle(&mut machines);
+    let may_be_lost = fleet.shape().machines_lost.saturating_sub(fleet.machines_lost());
+    let has_disk = |machine: &usize| fleet.kind(*machine) != MachineKind::DisklessNode;
+    let lost: Vec<usize> = machines.iter().copied().filter(has_disk).take(may_be_lost).collect();
+    for machine in machines {
+        if lost.contains(&machine) {
+            fleet.lose_disk(machine);
+        } else {
+            fleet.lose_power(machine);
+        }
+    }
+}
+
+/// Whether one more disk of this machine's kind may be lost: as many as the settings tell. Those lost before count until
+/// all is whole again, or until the time in which they catch up is over.
+fn may_lose_disk(fleet: &Fleet, mix: Mix, machine: usize) -> bool {
+    if mix == Mix::Turnover {
+        let has_disk = fleet.kind(machine) != MachineKind::DisklessNode;
+        let is_present = fleet.has_process(machine) && !fleet.is_leaving(machine);
+        return has_disk && is_present && fleet.machines_lost() < fleet.shape().machines_lost;
+    }
     let Some(state) = super::checker::newest_state(fleet) else { return false };
     let is_store = fleet.is_store(machine);
     let members: Vec<_> = if is_store {
--- a/crates/emulator/tests/simulation.rs
+++ b/crates/emulator/tests/simulation.rs
@@ -12,6 +12,10 @@
     large = { Setup::large(), 0..60 },
     large_too = { Setup::large(), 60..120 },
     large_as_well = { Setup::large(), 120..180 },
+    turnover = { Setup::turnover(), 0..60 },
+    turnover_too = { Setup::turnover(), 60..120 },
+    large_turnover = { Setup::large_turnover(), 0..60 },
+    large_turnover_too = { Setup::large_turnover(), 60..120 },
     many_changes = { Setup::many_changes(), 0..20 },
     many_changes_too = { Setup::many_changes(), 120..140 },
 )]
