--- a/crates/emulator/src/bin/simulate.rs
+++ b/crates/emulator/src/bin/simulate.rs
@@ -32,6 +32,8 @@
     /// the other, other seeds, a loss of power of all in the end), large-turnover.
     #[options(default = "small")]
     setup: String,
+    /// Play the troubles of this seed in all runs; everything else is drawn from the seed of the run.
+    troubles_of: Option<u64>,
     /// Play only this many of the first troubles, and print the log lines of all processes.
     troubles: Option<usize>,
     /// Least level that is logged where the first troubles are played: error, warn, info, debug or trace.
@@ -47,6 +49,7 @@
     until: Instant,
     stop: AtomicBool,
     keep_on: bool,
+    troubles_of: Option<u64>,
     totals: Mutex<Totals>,
 }
 
@@ -59,6 +62,10 @@
 
 fn main() -> ExitCode {
     let options = Simulate::parse_args_default_or_exit();
+    if !emulator::IS_SEEDED {
+        eprintln!("simulate: built without --cfg tokio_unstable, so that a seed would not name a run; use `cargo simulate`");
+        return ExitCode::from(2);
+    }
     let setup = match &*options.setup {
         "small" => Setup::small(),
         "large" => Setup::large(),
@@ -79,7 +86,7 @@
 /// Plays one seed with its log lines.
 fn replay(options: &Simulate, setup: &Setup, count: usize) -> ExitCode {
     emulator::print_logs(options.log_level);
-    let troubles = plan(options.first, setup);
+    let troubles = plan(options.troubles_of.unwrap_or(options.first), setup);
     let troubles = &troubles[..count.min(troubles.len())];
     troubles.iter().for_each(|trouble| println!("{trouble:?}"));
     match play(options.first, setup, troubles) {
@@ -88,7 +95,7 @@
             ExitCode::SUCCESS
         }
         Err(broken) => {
-            println!("{:.3} s: {}", broken.at.as_secs_f64(), broken.what);
+            println!("{:.3} s: {}; digest {:016x}", broken.at.as_secs_f64(), broken.what, broken.digest);
             ExitCode::FAILURE
         }
     }
@@ -101,6 +108,7 @@
         until: Instant::now() + Duration::from_secs_f64(options.minutes * 60.0),
         stop: AtomicBool::new(false),
         keep_on: options.keep_on,
+        troubles_of: options.troubles_of,
         totals: Mutex::default(),
     };
     let cores = std::thread::available_parallelism().map_or(1, usize::from);
@@ -121,7 +129,7 @@
             shared.stop.store(true, Ordering::Relaxed);
             return;
         }
-        let played = play(seed, setup, &plan(seed, setup));
+        let played = play(seed, setup, &plan(shared.troubles_of.unwrap_or(seed), setup));
         let mut totals = shared.totals.lock().expect("no run panics here");
         totals.runs += 1;
         match played {
@@ -144,6 +152,8 @@
         values: one.values + other.values,
         jobs: one.jobs + other.jobs,
         longest_order: one.longest_order.max(other.longest_order),
+        // The order in which the runs end does not matter.
+        digest: one.digest ^ other.digest,
     }
 }
 
@@ -164,21 +174,25 @@
     let seen = &totals.seen;
     println!(
         "{} runs of {name}: {} troubles, {} changes acknowledged, {} values committed, {} batch jobs; \
-         the longest order took {:.1} s; {} broken",
+         the longest order took {:.1} s; {} broken; digest {:016x}",
         totals.runs,
         seen.troubles,
         seen.changes,
         seen.values,
         seen.jobs,
         seen.longest_order.as_secs_f64(),
-        totals.broken.len()
+        totals.broken.len(),
+        seen.digest
     );
     let Some((seed, _)) = totals.broken.first() else { return ExitCode::SUCCESS };
-    let troubles = plan(*seed, setup);
+    let plan_seed = shared.troubles_of.unwrap_or(*seed);
+    let troubles = plan(plan_seed, setup);
     if let Some((count, broken)) = shortest(*seed, setup, &troubles) {
         println!("seed {seed}, the first {count} of {} troubles: {}", troubles.len(), broken.what);
         troubles[..count].iter().for_each(|trouble| println!("  {trouble:?}"));
-        println!("once more, with logs: simulate --setup {name} --first {seed} --troubles {count}");
+        println!(
+            "once more, with logs: simulate --setup {name} --first {seed} --troubles-of {plan_seed} --troubles {count}"
+        );
     }
     ExitCode::FAILURE
 }
--- a/crates/emulator/src/fleet/delivery.rs
+++ b/crates/emulator/src/fleet/delivery.rs
@@ -22,6 +22,7 @@
             self.send(outgoing);
         }
         for (call, outcome) in sent.answers {
+            self.transcript.note_answer(self.now, call, &outcome);
             let Some(pending) = self.calls.get(&call) else { continue };
             let (from, to) = (pending.to, Place::Machine(pending.from));
             for delay in self.network.delays(&mut self.random, from, to) {
@@ -37,6 +38,7 @@
 
     pub(super) fn send(&mut self, outgoing: Outgoing) {
         let Outgoing { from, to, path, body, answer } = outgoing;
+        self.transcript.note_call(self.now, from, to, &path, &body);
         self.numbers += 1;
         let call = self.numbers;
         let life = self.machines[from].life;
--- a/crates/emulator/src/fleet/mod.rs
+++ b/crates/emulator/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod looks;
 mod outside;
+mod transcript;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -22,6 +23,8 @@
 use crate::servers::ModelServer;
 use crate::wire::{ip_of, Outcome, Place, Wire};
 
+use transcript::Transcript;
+
 /// The time passes in steps of this length: no message is faster.
 const STEP: Duration = Duration::from_millis(2);
 /// Clocks run fast or slow by one part in this many.
@@ -146,6 +149,8 @@
     replies: BTreeMap<u64, Reply>,
     /// Until when each machine with a disk counts as lost.
     lost_until: BTreeMap<usize, Duration>,
+    /// All messages so far.
+    transcript: Transcript,
 }
 
 impl Fleet {
@@ -167,6 +172,7 @@
             calls: BTreeMap::new(),
             replies: BTreeMap::new(),
             lost_until: BTreeMap::new(),
+            transcript: Transcript::default(),
         };
         let nodes = std::iter::repeat_n(MachineKind::Node, shape.nodes);
         let stores = std::iter::repeat_n(MachineKind::Store, shape.stores);
@@ -268,6 +274,12 @@
         }
     }
 
+    /// Digest of all messages so far, with their times: runs of one seed are the same as long as it is.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.transcript.digest()
+    }
+
     /// Lets time pass.
     pub fn run(&mut self, time: Duration) {
         let until = self.now + time;
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -17,6 +17,9 @@
 pub mod simulation;
 mod wire;
 
+/// Whether the draws of the runtime are seeded too, so that a seed names a run: only with `--cfg tokio_unstable`.
+pub const IS_SEEDED: bool = cfg!(tokio_unstable);
+
 pub use fleet::{catch_up, Fleet, MachineKind, Shape};
 pub use logging::print_logs;
 pub use network::Network;
--- a/crates/emulator/src/simulation/mod.rs
+++ b/crates/emulator/src/simulation/mod.rs
@@ -98,6 +98,8 @@
     pub jobs: usize,
     /// The longest time that an order waited for its clear answer.
     pub longest_order: Duration,
+    /// Digest of all messages of the run: two runs of one seed have the same.
+    pub digest: u64,
 }
 
 /// A rule that a run has broken.
@@ -107,6 +109,8 @@
     pub at: Duration,
     /// What.
     pub what: String,
+    /// Digest of all messages up to then: two runs of one seed have the same.
+    pub digest: u64,
 }
 
 /// The troubles of a seed.
@@ -132,9 +136,9 @@
         Ok(Ok(())) => Ok(Seen { troubles: troubles.len(), ..run.seen() }),
         Ok(Err(what)) => {
             run.fleet.log_state();
-            Err(Broken { at: run.fleet.now, what })
+            Err(run.broken(what))
         }
-        Err(_) => Err(Broken { at: run.fleet.now, what: "a process panicked".to_owned() }),
+        Err(_) => Err(run.broken("a process panicked".to_owned())),
     }
 }
 
@@ -232,6 +236,11 @@
             values: self.checker.values(),
             jobs: self.trainers.accepted(),
             longest_order: self.operators.longest(),
+            digest: self.fleet.digest(),
         }
     }
+
+    fn broken(&self, what: String) -> Broken {
+        Broken { at: self.fleet.now, what, digest: self.fleet.digest() }
+    }
 }
--- a/crates/emulator/src/wire.rs
+++ b/crates/emulator/src/wire.rs
@@ -20,7 +20,7 @@
 const OUTSIDE_CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// Who sends and receives.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) enum Place {
     /// A machine of the system.
     Machine(usize),
--- a/crates/emulator/tests/simulation.rs
+++ b/crates/emulator/tests/simulation.rs
@@ -37,13 +37,20 @@
     assert!(changes > 100, "operators get somewhere: {changes} changes");
 }
 
-/// Without `--cfg tokio_unstable` the order in which woken tasks run is not seeded.
+/// Only with `--cfg tokio_unstable` is the order in which woken tasks run seeded. The digest is that of all messages.
 #[cfg(tokio_unstable)]
-#[test]
-fn given_the_same_seed_when_played_again_then_the_run_is_the_same() {
-    for seed in 0..6 {
-        let setup = Setup::small();
+#[parameterized(
+    small = { Setup::small() },
+    large = { Setup::large() },
+    changes = { Setup::many_changes() },
+    turnover = { Setup::turnover() },
+    large_turnover = { Setup::large_turnover() },
+)]
+fn given_the_same_seed_when_played_again_then_the_run_is_the_same(setup: Setup) {
+    for seed in 0..5 {
         let troubles = plan(seed, &setup);
-        assert_eq!(play(seed, &setup, &troubles), play(seed, &setup, &troubles));
+        let first = play(seed, &setup, &troubles);
+        assert_eq!(first, play(seed, &setup, &troubles), "seed {seed}");
+        assert_ne!(first, play(seed + 1, &setup, &troubles), "another seed is another run");
     }
 }
