--- a/crates/control-plane/tests/support/mod.rs
+++ b/crates/control-plane/tests/support/mod.rs
@@ -78,7 +78,7 @@
         async move { Some(distribution.poll(request).await) }
     };
     // Its time of silence after the start is over.
-    let grantor = Arc::new(Mutex::new(Grantor::new(Duration::ZERO, LEASE_TTL)));
+    let grantor = Arc::new(Mutex::new(Grantor::new(GrantorId(incarnation.0), Duration::ZERO, LEASE_TTL)));
     let (began, granting) = (Instant::now(), Arc::clone(&grantor));
     let known = Arc::clone(&view);
     let grant = move |request: LeaseRequest| {
--- a/crates/lease/src/grantor.rs
+++ b/crates/lease/src/grantor.rs
@@ -7,6 +7,7 @@
 /// One of the grantors. Keeps its state in memory only.
 #[derive(Clone, Debug)]
 pub struct Grantor {
+    id: GrantorId,
     ttl: Duration,
     silent_until: Duration,
     grant: Option<Grant>,
@@ -34,8 +35,9 @@
 impl Grantor {
     /// A grantor that grants nothing for one `ttl` after `now`, for it may have forgotten a grant that it gave
     /// in an earlier life. Start it anew when its acceptor becomes a member.
-    pub fn new(now: Duration, ttl: Duration) -> Self {
+    pub fn new(id: GrantorId, now: Duration, ttl: Duration) -> Self {
         Self {
+            id,
             ttl,
             silent_until: now + ttl,
             grant: None,
@@ -70,13 +72,15 @@
         settled.map_or(Duration::ZERO, |settled| now.saturating_sub(settled.since))
     }
 
-    /// Answers a request. Nothing longer than the `ttl` of this grantor is granted.
+    /// Answers a request. Nothing longer than the `ttl` of this grantor is granted, and nothing to a candidate that
+    /// asks another grantor, such as a former one at the same address whose disk was lost.
     pub fn handle(&mut self, now: Duration, request: &LeaseRequest) -> LeaseReply {
         if now < self.silent_until {
             return held("", self.silent_until - now);
         }
         let asked = Duration::from_millis(request.ttl_ms);
-        if asked > self.ttl || request.revision < self.least_revision {
+        let is_meant = request.grantors.contains(&self.id);
+        if !is_meant || asked > self.ttl || request.revision < self.least_revision {
             return held("", Duration::ZERO);
         }
         let other = self.grant.as_ref().filter(|grant| grant.holder != request.holder && now < grant.ends);
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -8,8 +8,10 @@
 //!
 //! The grantors are the acceptors of the register at the start of a round. They may change at any time, by any
 //! process, and as often as the register allows; majorities of the sets before and after need not meet in a grantor
-//! that remembers. Two rules keep the holder single:
+//! that remembers. Three rules keep the holder single:
 //!
+//! - A grantor is known by the incarnation of its disk and grants only to candidates that ask for that one. A machine
+//!   that lost its disk has forgotten what its former self took note of, and must not vote for it.
 //! - A grantor refuses candidates that know an older set than it does. It takes note of a set before its acceptor
 //!   accepts it ([`Grantor::observe`]), and a set is committed only when a majority of the set before has accepted
 //!   it. So from the commit on nobody is granted a majority of the older set: a lease that was won with it ends
--- a/crates/lease/tests/common/mod.rs
+++ b/crates/lease/tests/common/mod.rs
@@ -46,10 +46,20 @@
     pub clock_jumps: bool,
     /// Grantors are added and removed.
     pub changes: bool,
+    /// Machines that are no grantors at present lose their disks.
+    pub lost_disks: bool,
     /// A mistake.
     pub fault: Fault,
 }
 
+/// The number of a machine's grantor rises by this with each disk that the machine loses.
+const DISKS: u64 = 100;
+
+/// The machine of a grantor.
+fn machine_of(grantor: GrantorId) -> usize {
+    (grantor.0 % DISKS) as usize
+}
+
 /// A clock that started at another time, and runs a little fast or slow.
 #[derive(Clone, Debug)]
 struct Clock {
@@ -104,9 +114,9 @@
 
 #[derive(Clone)]
 enum Message {
-    Request { life: u64, request: LeaseRequest, to: usize },
-    Reply { life: u64, term: u64, from: usize, reply: LeaseReply },
-    Release { release: LeaseRelease, to: usize },
+    Request { life: u64, request: LeaseRequest, to: GrantorId },
+    Reply { life: u64, term: u64, from: GrantorId, reply: LeaseReply },
+    Release { release: LeaseRelease, to: GrantorId },
 }
 
 struct Envelope {
@@ -121,6 +131,8 @@
     trouble: Trouble,
     time: Duration,
     grantors: Vec<Process<Grantor>>,
+    /// The grantor of each machine, by its present disk.
+    ids: Vec<GrantorId>,
     candidates: Vec<Process<Contender>>,
     network: Vec<Envelope>,
     members: Vec<GrantorId>,
@@ -143,9 +155,10 @@
     pub fn new(seed: u64, machines: usize, members: usize, trouble: Trouble) -> Self {
         let mut random = Rng::with_seed(seed);
         let members: Vec<_> = (0..members as u64).map(GrantorId).collect();
-        let grantors = (0..machines).map(|_| {
+        let ids: Vec<_> = (0..machines as u64).map(GrantorId).collect();
+        let grantors = ids.iter().map(|id| {
             let clock = Clock::new(&mut random);
-            let mut part = Grantor::new(clock.now(Duration::ZERO), TTL);
+            let mut part = Grantor::new(*id, clock.now(Duration::ZERO), TTL);
             part.learn(clock.now(Duration::ZERO), 1, &members);
             Process { part, clock, frozen_until: Duration::ZERO }
         });
@@ -162,6 +175,7 @@
             trouble,
             time: Duration::ZERO,
             grantors,
+            ids,
             candidates,
             network: Vec::new(),
             known: vec![(1, members.clone()); machines],
@@ -216,8 +230,7 @@
                 contender.candidate.set_first_grantors(contender.revision == 1);
                 let request = contender.candidate.begin(now, contender.revision, &contender.grantors);
                 let (life, grantors) = (contender.life, contender.grantors.clone());
-                for grantor in grantors {
-                    let to = grantor.0 as usize;
+                for to in grantors {
                     self.send(picked, Message::Request { life, request: request.clone(), to });
                 }
             }
@@ -228,7 +241,7 @@
                     .into_iter()
                     .flat_map(|release| grantors.iter().map(move |grantor| (release.clone(), *grantor)))
                 {
-                    self.send(picked, Message::Release { release, to: grantor.0 as usize });
+                    self.send(picked, Message::Release { release, to: grantor });
                 }
             }
         }
@@ -255,7 +268,7 @@
         for envelope in self.network.drain(..) {
             let is_frozen = match &envelope.message {
                 Message::Request { to, .. } | Message::Release { to, .. } => {
-                    self.grantors[*to].is_frozen(time)
+                    self.grantors[machine_of(*to)].is_frozen(time)
                 }
                 Message::Reply { .. } => self.candidates[envelope.candidate].is_frozen(time),
             };
@@ -275,12 +288,12 @@
     fn deliver(&mut self, candidate: usize, message: Message) {
         match message {
             Message::Request { life, request, to } => {
-                let grantor = &mut self.grantors[to];
+                let grantor = &mut self.grantors[machine_of(to)];
                 let now = grantor.now(self.time);
                 let reply = grantor.part.handle(now, &request);
                 self.send(candidate, Message::Reply { life, term: request.term, from: to, reply });
             }
-            Message::Release { release, to } => self.grantors[to].part.release(&release),
+            Message::Release { release, to } => self.grantors[machine_of(to)].part.release(&release),
             Message::Reply { life, term, from, reply } => {
                 let contender = &mut self.candidates[candidate].part;
                 if contender.life == life {
@@ -292,7 +305,7 @@
                         }
                         reply => reply,
                     };
-                    contender.candidate.on_reply(term, GrantorId(from as u64), &reply);
+                    contender.candidate.on_reply(term, from, &reply);
                 }
             }
         }
@@ -306,6 +319,9 @@
         if trouble.restarts && self.random.u16(..1000) == 0 {
             self.restart_candidate();
         }
+        if trouble.lost_disks && self.random.u16(..50) == 0 {
+            self.lose_disk();
+        }
         if trouble.freezes && self.random.u16(..500) == 0 {
             self.freeze();
         }
@@ -327,12 +343,24 @@
         grantor.clock = Clock::new(&mut self.random);
         let now = grantor.now(self.time);
         let started = if self.trouble.fault == Fault::NoSilence { now - TTL } else { now };
-        grantor.part = Grantor::new(started, TTL);
+        grantor.part = Grantor::new(self.ids[picked], started, TTL);
         let contender = &self.candidates[picked].part;
         grantor.part.learn(now, contender.revision, &contender.grantors);
         self.observe_known(picked);
     }
 
+    /// A machine whose place was taken by another comes back with an empty disk.
+    fn lose_disk(&mut self) {
+        let picked = self.pick();
+        if self.members.contains(&self.ids[picked]) {
+            return;
+        }
+        self.ids[picked].0 += DISKS;
+        self.known[picked] = (0, Vec::new());
+        let grantor = &mut self.grantors[picked];
+        grantor.part = Grantor::new(self.ids[picked], grantor.clock.now(self.time), TTL);
+    }
+
     fn restart_candidate(&mut self) {
         let picked = self.pick();
         let life = self.next_life;
@@ -377,7 +405,8 @@
     fn change_members(&mut self) {
         let rest = if self.random.u8(..4) == 0 { CHANGE_REST } else { CHANGE_EVERY };
         self.next_change = self.time + rest;
-        let id = GrantorId(self.pick() as u64);
+        let picked = self.pick();
+        let id = self.ids[picked];
         let before = self.members.clone();
         if self.members.contains(&id) {
             if self.members.len() > 3 {
@@ -403,7 +432,7 @@
         self.random.shuffle(&mut later);
         told.extend(later.iter().take(self.members.len() / 2 + 1));
         for picked in 0..self.grantors.len() {
-            let knows = told.contains(&GrantorId(picked as u64));
+            let knows = told.contains(&self.ids[picked]);
             let (grantor_lag, candidate_lag) = (self.lag(), self.lag());
             self.tell(picked, false, if knows { 1 } else { grantor_lag });
             self.tell(picked, true, candidate_lag);
--- a/crates/lease/tests/grantor.rs
+++ b/crates/lease/tests/grantor.rs
@@ -33,18 +33,25 @@
 
 /// A grantor that has granted term 5 of "one".
 fn lent() -> Grantor {
-    let mut grantor = Grantor::new(START, TTL);
+    let mut grantor = Grantor::new(GRANTORS[0], START, TTL);
     assert_eq!(grantor.handle(OPEN, &request("one", 5)), GRANTED);
     grantor
 }
 
 #[test]
 fn given_a_new_grantor_when_asked_then_it_is_silent_for_one_ttl() {
-    let mut grantor = Grantor::new(START, TTL);
+    let mut grantor = Grantor::new(GRANTORS[0], START, TTL);
     assert_eq!(grantor.handle(START + ms(1000), &request("one", 1)), held("", 2000));
     assert_eq!(grantor.handle(OPEN, &request("one", 2)), GRANTED);
 }
 
+#[test]
+fn given_a_grantor_with_another_disk_when_its_former_self_is_asked_then_it_grants_nothing() {
+    let mut successor = Grantor::new(GrantorId(4), START, TTL);
+    assert_eq!(successor.handle(OPEN, &request("one", 1)), held("", 0));
+    assert_eq!(successor.holder(OPEN), None);
+}
+
 #[test]
 fn given_a_grant_when_another_asks_then_it_waits_for_the_end() {
     let mut grantor = lent();
@@ -63,7 +70,7 @@
 
 #[test]
 fn given_a_request_longer_than_the_silence_after_a_restart_when_handled_then_it_is_refused() {
-    let mut grantor = Grantor::new(START, TTL);
+    let mut grantor = Grantor::new(GRANTORS[0], START, TTL);
     let long = LeaseRequest { ttl_ms: 3001, ..request("one", 1) };
     assert!(matches!(grantor.handle(OPEN, &long), LeaseReply::Held { .. }));
 }
@@ -98,7 +105,7 @@
     changed_at: u64,
     grants: bool,
 ) {
-    let mut grantor = Grantor::new(START, TTL);
+    let mut grantor = Grantor::new(GRANTORS[0], START, TTL);
     grantor.observe(5, &[GrantorId(1), GrantorId(2)]);
     grantor.observe(changed_at, &[GrantorId(1), GrantorId(2), GrantorId(3)]);
     grantor.observe(90, &[GrantorId(1), GrantorId(2), GrantorId(3)]);
@@ -110,7 +117,7 @@
 fn given_known_grantors_when_it_grants_then_it_tells_for_how_long_they_have_been_the_committed_ones() {
     let others = [GrantorId(1), GrantorId(2), GrantorId(4)];
     let same = [GrantorId(3), GrantorId(1), GrantorId(2)];
-    let mut grantor = Grantor::new(START, TTL);
+    let mut grantor = Grantor::new(GRANTORS[0], START, TTL);
     let settled = |grantor: &mut Grantor, at: Duration| match grantor.handle(at, &request("one", 1)) {
         LeaseReply::Granted { settled_ms } => settled_ms,
         held => panic!("it grants: {held:?}"),
--- a/crates/lease/tests/random_exploration.rs
+++ b/crates/lease/tests/random_exploration.rs
@@ -13,6 +13,7 @@
     bad_network: false,
     clock_jumps: false,
     changes: false,
+    lost_disks: false,
     fault: Fault::Nothing,
 };
 const ALL: Trouble = Trouble {
@@ -21,6 +22,7 @@
     bad_network: true,
     clock_jumps: true,
     changes: true,
+    lost_disks: true,
     fault: Fault::Nothing,
 };
 const LENGTH: Duration = Duration::from_secs(120);
@@ -32,6 +34,7 @@
     bad_network = { 5, 3, Trouble { bad_network: true, ..CALM }, 85 },
     clock_jumps = { 5, 3, Trouble { clock_jumps: true, ..CALM }, 75 },
     changes = { 6, 3, Trouble { changes: true, ..CALM }, 85 },
+    lost_disks = { 6, 3, Trouble { changes: true, lost_disks: true, ..CALM }, 85 },
     all = { 6, 4, ALL, 35 },
     one_machine = { 1, 1, Trouble { changes: false, ..ALL }, 5 },
 )]
--- a/crates/rushrudder/src/control.rs
+++ b/crates/rushrudder/src/control.rs
@@ -131,8 +131,10 @@
         let view = Arc::new(ViewCell::new());
         let client = edges.client.clone();
         let proposer = Proposer::new(Arc::clone(&view), client.clone());
+        // A process without a disk is asked for no lease.
+        let grantor_id = GrantorId(disk.as_ref().map_or(0, |disk| disk.incarnation.0));
+        let grantor = Mutex::new(Grantor::new(grantor_id, Duration::ZERO, LEASE_TTL));
         let acceptor = disk.map(|disk| AcceptorService::new(disk.journal, disk.incarnation, &disk.records));
-        let grantor = Mutex::new(Grantor::new(Duration::ZERO, LEASE_TTL));
         if let Some(accepted) = acceptor.as_ref().and_then(|acceptor| acceptor.accepted()) {
             observe(&grantor, &accepted.value);
         }
