--- a/crates/control-plane/src/leader.rs
+++ b/crates/control-plane/src/leader.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{watch, Notify};
 use tokio::time::Instant;
 
+use crate::core_service::grantors_of;
 use crate::messages::paths;
 use crate::server_calls::CALL_TIMEOUT as ORDER_TIMEOUT;
 use crate::{ChangeFailure, Proposer, ViewCell};
@@ -183,9 +184,8 @@
 /// One round at all acceptors; ends as soon as the lease is won or the round is lost.
 async fn ask_all(candidate: &mut Candidate, began: Instant, control: &ControlState, client: &rpc::Client) {
     let acceptors = &control.acceptors;
-    let grantors: Vec<GrantorId> = acceptors.iter().map(|member| GrantorId(member.incarnation.0)).collect();
     let held_before = candidate.held_until();
-    let request = candidate.begin(began.elapsed(), control.revision, &grantors);
+    let request = candidate.begin(began.elapsed(), control.revision, &grantors_of(control));
     let mut calls: FuturesUnordered<_> =
         acceptors.iter().map(|member| ask(client, member.clone(), request.clone())).collect();
     while let Some((member, reply)) = calls.next().await {
--- /dev/null
+++ b/crates/control-plane/tests/core_service.rs
@@ -0,0 +1,56 @@
+//! What a machine of the core notes of a change of the acceptors before it grants the leader lease.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use control_plane::{CoreService, ViewCell, LEASE_TTL};
+use lease::{GrantorId, LeaseReply, LeaseRequest};
+use register::{AcceptorRequest, Ballot, Incarnation, Member, Outcome, Versioned};
+use state::ControlState;
+use storage::simulated::SimulatedDisk;
+use support::{acceptor, first};
+use yare::parameterized;
+
+fn member(incarnation: Incarnation) -> Member {
+    Member { station: format!("node-{}", incarnation.0), incarnation, address: "127.0.0.1:1".into() }
+}
+
+/// The state after `value`, with other acceptors.
+fn with_others(value: &Versioned<ControlState>, round: u64) -> Versioned<ControlState> {
+    let acceptors = vec![value.value.acceptors[0].clone(), member(Incarnation(3))];
+    let revision = value.value.revision + 1;
+    let state = ControlState { acceptors, revision, ..ControlState::clone(&value.value) };
+    Versioned::new(Ballot { round, proposer: 7 }, Arc::new(state))
+}
+
+#[parameterized(
+    rejected = { 5, false },
+    accepted = { 9, true },
+)]
+fn given_a_proposal_of_other_acceptors_when_a_candidate_knows_the_former_then_it_is_refused_only_after_an_acceptance(
+    round: u64,
+    is_refused: bool,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    runtime.expect("a runtime").block_on(async {
+        let (service, incarnation) = acceptor(&SimulatedDisk::new(1));
+        let core = CoreService::new(service, incarnation, Arc::new(ViewCell::new()));
+        let known = first(vec![member(incarnation), member(Incarnation(2))], Vec::new());
+        core.initialise(known.clone()).await.expect("it stands");
+        core.handle(AcceptorRequest::Prepare(Ballot { round: 8, proposer: 7 })).await.expect("it is durable");
+        let reply =
+            core.handle(AcceptorRequest::Accept(with_others(&known, round))).await.expect("it answers");
+        assert_eq!(matches!(reply.outcome, Outcome::Accepted), is_refused, "{reply:?}");
+        tokio::time::advance(LEASE_TTL + Duration::from_millis(1)).await;
+        let request = LeaseRequest {
+            holder: "candidate".into(),
+            term: 1,
+            ttl_ms: 1500,
+            revision: known.value.revision,
+            grantors: vec![GrantorId(incarnation.0), GrantorId(2)],
+        };
+        assert_eq!(matches!(core.grant(&request), LeaseReply::Held { .. }), is_refused);
+    });
+}
--- a/crates/rushrudder/src/control.rs
+++ b/crates/rushrudder/src/control.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use control_plane::{
-    paths, AcceptorService, Announcement, Capability, Distribution, FirstStart, HttpServerCalls, Identity,
-    Introduction, Introductions, Leadership, ListSource, Platform, PollRequest, Proposer, ServerCalls,
-    ViewCell, LEASE_TTL,
+    paths, AcceptorService, Announcement, Capability, CoreService, Distribution, FirstStart, HttpServerCalls,
+    Identity, Introduction, Introductions, Leadership, ListSource, Platform, PollRequest, Proposer,
+    ServerCalls, ViewCell,
 };
 use error_stack::{Report, ResultExt};
-use lease::{Grantor, GrantorId, LeaseRelease, LeaseRequest};
+use lease::{LeaseRelease, LeaseRequest};
 use poem::Route;
 use register::{AcceptorRequest, Incarnation, Member, Versioned};
 use settings::Settings;
@@ -18,7 +18,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
 
 use crate::RoleError;
 
@@ -77,9 +76,8 @@
     seeds: watch::Sender<Vec<String>>,
     first_start: Arc<FirstStart>,
     introductions: Arc<Introductions>,
-    acceptor: Option<Arc<AcceptorService>>,
-    grantor: Arc<Mutex<Grantor>>,
-    started: Instant,
+    /// The acceptor and the grantor of this process, if it has a disk for them.
+    core: Option<Arc<CoreService>>,
     /// The task that makes this machine an acceptor or a store.
     joining: Mutex<Option<AbortHandle>>,
 }
@@ -110,20 +108,37 @@
     Ok(Some(Disk { journal, records: recovered.records, incarnation }))
 }
 
-/// Tells the grantor who the grantors are, before a value that changes them is answered for.
-fn observe(grantor: &Mutex<Grantor>, state: &ControlState) {
-    grantor.lock().unwrap_or_else(PoisonError::into_inner).observe(state.revision, &grantors_of(state));
-}
-
-/// The grantors of the lease are the acceptors of the register.
-fn grantors_of(state: &ControlState) -> Vec<GrantorId> {
-    state.acceptors.iter().map(|member| GrantorId(member.incarnation.0)).collect()
+/// The endpoints of a machine of the core.
+fn core_routes(routes: Route, core: &Arc<CoreService>) -> Route {
+    let (register, first) = (Arc::clone(core), Arc::clone(core));
+    let (lease, released) = (Arc::clone(core), Arc::clone(core));
+    let handle = move |request: AcceptorRequest<ControlState>| {
+        let register = Arc::clone(&register);
+        async move { register.handle(request).await }
+    };
+    let initialise = move |value: Versioned<ControlState>| {
+        let first = Arc::clone(&first);
+        async move { first.initialise(value).await }
+    };
+    let grant = move |request: LeaseRequest| {
+        let reply = lease.grant(&request);
+        async move { Some(reply) }
+    };
+    let release = move |release: LeaseRelease| {
+        released.release(&release);
+        async move { Some(()) }
+    };
+    routes
+        .at(paths::REGISTER, poem::post(rpc::handler(handle)))
+        .at(paths::FIRST, poem::post(rpc::handler(initialise)))
+        .at(paths::LEASE, poem::post(rpc::handler(grant)))
+        .at(paths::RELEASE, poem::post(rpc::handler(release)))
 }
 
 impl Control {
     /// The acceptor of this process, if it has one.
     pub fn acceptor(&self) -> Option<&Arc<AcceptorService>> {
-        self.acceptor.as_ref()
+        self.core.as_ref().map(|core| core.acceptor())
     }
 
     /// The control plane of a process; one with a `disk` for it has an acceptor.
@@ -131,16 +146,10 @@
         let view = Arc::new(ViewCell::new());
         let client = edges.client.clone();
         let proposer = Proposer::new(Arc::clone(&view), client.clone());
-        // A process without a disk is asked for no lease.
-        let grantor_id = GrantorId(disk.as_ref().map_or(0, |disk| disk.incarnation.0));
-        let grantor = Mutex::new(Grantor::new(grantor_id, Duration::ZERO, LEASE_TTL));
-        let acceptor = disk.map(|disk| AcceptorService::new(disk.journal, disk.incarnation, &disk.records));
-        if let Some(accepted) = acceptor.as_ref().and_then(|acceptor| acceptor.accepted()) {
-            observe(&grantor, &accepted.value);
-        }
-        if let Some(known) = acceptor.as_ref().and_then(|acceptor| acceptor.committed()) {
-            view.adopt_control(&known);
-        }
+        let core = disk.map(|disk| {
+            let acceptor = AcceptorService::new(disk.journal, disk.incarnation, &disk.records);
+            CoreService::new(acceptor, disk.incarnation, Arc::clone(&view))
+        });
         Self {
             distribution: Distribution::new(
                 Arc::clone(&view),
@@ -156,9 +165,7 @@
             seeds: watch::Sender::new(seed_addresses(settings)),
             first_start: Arc::new(FirstStart::default()),
             introductions: Arc::new(Introductions::default()),
-            acceptor,
-            grantor: Arc::new(grantor),
-            started: Instant::now(),
+            core,
             joining: Mutex::default(),
         }
     }
@@ -196,57 +203,12 @@
                     async move { Some(()) }
                 })),
             );
-        if let Some(acceptor) = &self.acceptor {
-            routes = self.acceptor_routes(routes, acceptor);
+        if let Some(core) = &self.core {
+            routes = core_routes(routes, core);
         }
         routes
     }
 
-    fn acceptor_routes(&self, routes: Route, acceptor: &Arc<AcceptorService>) -> Route {
-        let (register, first) = (Arc::clone(acceptor), Arc::clone(acceptor));
-        let (view, grantor, started) = (Arc::clone(&self.view), Arc::clone(&self.grantor), self.started);
-        let observer = Arc::clone(&grantor);
-        let learn = move |request: AcceptorRequest<ControlState>| {
-            let (register, view) = (Arc::clone(&register), Arc::clone(&view));
-            let observer = Arc::clone(&observer);
-            async move {
-                match &request {
-                    AcceptorRequest::Learn(committed) => {
-                        view.adopt_control(committed);
-                        observe(&observer, &committed.value);
-                    }
-                    AcceptorRequest::Accept(proposed) => observe(&observer, &proposed.value),
-                    _ => {}
-                }
-                register.handle(request).await
-            }
-        };
-        let initialise = move |value: Versioned<ControlState>| {
-            let first = Arc::clone(&first);
-            async move { first.initialise(value).await }
-        };
-        let released = Arc::clone(&grantor);
-        let release = move |release: LeaseRelease| {
-            released.lock().unwrap_or_else(PoisonError::into_inner).release(&release);
-            async move { Some(()) }
-        };
-        let granting_view = Arc::clone(&self.view);
-        let grant = move |request: LeaseRequest| {
-            let known = &granting_view.view().control;
-            let now = started.elapsed();
-            let mut grantor = grantor.lock().unwrap_or_else(PoisonError::into_inner);
-            grantor.learn(now, known.revision, &grantors_of(known));
-            let reply = grantor.handle(now, &request);
-            drop(grantor);
-            async move { Some(reply) }
-        };
-        routes
-            .at(paths::REGISTER, poem::post(rpc::handler(learn)))
-            .at(paths::FIRST, poem::post(rpc::handler(initialise)))
-            .at(paths::RELEASE, poem::post(rpc::handler(release)))
-            .at(paths::LEASE, poem::post(rpc::handler(grant)))
-    }
-
     /// Reads the settings file again. The seeds take effect at once, everything else at the next start.
     pub fn reload(&self) {
         match Settings::from_env() {
@@ -271,7 +233,7 @@
     pub fn start(&self, settings: &Settings, member: Option<Member>, capability: Capability) {
         let seeds = seed_addresses(settings);
         log::info!("internal address {}, seeds {}", self.address, seeds.join(" "));
-        let leads = self.acceptor.is_some().then(|| Arc::clone(&self.leadership));
+        let leads = self.core.is_some().then(|| Arc::clone(&self.leadership));
         tokio::spawn(control_plane::run_poller(
             Arc::clone(&self.view),
             self.client.clone(),
@@ -285,10 +247,10 @@
             self.client.clone(),
             self.seeds.subscribe(),
             self.address.clone(),
-            self.acceptor.is_some(),
+            self.core.is_some(),
         ));
         if let Some(list) = &self.edges.list {
-            let own_after = if self.acceptor.is_some() { OWN_READ_ACCEPTOR } else { OWN_READ_OTHER };
+            let own_after = if self.core.is_some() { OWN_READ_ACCEPTOR } else { OWN_READ_OTHER };
             tokio::spawn(control_plane::run_list_reader(
                 Arc::clone(list),
                 Arc::clone(&self.leadership),
