--- a/crates/control-plane/src/control_updates.rs
+++ b/crates/control-plane/src/control_updates.rs
@@ -5,7 +5,7 @@
 
 use register::Versioned;
 use serde::{Deserialize, Serialize};
-use state::{ControlState, TakenChange, TAKEN_KEPT};
+use state::{ControlState, Document, TakenChange, TAKEN_KEPT};
 
 /// A newer committed value.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,7 +19,7 @@
 /// The parts of the control state that change only with the version of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct ConfigurationPart {
-    configuration: String,
+    configuration: Document,
     taken: TakenPart,
 }
 
--- a/crates/control-plane/src/operator.rs
+++ b/crates/control-plane/src/operator.rs
@@ -54,9 +54,10 @@
 #[handler]
 async fn read_configuration(Data(context): Data<&Context>) -> Response {
     match context.proposer.read_newest(Instant::now() + ORDER_TIMEOUT).await {
-        Some(value) if value.value.edition > 0 => {
-            Response::builder().content_type("application/json").body(value.value.configuration.clone())
-        }
+        Some(value) if value.value.edition > 0 => match value.value.configuration.text() {
+            Ok(text) => Response::builder().content_type("application/json").body(text.to_owned()),
+            Err(error) => failure(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
+        },
         Some(_) => failure(StatusCode::NOT_FOUND, "no configuration was taken yet"),
         None => unclear(),
     }
@@ -150,6 +151,9 @@
             StatusCode::SERVICE_UNAVAILABLE,
             "it builds on a version so old that it cannot be told whether it was taken",
         ),
+        Declined::Unreadable => {
+            failure(StatusCode::SERVICE_UNAVAILABLE, "the present configuration cannot be read here")
+        }
         Declined::Invalid(error) => failure(StatusCode::BAD_REQUEST, &error.to_string()),
         Declined::Unknown => failure(StatusCode::NOT_FOUND, "no such store machine"),
         Declined::TooFew => failure(StatusCode::CONFLICT, "too few store machines would be left"),
--- a/crates/control-plane/src/view.rs
+++ b/crates/control-plane/src/view.rs
@@ -158,14 +158,16 @@
     if unchanged {
         return view.configuration.clone();
     }
-    match Configuration::parse(control.configuration.as_bytes()) {
+    match parse(control) {
         Ok(configuration) => Some(Arc::new(configuration)),
-        Err(error) => {
-            log::error!(
-                "configuration {} cannot be compiled, the one before stays: {error}",
-                control.edition
-            );
+        Err(why) => {
+            log::error!("configuration {} cannot be compiled, the one before stays: {why}", control.edition);
             view.configuration.clone()
         }
     }
 }
+
+fn parse(control: &ControlState) -> Result<Configuration, String> {
+    let text = control.configuration.text().map_err(|error| error.to_string())?;
+    Configuration::parse(text.as_bytes()).map_err(|error| error.to_string())
+}
--- a/crates/control-plane/tests/control_updates.rs
+++ b/crates/control-plane/tests/control_updates.rs
@@ -8,13 +8,19 @@
 use state::{ControlState, TakenChange, TAKEN_KEPT};
 use yare::parameterized;
 
-/// Far more than the rest of a state takes.
-const CONFIGURATION_BYTES: usize = 10_000;
+/// Far more than the rest of a state takes, also compressed.
+const CONFIGURATION_BYTES: usize = 20_000;
+
+/// A text that compression does not make much shorter.
+fn incompressible(bytes: usize) -> String {
+    let mut random = fastrand::Rng::with_seed(7);
+    (0..bytes).map(|_| random.alphanumeric()).collect()
+}
 
 fn state(edition: u64, named: u64) -> ControlState {
     ControlState {
         revision: 10 * edition + named,
-        configuration: "c".repeat(CONFIGURATION_BYTES),
+        configuration: incompressible(CONFIGURATION_BYTES).into(),
         edition,
         taken: VecDeque::from([TakenChange { digest: edition.into(), edition }]),
         named_versions: BTreeMap::from([("m".to_owned(), named)]),
@@ -31,7 +37,8 @@
 fn given_the_same_configuration_when_a_version_is_named_then_the_configuration_is_not_sent() {
     let (held, newest) = (state(5, 1), committed(state(5, 2)));
     let update = ControlUpdate::new(&newest, held.edition);
-    assert!(rpc::encode(&update).len() < CONFIGURATION_BYTES / 10);
+    assert!(newest.value.configuration.packed_bytes() > CONFIGURATION_BYTES / 2);
+    assert!(rpc::encode(&update).len() < CONFIGURATION_BYTES / 20);
     assert_eq!(update.apply(&held), Some(newest));
 }
 
@@ -59,7 +66,7 @@
 fn given_a_newer_configuration_when_polled_then_only_the_changes_since_are_sent(held: u64, newest: u64) {
     let (held, newest) = (changed(held), committed(changed(newest)));
     let update = ControlUpdate::new(&newest, held.edition);
-    let bytes = rpc::encode(&update).len() - CONFIGURATION_BYTES;
+    let bytes = rpc::encode(&update).len() - newest.value.configuration.packed_bytes();
     let since = (newest.value.edition - held.edition) as usize / 2;
     assert!(bytes < 200 + 25 * since.min(TAKEN_KEPT), "{bytes} bytes for {since} changes");
     assert_eq!(update.apply(&held), Some(newest));
--- a/crates/control-plane/tests/view.rs
+++ b/crates/control-plane/tests/view.rs
@@ -23,7 +23,8 @@
 }
 
 fn value(round: u64, edition: u64) -> Versioned<ControlState> {
-    let state = ControlState { edition, configuration: document(edition, "r"), ..ControlState::default() };
+    let state =
+        ControlState { edition, configuration: document(edition, "r").into(), ..ControlState::default() };
     Versioned::new(Ballot { round, proposer: 1 }, Arc::new(state))
 }
 
--- a/crates/emulator/src/simulation/operators.rs
+++ b/crates/emulator/src/simulation/operators.rs
@@ -122,7 +122,7 @@
     pub(super) fn check_end(&self, checker: &Checker) -> Result<(), String> {
         for (expected, (edition, route)) in &self.acknowledged {
             let Some(state) = checker.of_edition(*edition) else { continue };
-            if !state.configuration.contains(&format!("\"{route}\"")) {
+            if !state.configuration.text().is_ok_and(|text| text.contains(&format!("\"{route}\""))) {
                 return Err(format!(
                     "version {edition} on top of {expected} is not the one that was acknowledged"
                 ));
--- a/crates/state/src/change/operator.rs
+++ b/crates/state/src/change/operator.rs
@@ -4,7 +4,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::successor;
-use crate::{ControlState, DrainState, TakenChange, TAKEN_KEPT};
+use crate::{ControlState, Document, DrainState, TakenChange, TAKEN_KEPT};
 
 /// The version of a model that was never named.
 const FIRST_VERSION: u64 = 1;
@@ -27,6 +27,8 @@
     OtherVersion(u64),
     /// It builds on a version so old that it cannot be told any more whether it was taken.
     TooOld,
+    /// The present configuration, which it changes, cannot be read.
+    Unreadable,
     /// It is invalid.
     Invalid(ConfigurationError),
     /// There is nothing to change.
@@ -67,14 +69,17 @@
         return Err(if is_forgotten { Declined::TooOld } else { Declined::OtherVersion(state.edition) });
     }
     let document = match kind {
-        ChangeKind::Patch => configuration::patch(&state.configuration, body),
+        ChangeKind::Patch => {
+            let present = state.configuration.text().map_err(|_| Declined::Unreadable)?;
+            configuration::patch(present, body)
+        }
         ChangeKind::Replace => configuration::replace(state.edition, body),
     };
     let document = document.map_err(Declined::Invalid)?;
     let parsed = Configuration::parse(document.as_bytes()).map_err(Declined::Invalid)?;
     let mut next = successor(state);
     next.edition = parsed.edition();
-    next.configuration = document;
+    next.configuration = Document::new(document);
     next.taken.push_back(TakenChange { digest, edition: next.edition });
     while next.taken.len() > TAKEN_KEPT {
         next.taken.pop_front();
--- a/crates/state/src/control.rs
+++ b/crates/state/src/control.rs
@@ -5,6 +5,8 @@
 use register::{Member, RegisterValue};
 use serde::{Deserialize, Serialize};
 
+use crate::Document;
+
 /// The revision of the first state.
 pub const FIRST_REVISION: u64 = 1;
 /// Changes of the configuration that are remembered, so that a repeated order is acknowledged and not refused. An
@@ -65,7 +67,7 @@
     /// Machines with a disk that wait to take the place of an acceptor that is gone.
     pub standbys: Vec<Member>,
     /// The operator's configuration in force, as JSON; empty before the first.
-    pub configuration: String,
+    pub configuration: Document,
     /// Its version; 0 before the first.
     pub edition: u64,
     /// The newest changes that were taken, oldest first.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -6,9 +6,11 @@
 
 pub mod change;
 mod control;
+mod document;
 mod servers;
 mod view;
 
 pub use control::{ControlState, DrainState, StoreMember, StoreSet, TakenChange, FIRST_REVISION, TAKEN_KEPT};
+pub use document::{Document, DocumentError};
 pub use servers::{Condition, ServerEntry, ServerId, ServerList, ServerListVersion};
 pub use view::View;
--- a/crates/state/tests/operator.rs
+++ b/crates/state/tests/operator.rs
@@ -29,7 +29,7 @@
     let body = document(4, "r");
     let state = put(&system(3), 0, &body).expect("it is taken");
     assert_eq!((state.edition, state.revision), (4, 2));
-    assert_eq!(state.configuration, body);
+    assert_eq!(state.configuration.text(), Ok(&*body));
 }
 
 #[test]
@@ -94,7 +94,8 @@
     let state = put(&system(3), 0, &document(4, "r")).expect("it is taken");
     let patch = r#"{"edition":9,"loadIn":{"routes":[{"name":"q","depot":"h","lanePrefix":"/q/","kind":"safe","postalLine":"s"}]},"strike":{"routes":["r"]}}"#;
     let patched = change(&state, ChangeKind::Patch, 4, patch).expect("it is taken");
-    assert!(patched.configuration.contains("/q/") && !patched.configuration.contains("/r/"));
+    let text = patched.configuration.text().expect("it can be read");
+    assert!(text.contains("/q/") && !text.contains("/r/"));
     assert_eq!(change(&patched, ChangeKind::Patch, 4, patch), Err(Declined::AlreadyTaken));
     assert_eq!(put(&patched, 4, patch), Err(Declined::OtherVersion(9)));
 }
