--- a/crates/emulator/src/fleet/delivery.rs
+++ b/crates/emulator/src/fleet/delivery.rs
@@ -25,8 +25,10 @@
             self.transcript.note_answer(self.now, call, &outcome);
             let Some(pending) = self.calls.get(&call) else { continue };
             let (from, to) = (pending.to, Place::Machine(pending.from));
+            let bytes = outcome.as_ref().map_or(0, |(_, body)| body.len());
+            let carried = self.links.carry(self.now, from, to, bytes);
             for delay in self.network.delays(&mut self.random, from, to) {
-                self.schedule(delay, Event::Answer { call, outcome: outcome.clone(), tries: 0 });
+                self.schedule(carried + delay, Event::Answer { call, outcome: outcome.clone(), tries: 0 });
             }
         }
         for (call, reply) in sent.replies {
@@ -42,10 +44,11 @@
         self.numbers += 1;
         let call = self.numbers;
         let life = self.machines[from].life;
+        let carried = self.links.carry(self.now, Place::Machine(from), to, body.len());
         let pending = Pending { from, life, to, path, body, answer: Some(answer), taken_by: None };
         self.calls.insert(call, pending);
         for delay in self.network.delays(&mut self.random, Place::Machine(from), to) {
-            self.schedule(delay, Event::Call { call, tries: 0 });
+            self.schedule(carried + delay, Event::Call { call, tries: 0 });
         }
     }
 
--- a/crates/emulator/src/fleet/mod.rs
+++ b/crates/emulator/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod delivery;
 mod faults;
+mod links;
 mod looks;
 mod outside;
 mod transcript;
@@ -23,6 +24,7 @@
 use crate::servers::ModelServer;
 use crate::wire::{ip_of, Outcome, Place, Wire};
 
+use links::Links;
 use transcript::Transcript;
 
 /// The time passes in steps of this length: no message is faster.
@@ -149,6 +151,7 @@
     replies: BTreeMap<u64, Reply>,
     /// Until when each machine with a disk counts as lost.
     lost_until: BTreeMap<usize, Duration>,
+    links: Links,
     /// All messages so far.
     transcript: Transcript,
 }
@@ -172,6 +175,7 @@
             calls: BTreeMap::new(),
             replies: BTreeMap::new(),
             lost_until: BTreeMap::new(),
+            links: Links::default(),
             transcript: Transcript::default(),
         };
         let nodes = std::iter::repeat_n(MachineKind::Node, shape.nodes);
@@ -274,6 +278,11 @@
         }
     }
 
+    /// From now on each machine's link carries this many bytes a second in each direction, one message after the other.
+    pub fn set_link_speed(&mut self, bytes_per_second: f64) {
+        self.links.set_speed(bytes_per_second);
+    }
+
     /// Digest of all messages so far, with their times: runs of one seed are the same as long as it is.
     #[must_use]
     pub fn digest(&self) -> u64 {
--- a/crates/emulator/tests/common/mod.rs
+++ b/crates/emulator/tests/common/mod.rs
@@ -40,9 +40,15 @@
         self.change_configuration_within(CLEAR);
     }
 
-    fn change_configuration_within(&mut self, most: Duration) {
+    /// Another configuration is acknowledged within this time.
+    pub fn change_configuration_within(&mut self, most: Duration) {
+        self.put_configuration(most, 0);
+    }
+
+    /// A configuration with this many more routes is acknowledged within this time.
+    pub fn put_configuration(&mut self, most: Duration, more_routes: usize) {
         let expected = self.configuration.0;
-        let body = document(expected + 3);
+        let body = document_with_routes(expected + 3, more_routes);
         let order = OperatorOrder::Put { expected, body: body.clone() };
         assert_status(&self.fleet.order(most, &order), 200);
         self.configuration = (expected + 3, body);
@@ -70,9 +76,14 @@
 
     /// The next version is named.
     pub fn name_version(&mut self) {
+        self.name_version_within(CLEAR);
+    }
+
+    /// The next version is named within this time.
+    pub fn name_version_within(&mut self, most: Duration) {
         self.named += 1;
         let order = OperatorOrder::Name { model: "m".into(), version: self.named };
-        assert_status(&self.fleet.order(CLEAR, &order), 200);
+        assert_status(&self.fleet.order(most, &order), 200);
     }
 
     /// All servers come to have the newest named version.
@@ -144,9 +155,24 @@
 }
 
 pub fn document(version: u64) -> String {
+    document_with_routes(version, 0)
+}
+
+/// A configuration with this many more routes, of names as operators choose them.
+fn document_with_routes(version: u64, more: usize) -> String {
+    let mut random = fastrand::Rng::with_seed(version);
+    let mut word = || (0..8).map(|_| random.lowercase()).collect::<String>();
+    let route = |index| {
+        let (name, path) = (word(), word());
+        format!(
+            r#",{{"name":"r-{name}{index}","depot":"{name}.example","lanePrefix":"/{path}/","kind":"safe",
+            "expiryMs":1500,"dueMs":150,"urgency":2,"postalLine":"s","tries":4}}"#
+        )
+    };
+    let routes: String = (0..more).map(route).collect();
     format!(
         r#"{{"edition":{version},"routes":[{{"name":"r","depot":"h","lanePrefix":"/r/","kind":"rollout",
-        "expiryMs":1500,"postalLine":"s"}}],"postalLines":[{{"name":"s","healthPath":"/health"}}]}}"#
+        "expiryMs":1500,"postalLine":"s"}}{routes}],"postalLines":[{{"name":"s","healthPath":"/health"}}]}}"#
     )
 }
 
--- a/crates/emulator/tests/stories.rs
+++ b/crates/emulator/tests/stories.rs
@@ -639,3 +639,34 @@
         story.go_on();
     }
 }
+
+/// Within this time a change is acknowledged in calm, and every process has it.
+const IN_FORCE: Duration = Duration::from_millis(2500);
+/// Bytes a second of 60 Mbit/s, the narrowest link of the operators' machines.
+const NARROW_LINK: f64 = 60e6 / 8.0;
+
+#[parameterized(
+    one_may_be_lost = { Shape { nodes: 3, diskless: 20, stores: 3, servers: 4, machines_lost: 1 } },
+    two_may_be_lost = { Shape { nodes: 8, diskless: 40, stores: 8, servers: 4, machines_lost: 2 } },
+)]
+fn given_narrow_links_when_a_configuration_of_many_routes_comes_then_the_next_changes_are_taken_as_ever(
+    shape: Shape,
+) {
+    for seed in 0..2 {
+        let mut story = Story::begin(seed, shape);
+        story.fleet.set_link_speed(NARROW_LINK);
+        story.put_configuration(IN_FORCE, 1400);
+        let newest = story.fleet.state(0).expect("it knows the state").edition;
+        let is_known = |fleet: &Fleet| {
+            let mut states = fleet.machines().map(|machine| fleet.state(machine));
+            states.all(|state| state.is_some_and(|state| state.edition >= newest))
+        };
+        assert!(story.fleet.run_until(IN_FORCE, is_known), "seed {seed}: all know it");
+        for _ in 0..4 {
+            story.fleet.run(Duration::from_millis(300));
+            story.name_version_within(IN_FORCE);
+            story.put_configuration(IN_FORCE, 1400);
+        }
+        story.check();
+    }
+}
