--- a/crates/control-plane/src/distribution.rs
+++ b/crates/control-plane/src/distribution.rs
@@ -1,6 +1,6 @@
 //! Answers the long polls of other processes from what this process knows.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -22,20 +22,31 @@
     incarnation: OnceLock<Incarnation>,
     contacts: Arc<Contacts>,
     silence: Duration,
+    started: Instant,
+    steady_after: Duration,
+    is_leaving: AtomicBool,
     recent_lists: Mutex<RecentLists>,
 }
 
 impl Distribution {
     /// A distribution of what `view` knows. Acceptors that `contacts` have not heard of for the time `silence` are told
-    /// to be silent.
+    /// to be silent; this process calls itself steady once it has run for the time `steady_after`.
     #[must_use]
-    pub fn new(view: Arc<ViewCell>, contacts: Arc<Contacts>, silence: Duration) -> Arc<Self> {
+    pub fn new(
+        view: Arc<ViewCell>,
+        contacts: Arc<Contacts>,
+        silence: Duration,
+        steady_after: Duration,
+    ) -> Arc<Self> {
         Arc::new(Self {
             view,
             settled_epoch: AtomicU64::new(0),
             incarnation: OnceLock::new(),
             contacts,
             silence,
+            started: Instant::now(),
+            steady_after,
+            is_leaving: AtomicBool::new(false),
             recent_lists: Mutex::default(),
         })
     }
@@ -50,13 +61,21 @@
         self.settled_epoch.store(epoch, Ordering::Relaxed);
     }
 
+    /// This process was told to end.
+    pub fn set_leaving(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
     /// Answers whether this process is there.
     #[must_use]
     pub fn ping(&self) -> PingReply {
         let settled_epoch = self.settled_epoch.load(Ordering::Relaxed);
         let knows_control = self.view.committed().is_some();
         let silent = self.contacts.silent_for(self.silence);
-        PingReply { incarnation: self.incarnation.get().copied(), settled_epoch, knows_control, silent }
+        let is_steady =
+            self.started.elapsed() >= self.steady_after && !self.is_leaving.load(Ordering::Relaxed);
+        let incarnation = self.incarnation.get().copied();
+        PingReply { incarnation, settled_epoch, knows_control, is_steady, silent }
     }
 
     /// Answers a long poll as soon as something is newer, or after the time it may be held.
--- a/crates/control-plane/src/leader.rs
+++ b/crates/control-plane/src/leader.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use crate::core_service::grantors_of;
-use crate::messages::paths;
+use crate::messages::{paths, PingReply};
 use crate::server_calls::CALL_TIMEOUT as ORDER_TIMEOUT;
 use crate::{ChangeFailure, Proposer, ViewCell};
 
@@ -23,9 +23,21 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// The shortest pause between two looks at what to do.
 const WAIT_LEAST: Duration = Duration::from_millis(5);
+/// How long the holder before may take to tell that it is there.
+const FORMER_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long raising the fencing token may take.
 const FENCE_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// What must lie between the orders of two holders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OrderGap {
+    /// The time between the last order of one holder and the first of the next.
+    pub between_holders: Duration,
+    /// Servers refuse orders with a lower fencing token than they have seen. Then only holders that run undisturbed
+    /// must keep the time between them.
+    pub fence_checked: bool,
+}
+
 /// Whether this process leads, told to all its parts.
 pub struct Leadership {
     began: Instant,
@@ -117,10 +129,10 @@
 
 /// Seeks the lease and renews it, for as long as the process runs.
 ///
-/// `between_holders` is the time that must lie between the orders of two holders.
+/// `gap` is what must lie between its orders and those of the holder before.
 pub async fn run_leader(
     station: String,
-    between_holders: Duration,
+    gap: OrderGap,
     leadership: Arc<Leadership>,
     view: Arc<ViewCell>,
     proposer: Arc<Proposer>,
@@ -173,7 +185,8 @@
                 ask_all(&mut candidate, began, &control, &client).await;
                 let until = candidate.held_until();
                 if candidate.holds(began.elapsed()) {
-                    hold(&leadership, until, between_holders, &proposer, &station).await;
+                    let winner = Winner { station: &station, proposer: &proposer, client: &client, gap };
+                    winner.hold(&leadership, until).await;
                     note_order_holder(&leadership, &proposer, &station).await;
                 }
             }
@@ -223,25 +236,40 @@
     );
 }
 
-/// Notes that the lease is held; at the first time raises the fencing token.
-async fn hold(
-    leadership: &Leadership,
-    until: Duration,
-    between_holders: Duration,
-    proposer: &Proposer,
-    station: &str,
-) {
-    let earlier = leadership.held();
-    if let Some(renewed) = earlier.and_then(|held| held.renewed(leadership.now(), until)) {
-        *leadership.lock() = Some(renewed);
-        return;
+/// A process that has won or renewed the lease.
+struct Winner<'a> {
+    station: &'a str,
+    proposer: &'a Proposer,
+    client: &'a rpc::Client,
+    gap: OrderGap,
+}
+
+impl Winner<'_> {
+    /// Notes that the lease is held; at the first time raises the fencing token.
+    async fn hold(&self, leadership: &Leadership, until: Duration) {
+        let earlier = leadership.held();
+        if let Some(renewed) = earlier.and_then(|held| held.renewed(leadership.now(), until)) {
+            *leadership.lock() = Some(renewed);
+            return;
+        }
+        let Some(value) = raise_fence(leadership, until, self.proposer, self.station).await else { return };
+        let needs_no_gap = self.gap.fence_checked && self.is_former_out(&value.value).await;
+        let wait = if needs_no_gap { Duration::ZERO } else { self.gap.between_holders + ORDER_TIMEOUT };
+        log::info!("leads with fencing token {}, orders after {} ms", value.value.fence, wait.as_millis());
+        let won = HeldLease::won(&value.value, self.station, leadership.now(), until, wait, ORDER_TIMEOUT);
+        *leadership.lock() = Some(earlier.map_or(won, |earlier| won.following(earlier)));
+        leadership.announce_orders();
+    }
+
+    /// Whether the process that last was free to send orders does not answer, or does not run undisturbed.
+    async fn is_former_out(&self, state: &ControlState) -> bool {
+        let Some(former) = &state.order_holder else { return true };
+        let mut members = state.acceptors.iter().chain(&state.standbys);
+        let Some(member) = members.find(|member| member.station == *former) else { return true };
+        let reply: Result<PingReply, _> =
+            self.client.call(&member.address, paths::PING, &(), FORMER_TIMEOUT).await;
+        !reply.is_ok_and(|reply| reply.is_steady)
     }
-    let Some(value) = raise_fence(leadership, until, proposer, station).await else { return };
-    log::info!("leads with fencing token {}", value.value.fence);
-    let wait = between_holders + ORDER_TIMEOUT;
-    let won = HeldLease::won(&value.value, station, leadership.now(), until, wait, ORDER_TIMEOUT);
-    *leadership.lock() = Some(earlier.map_or(won, |earlier| won.following(earlier)));
-    leadership.announce_orders();
 }
 
 /// Raises the fencing token for the lease that ends at `until`. Each try is conditional on the token that was seen
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -32,7 +32,7 @@
 pub use core_service::CoreService;
 pub use distribution::Distribution;
 pub use introductions::{run_introductions, Introductions};
-pub use leader::{run_leader, Leadership, LEASE_TTL};
+pub use leader::{run_leader, Leadership, OrderGap, LEASE_TTL};
 pub use list_reader::run_list_reader;
 pub use messages::{paths, Announcement, Capability, Introduction, PingReply, PollReply, PollRequest};
 pub use operator::operator_routes;
--- a/crates/control-plane/src/messages.rs
+++ b/crates/control-plane/src/messages.rs
@@ -109,6 +109,8 @@
     pub settled_epoch: u64,
     /// Whether it knows a control state, and so the acceptors.
     pub knows_control: bool,
+    /// Whether it has run undisturbed for long enough to be in touch: it was not started of late, and is not told to end.
+    pub is_steady: bool,
     /// The acceptors of which this one, if it is an acceptor, has not heard for long.
     pub silent: Vec<Incarnation>,
 }
--- a/crates/control-plane/tests/leader.rs
+++ b/crates/control-plane/tests/leader.rs
@@ -5,22 +5,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use control_plane::{run_leader, Leadership, LEASE_TTL};
+use control_plane::{run_leader, Leadership, OrderGap, LEASE_TTL};
 use state::change::with_fence;
 use state::ControlState;
 use support::{nodes, Node};
 use tokio::time::Instant;
+use yare::parameterized;
 
-/// Time between the orders of two holders.
-const BETWEEN: Duration = Duration::from_secs(60);
+/// Longer than any wait of these tests.
+const UNCHECKED: OrderGap = OrderGap { between_holders: Duration::from_secs(60), fence_checked: false };
+const CHECKED: OrderGap = OrderGap { fence_checked: true, ..UNCHECKED };
 /// No wait of these tests is longer.
 const PATIENCE: Duration = Duration::from_secs(20);
 
 fn seek(node: &Node) -> Arc<Leadership> {
+    seek_with(node, UNCHECKED)
+}
+
+fn seek_with(node: &Node, gap: OrderGap) -> Arc<Leadership> {
     let leadership = Arc::new(Leadership::new(Arc::clone(&node.view)));
     tokio::spawn(run_leader(
         node.member.station.clone(),
-        BETWEEN,
+        gap,
         Arc::clone(&leadership),
         Arc::clone(&node.view),
         Arc::clone(&node.proposer),
@@ -89,3 +95,38 @@
     Leadership::new(Arc::default()).resign().await;
     assert!(began.elapsed() < LEASE_TTL / 2);
 }
+
+/// What becomes of the holder before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Former {
+    /// It has given the lease back, and runs on.
+    Runs,
+    /// It is told to end.
+    Leaves,
+}
+
+#[parameterized(
+    unchecked = { UNCHECKED, Former::Leaves, false },
+    undisturbed = { CHECKED, Former::Runs, false },
+    leaving = { CHECKED, Former::Leaves, true },
+)]
+fn given_another_holder_before_when_a_lease_is_won_then_orders_go_out_at_once_only_where_no_gap_is_needed(
+    gap: OrderGap,
+    former: Former,
+    is_at_once: bool,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let nodes = nodes(3, 0).await;
+        let first = seek_with(&nodes[0], gap);
+        until_some(|| first.fence_for_orders()).await;
+        if former == Former::Leaves {
+            nodes[0].distribution.set_leaving();
+        }
+        first.resign().await;
+        let second = seek_with(&nodes[1], gap);
+        until_some(|| second.fence()).await;
+        let sends = until_some(|| second.fence_for_orders());
+        assert_eq!(tokio::time::timeout(Duration::from_secs(3), sends).await.is_ok(), is_at_once);
+    });
+}
--- a/crates/control-plane/tests/support/mod.rs
+++ b/crates/control-plane/tests/support/mod.rs
@@ -21,12 +21,15 @@
 pub const FIRST: Ballot = Ballot { round: 1, proposer: 0 };
 
 const SILENCE: Duration = Duration::from_secs(2);
+/// These nodes call themselves steady from the start on.
+const STEADY_AFTER: Duration = Duration::ZERO;
 
 /// A traffic node with an acceptor.
 pub struct Node {
     pub view: Arc<ViewCell>,
     pub proposer: Arc<Proposer>,
     pub member: Member,
+    pub distribution: Arc<Distribution>,
     operator: BoxEndpoint<'static, Response>,
 }
 
@@ -68,11 +71,17 @@
     let (acceptor, incarnation) = acceptor(&SimulatedDisk::new(index as u64));
     let view = Arc::new(ViewCell::new());
     let (register, distribution) =
-        (Arc::clone(&acceptor), Distribution::new(Arc::clone(&view), Arc::default(), SILENCE));
+        (Arc::clone(&acceptor), Distribution::new(Arc::clone(&view), Arc::default(), SILENCE, STEADY_AFTER));
+    let told = Arc::clone(&distribution);
     let handle = move |request: AcceptorRequest<ControlState>| {
         let register = Arc::clone(&register);
         async move { register.handle(request).await }
     };
+    let pinged = Arc::clone(&distribution);
+    let ping = move |(): ()| {
+        let reply = pinged.ping();
+        async move { Some(reply) }
+    };
     let poll = move |request| {
         let distribution = Arc::clone(&distribution);
         async move { Some(distribution.poll(request).await) }
@@ -100,6 +109,7 @@
         .at(paths::LEASE, poem::post(rpc::handler(grant)))
         .at(paths::RELEASE, poem::post(rpc::handler(release)))
         .at(paths::REGISTER, poem::post(rpc::handler(handle)))
+        .at(paths::PING, poem::post(rpc::handler(ping)))
         .at(paths::POLL, poem::post(rpc::handler(poll)));
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address").to_string();
@@ -107,7 +117,7 @@
     let proposer = Proposer::new(Arc::clone(&view), rpc::Client::new());
     let operator = operator_routes(Arc::clone(&view), Arc::clone(&proposer)).map_to_response().boxed();
     let member = Member { station: format!("node{index}"), incarnation, address };
-    (Node { view, proposer, member, operator }, acceptor)
+    (Node { view, proposer, member, distribution: told, operator }, acceptor)
 }
 
 impl Node {
--- a/crates/control-plane/tests/view.rs
+++ b/crates/control-plane/tests/view.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 use yare::parameterized;
 
+const STEADY_AFTER: Duration = Duration::from_secs(3);
 const SILENCE: Duration = Duration::from_secs(2);
 
 fn version(fence: u64, sequence: u64) -> ServerListVersion {
@@ -79,7 +80,7 @@
     let view = Arc::new(ViewCell::new());
     view.adopt_control(&value(5, 9));
     view.adopt_servers(list(3, 2));
-    let distribution = Distribution::new(Arc::clone(&view), Arc::default(), SILENCE);
+    let distribution = Distribution::new(Arc::clone(&view), Arc::default(), SILENCE, STEADY_AFTER);
     let known = Ballot { round: 5, proposer: 1 };
     let hold_ms = 1000;
     let poll = |ballot, servers| distribution.poll(PollRequest { ballot, edition: 0, servers, hold_ms });
@@ -99,7 +100,7 @@
 #[tokio::test]
 async fn given_a_held_poll_when_something_newer_comes_then_it_is_answered() {
     let view = Arc::new(ViewCell::new());
-    let distribution = Distribution::new(Arc::clone(&view), Arc::default(), SILENCE);
+    let distribution = Distribution::new(Arc::clone(&view), Arc::default(), SILENCE, STEADY_AFTER);
     let request =
         PollRequest { ballot: Ballot::default(), edition: 0, servers: version(0, 0), hold_ms: 1000 };
     let adopt = async { view.adopt_control(&value(5, 9)) };
@@ -109,7 +110,7 @@
 
 #[test]
 fn given_a_process_that_has_not_told_when_pinged_then_it_has_moved_nothing() {
-    let distribution = Distribution::new(Arc::new(ViewCell::new()), Arc::default(), SILENCE);
+    let distribution = Distribution::new(Arc::new(ViewCell::new()), Arc::default(), SILENCE, STEADY_AFTER);
     assert_eq!(distribution.ping().settled_epoch, 0);
     distribution.set_settled_epoch(4);
     assert_eq!(distribution.ping().settled_epoch, 4);
--- a/crates/rushrudder/src/control.rs
+++ b/crates/rushrudder/src/control.rs
@@ -6,7 +6,7 @@
 
 use control_plane::{
     paths, AcceptorService, Announcement, Capability, CoreService, Distribution, FirstStart, HttpServerCalls,
-    Identity, Introduction, Introductions, Leadership, ListSource, Platform, PollRequest, Proposer,
+    Identity, Introduction, Introductions, Leadership, ListSource, OrderGap, Platform, PollRequest, Proposer,
     ServerCalls, ViewCell,
 };
 use error_stack::{Report, ResultExt};
@@ -155,6 +155,7 @@
                 Arc::clone(&view),
                 Arc::clone(proposer.contacts()),
                 settings.timetable.member_silence(),
+                settings.timetable.touch(),
             ),
             leadership: Arc::new(Leadership::new(Arc::clone(&view))),
             view,
@@ -305,7 +306,10 @@
         tokio::spawn(control_plane::run_scrub(Arc::clone(&view), self.client.clone(), Arc::clone(&proposer)));
         tokio::spawn(control_plane::run_leader(
             settings.station.clone(),
-            settings.timetable.lease() + settings.timetable.thaw(),
+            OrderGap {
+                between_holders: settings.timetable.lease() + settings.timetable.thaw(),
+                fence_checked: settings.timetable.fence_checked(),
+            },
             Arc::clone(&self.leadership),
             Arc::clone(&view),
             Arc::clone(&proposer),
--- a/crates/rushrudder/src/node.rs
+++ b/crates/rushrudder/src/node.rs
@@ -67,6 +67,7 @@
     /// Gives the lease back and leaves the register to another that came in this one's place, before the process ends.
     pub async fn resign(&self) {
         self.control.stop_joining();
+        self.control.distribution.set_leaving();
         self.control.leadership.resign().await;
         if let Some(member) = &self.member {
             let Control { view, proposer, client, .. } = &self.control;
--- a/crates/rushrudder/src/store.rs
+++ b/crates/rushrudder/src/store.rs
@@ -87,6 +87,7 @@
     /// Hands all batch jobs over, before the process ends.
     pub async fn resign(&self) {
         self.control.stop_joining();
+        self.control.distribution.set_leaving();
         leave_stores(&self.member, &self.control.view, &self.control.proposer).await;
         self.jobs.resign().await;
         tokio::time::sleep(LAST_ANSWERS).await;
