--- a/crates/store-plane/src/replication/answers.rs
+++ b/crates/store-plane/src/replication/answers.rs
@@ -187,12 +187,26 @@
             Standing::Owner => {}
             other => return Answer::instead(other),
         }
-        let job = self.lock().owned.get(id).and_then(|owned| owned.job.clone());
-        let Some(job) = job else { return Answer::Unsure };
+        let Some(job) = self.job_of(id) else { return Answer::Unsure };
         let found = job.items.iter().find(|one| *one.id == *item);
         Answer::Is(found.map(|one| Bytes::from(one.decoded_body())))
     }
 
+    /// The batch job, read anew from its log where it is over.
+    fn job_of(&self, id: &JobId) -> Option<Arc<Job>> {
+        let (parsed, handed_in) = {
+            let state = self.lock();
+            let owned = state.owned.get(id)?;
+            (owned.job.clone(), owned.ownership.committed().first().cloned())
+        };
+        if parsed.is_some() {
+            return parsed;
+        }
+        let handed_in = handed_in?;
+        let Entry::Job(handed_in) = &*handed_in else { return None };
+        Job::parse(&handed_in.body).ok().map(Arc::new)
+    }
+
     async fn end(self: &Arc<Self>, id: &JobId) -> Answer<()> {
         match self.standing(id).await {
             Standing::Owner => {}
--- a/crates/store-plane/src/replication/owner.rs
+++ b/crates/store-plane/src/replication/owner.rs
@@ -134,7 +134,11 @@
             state.depose(job);
             return;
         }
-        if owned.job.is_none() && owned.ownership.is_established() {
+        if has_end(owned.ownership.committed()) {
+            // Nothing runs any more; what was parsed takes more memory than the log.
+            owned.job = None;
+            owned.state.send_replace(JobState::Ended);
+        } else if owned.job.is_none() && owned.ownership.is_established() {
             self.hand_out(state, job);
         }
     }
@@ -151,7 +155,7 @@
         if has_end(owned.ownership.log()) {
             owned.state.send_replace(JobState::Ended);
         }
-        if has_end(committed) || listed.len() >= job.items.len() {
+        if listed.len() >= job.items.len() {
             return;
         }
         let age = state.first_seen.get(id).map_or(Duration::ZERO, Instant::elapsed);
