--- a/crates/store-plane/src/replication/copies.rs
+++ b/crates/store-plane/src/replication/copies.rs
@@ -6,18 +6,20 @@
 use membership::rendezvous_score;
 use state::{StoreMember, StoreSet};
 
-/// Orders the copies of all batch jobs alike, so that batch jobs that share copies share an owner.
-const OWNER_KEY: &str = "owner";
+/// Batch jobs are dealt to one group of copies for each so many stores. The members of a group share all that it keeps,
+/// and its first store runs all of its items, so that a group must not become too large for one machine.
+const STORES_PER_GROUP: usize = 16;
 
-/// The stores that keep a batch job, chosen by rendezvous hashing with zones spread.
+/// The stores that keep a batch job: those of its group, chosen by rendezvous hashing with zones spread.
 ///
-/// They stand in the order in which they are asked and may own it. The order is the same for all batch jobs: one
-/// owner of many batch jobs knows the load of their servers by its own sends, and keeps its connections in use.
-/// With more stores than copies the first store of all owns the part of the batch jobs that it keeps.
+/// They stand in the order in which they are asked and may own it. All batch jobs of a group share its order, and thus
+/// their owner: one owner of many batch jobs knows the load of their servers by its own sends, can let the urgent ones go
+/// first, and keeps its connections in use.
 #[must_use]
 pub fn copies_of<'a>(set: &'a StoreSet, job: &str) -> Vec<&'a StoreMember> {
+    let group = group_of(set, job);
     let mut candidates: Vec<&StoreMember> = set.members.iter().collect();
-    candidates.sort_by_cached_key(|store| Reverse(rendezvous_score(&store.member.station, job)));
+    candidates.sort_by_cached_key(|store| Reverse(rendezvous_score(&store.member.station, &group)));
     let mut in_zone: BTreeMap<&str, usize> = BTreeMap::new();
     let mut copies = Vec::with_capacity(set.copies);
     while copies.len() < set.copies && !candidates.is_empty() {
@@ -28,6 +30,13 @@
         *in_zone.entry(&store.zone).or_default() += 1;
         copies.push(store);
     }
-    copies.sort_by_cached_key(|store| Reverse(rendezvous_score(&store.member.station, OWNER_KEY)));
     copies
 }
+
+/// The name of the group of a batch job. The number of groups follows the number of stores that there should be, which
+/// stays while machines come and go.
+fn group_of(set: &StoreSet, job: &str) -> String {
+    let groups = set.wanted.div_ceil(STORES_PER_GROUP).max(1);
+    let best = (0..groups).max_by_key(|group| rendezvous_score(&format!("group-{group}"), job));
+    format!("owner-{}", best.unwrap_or(0))
+}
