--- a/crates/control-plane/src/acceptor_membership.rs
+++ b/crates/control-plane/src/acceptor_membership.rs
@@ -14,7 +14,7 @@
 use state::ControlState;
 use tokio::time::Instant;
 
-use crate::messages::{paths, PingReply};
+use crate::ping::ping;
 use crate::{Proposer, ViewCell};
 
 /// Pause between two looks of a standby.
@@ -63,7 +63,7 @@
 /// The acceptors that do not answer here, and of which a majority of all acceptors says that they are silent.
 async fn agreed_gone(known: &ControlState, client: &rpc::Client) -> Vec<Incarnation> {
     let acceptors = &known.acceptors;
-    let replies = join_all(acceptors.iter().map(|acceptor| ping(client, acceptor))).await;
+    let replies = join_all(acceptors.iter().map(|acceptor| ping(client, acceptor, PING_TIMEOUT))).await;
     let votes =
         |gone: Incarnation| replies.iter().flatten().filter(|reply| reply.silent.contains(&gone)).count();
     let unheard = acceptors.iter().zip(&replies).filter(|(_, reply)| reply.is_none());
@@ -71,12 +71,6 @@
     unheard.filter(|gone| votes(*gone) * 2 > acceptors.len()).collect()
 }
 
-/// The reply of a member itself; not that of another disk at its address.
-async fn ping(client: &rpc::Client, member: &Member) -> Option<PingReply> {
-    let reply: PingReply = client.call(&member.address, paths::PING, &(), PING_TIMEOUT).await.ok()?;
-    (reply.incarnation == Some(member.incarnation)).then_some(reply)
-}
-
 /// Hands the place of this machine among the acceptors to a standby before its process ends, if there is one.
 pub async fn leave_register(member: &Member, view: &ViewCell, proposer: &Proposer, client: &rpc::Client) {
     let known = view.view().control.clone();
@@ -84,7 +78,7 @@
         return;
     }
     for standby in &known.standbys {
-        if ping(client, standby).await.is_none() {
+        if ping(client, standby, PING_TIMEOUT).await.is_none() {
             continue;
         }
         let deadline = Instant::now() + LEAVE_TIMEOUT;
--- a/crates/control-plane/src/leader.rs
+++ b/crates/control-plane/src/leader.rs
@@ -13,7 +13,8 @@
 use tokio::time::Instant;
 
 use crate::core_service::grantors_of;
-use crate::messages::{paths, PingReply};
+use crate::messages::paths;
+use crate::ping::ping_address;
 use crate::server_calls::CALL_TIMEOUT as ORDER_TIMEOUT;
 use crate::{ChangeFailure, Proposer, ViewCell};
 
@@ -253,22 +254,31 @@
             return;
         }
         let Some(value) = raise_fence(leadership, until, self.proposer, self.station).await else { return };
-        let needs_no_gap = self.gap.fence_checked && self.is_former_out(&value.value).await;
-        let wait = if needs_no_gap { Duration::ZERO } else { self.gap.between_holders + ORDER_TIMEOUT };
+        let wait = self.wait_before_orders(&value.value).await;
         log::info!("leads with fencing token {}, orders after {} ms", value.value.fence, wait.as_millis());
         let won = HeldLease::won(&value.value, self.station, leadership.now(), until, wait, ORDER_TIMEOUT);
         *leadership.lock() = Some(earlier.map_or(won, |earlier| won.following(earlier)));
         leadership.announce_orders();
     }
 
+    /// How long this holder of the lease must wait before it sends orders.
+    async fn wait_before_orders(&self, state: &ControlState) -> Duration {
+        let is_free = may_order_at_once(state, self.station)
+            || self.gap.fence_checked && self.is_former_out(state).await;
+        if is_free {
+            Duration::ZERO
+        } else {
+            self.gap.between_holders + ORDER_TIMEOUT
+        }
+    }
+
     /// Whether the process that last was free to send orders does not answer, or does not run undisturbed.
     async fn is_former_out(&self, state: &ControlState) -> bool {
         let Some(former) = &state.order_holder else { return true };
         let mut members = state.acceptors.iter().chain(&state.standbys);
         let Some(member) = members.find(|member| member.station == *former) else { return true };
-        let reply: Result<PingReply, _> =
-            self.client.call(&member.address, paths::PING, &(), FORMER_TIMEOUT).await;
-        !reply.is_ok_and(|reply| reply.is_steady)
+        let reply = ping_address(self.client, member, FORMER_TIMEOUT).await;
+        !reply.is_some_and(|reply| reply.is_steady)
     }
 }
 
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -15,6 +15,7 @@
 mod operator;
 mod order_desk;
 mod orders;
+mod ping;
 mod platform;
 mod poll;
 mod proposer;
--- a/crates/control-plane/src/messages.rs
+++ b/crates/control-plane/src/messages.rs
@@ -114,3 +114,10 @@
     /// The acceptors of which this one, if it is an acceptor, has not heard for long.
     pub silent: Vec<Incarnation>,
 }
+
+impl PingReply {
+    /// Whether the member itself has answered: a reply counts for its disk alone.
+    pub(crate) fn is_of(&self, member: &Member) -> bool {
+        self.incarnation == Some(member.incarnation)
+    }
+}
--- a/crates/control-plane/src/upkeep.rs
+++ b/crates/control-plane/src/upkeep.rs
@@ -10,7 +10,8 @@
 use tokio::time::{Instant, MissedTickBehavior};
 
 use crate::introductions::introduce;
-use crate::messages::{paths, Introduction, PingReply};
+use crate::messages::{Introduction, PingReply};
+use crate::ping::ping_address;
 use crate::{Leadership, Proposer, ViewCell};
 
 /// How often members are pinged. A round with a member that is gone must not take longer than any other.
@@ -96,7 +97,8 @@
 ) {
     let members = Observation::to_ping(control);
     let introduction = Introduction::of(control);
-    let replies = join_all(members.iter().map(|member| ping(client, member, &introduction))).await;
+    let replies =
+        join_all(members.iter().map(|member| ping_and_introduce(client, member, &introduction))).await;
     let answers =
         || members.iter().zip(&replies).filter_map(|(member, reply)| Some((member, reply.as_ref()?)));
     answers().for_each(|(member, reply)| observed.note_settled(member.incarnation, reply.settled_epoch));
@@ -105,11 +107,15 @@
 }
 
 /// Pings a member. Where its process knows nothing after a restart, the acceptors are introduced to it.
-async fn ping(client: &rpc::Client, member: &Member, introduction: &Introduction) -> Option<PingReply> {
-    let reply: PingReply = client.call(&member.address, paths::PING, &(), PING_TIMEOUT).await.ok()?;
+async fn ping_and_introduce(
+    client: &rpc::Client,
+    member: &Member,
+    introduction: &Introduction,
+) -> Option<PingReply> {
+    let reply = ping_address(client, member, PING_TIMEOUT).await?;
     if !reply.knows_control {
         introduce(client, &member.address, introduction).await;
     }
     // Its former self, or its successor with another disk, has not moved what this member held.
-    (reply.incarnation == Some(member.incarnation)).then_some(reply)
+    reply.is_of(member).then_some(reply)
 }
