--- a/crates/control-plane/tests/control_updates.rs
+++ b/crates/control-plane/tests/control_updates.rs
@@ -5,7 +5,7 @@
 
 use control_plane::ControlUpdate;
 use register::{Ballot, Versioned};
-use state::{ControlState, TakenChange, TAKEN_KEPT};
+use state::{ControlState, Document, TakenChange, TAKEN_KEPT};
 use yare::parameterized;
 
 /// Far more than the rest of a state takes, also compressed.
@@ -20,7 +20,7 @@
 fn state(edition: u64, named: u64) -> ControlState {
     ControlState {
         revision: 10 * edition + named,
-        configuration: incompressible(CONFIGURATION_BYTES).into(),
+        configuration: Document::new(incompressible(CONFIGURATION_BYTES)),
         edition,
         taken: VecDeque::from([TakenChange { digest: edition.into(), edition }]),
         named_versions: BTreeMap::from([("m".to_owned(), named)]),
--- a/crates/control-plane/tests/view.rs
+++ b/crates/control-plane/tests/view.rs
@@ -7,7 +7,7 @@
 
 use control_plane::{Distribution, PollReply, PollRequest, ServerUpdate, ViewCell};
 use register::{Ballot, Versioned};
-use state::{Condition, ControlState, ServerEntry, ServerList, ServerListVersion};
+use state::{Condition, ControlState, Document, ServerEntry, ServerList, ServerListVersion};
 use support::document;
 use tokio::time::Instant;
 use yare::parameterized;
@@ -24,8 +24,11 @@
 }
 
 fn value(round: u64, edition: u64) -> Versioned<ControlState> {
-    let state =
-        ControlState { edition, configuration: document(edition, "r").into(), ..ControlState::default() };
+    let state = ControlState {
+        edition,
+        configuration: Document::new(document(edition, "r")),
+        ..ControlState::default()
+    };
     Versioned::new(Ballot { round, proposer: 1 }, Arc::new(state))
 }
 
--- a/crates/emulator/src/fleet/looks.rs
+++ b/crates/emulator/src/fleet/looks.rs
@@ -97,6 +97,12 @@
         self.committed(machine).map(|committed| committed.value)
     }
 
+    /// The newest committed state that any process knows.
+    #[must_use]
+    pub fn newest_state(&self) -> Option<Arc<ControlState>> {
+        self.machines().filter_map(|machine| self.state(machine)).max_by_key(|state| state.revision)
+    }
+
     /// The fencing token of a machine's process, while it holds the leader lease and is not frozen.
     #[must_use]
     pub fn fence(&self, machine: usize) -> Option<u64> {
@@ -147,9 +153,7 @@
     /// The node that was the last to raise the fencing token, as far as any node knows.
     #[must_use]
     pub fn leader(&self) -> Option<usize> {
-        let states = self.machines().filter_map(|machine| self.state(machine));
-        let newest = states.max_by_key(|state| state.revision)?;
-        let holder = newest.fence_holder.clone()?;
+        let holder = self.newest_state()?.fence_holder.clone()?;
         self.machines.iter().position(|machine| machine.station == holder)
     }
 }
--- a/crates/emulator/src/simulation/checker.rs
+++ b/crates/emulator/src/simulation/checker.rs
@@ -100,15 +100,10 @@
     }
 }
 
-/// The newest committed state that any process knows.
-pub(super) fn newest_state(fleet: &Fleet) -> Option<Arc<ControlState>> {
-    fleet.machines().filter_map(|machine| fleet.state(machine)).max_by_key(|state| state.revision)
-}
-
 /// What is not yet as it must be once the troubles are over: one leads, all know the newest state, all machines are
 /// members with the disk that they have, and all servers have the newest version.
 pub(super) fn unfinished(fleet: &Fleet) -> Option<String> {
-    let newest = newest_state(fleet)?;
+    let newest = fleet.newest_state()?;
     let present: Vec<usize> = fleet.machines().filter(|machine| fleet.has_process(*machine)).collect();
     let fence = fleet.machines().find_map(|machine| fleet.fence(machine));
     if fence != Some(newest.fence) {
--- a/crates/emulator/src/simulation/trainers.rs
+++ b/crates/emulator/src/simulation/trainers.rs
@@ -5,7 +5,6 @@
 use batch::ItemResult;
 use fastrand::Rng;
 
-use super::checker::newest_state;
 use crate::servers::text_of;
 use crate::{Fleet, JobCall, Reply, Request};
 
@@ -86,7 +85,7 @@
                 job.seen.len()
             ));
         }
-        let named = newest_state(fleet)?.named_versions.get("m").copied().unwrap_or(1);
+        let named = fleet.newest_state()?.named_versions.get("m").copied().unwrap_or(1);
         let behind = fleet.servers.iter().filter(|server| server.version("m") < named).count();
         (behind > 0).then(|| format!("{behind} servers lack version {named}"))
     }
--- a/crates/emulator/src/simulation/troubles.rs
+++ b/crates/emulator/src/simulation/troubles.rs
@@ -296,7 +296,7 @@
         let is_present = fleet.has_process(machine) && !fleet.is_leaving(machine);
         return has_disk && is_present && fleet.machines_lost() < fleet.shape().machines_lost;
     }
-    let Some(state) = super::checker::newest_state(fleet) else { return false };
+    let Some(state) = fleet.newest_state() else { return false };
     let is_store = fleet.is_store(machine);
     let members: Vec<_> = if is_store {
         state.stores.members.iter().map(|store| store.member.clone()).collect()
--- a/crates/emulator/tests/stories.rs
+++ b/crates/emulator/tests/stories.rs
@@ -170,9 +170,7 @@
 /// Whether every machine that was there at the start is a member with the disk that it has now, and no batch job is on
 /// its way to another store set.
 fn is_whole(fleet: &Fleet) -> bool {
-    let newest =
-        fleet.machines().filter_map(|machine| fleet.state(machine)).max_by_key(|state| state.revision);
-    let Some(state) = newest else { return false };
+    let Some(state) = fleet.newest_state() else { return false };
     let mut members: Vec<_> = state.stores.members.iter().map(|store| &store.member).collect();
     members.extend(&state.acceptors);
     let is_member = |machine: usize| {
@@ -592,8 +590,7 @@
 
 /// Whether this machine is an acceptor in the newest state that any machine knows.
 fn is_acceptor(fleet: &Fleet, machine: usize) -> bool {
-    let states = fleet.machines().filter_map(|other| fleet.state(other));
-    let newest = states.max_by_key(|state| state.revision).expect("somebody knows the state");
+    let newest = fleet.newest_state().expect("somebody knows the state");
     newest.acceptors.iter().any(|member| member.station == fleet.station(machine))
 }
 
--- a/crates/state/src/document.rs
+++ b/crates/state/src/document.rs
@@ -7,10 +7,10 @@
 use std::io::{Read, Write};
 use std::sync::{Arc, OnceLock};
 
+use bytes::Bytes;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 use flate2::Compression;
-use serde::de::{SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use xxhash_rust::xxh3::xxh3_128;
 
@@ -28,7 +28,7 @@
     /// XXH3, 128 bits, of the text; 0 of the empty one.
     digest: u128,
     /// Deflated; empty for the empty text.
-    packed: Box<[u8]>,
+    packed: Bytes,
     text: OnceLock<String>,
 }
 
@@ -52,7 +52,7 @@
             return Self::default();
         }
         let digest = xxh3_128(text.as_bytes());
-        let packed = pack(text.as_bytes()).into_boxed_slice();
+        let packed = pack(text.as_bytes()).into();
         Self { content: Arc::new(Content { digest, packed, text: OnceLock::from(text) }) }
     }
 
@@ -109,65 +109,15 @@
     }
 }
 
-impl From<String> for Document {
-    fn from(text: String) -> Self {
-        Self::new(text)
-    }
-}
-
-/// The packed bytes as one run.
-struct Packed<'a>(&'a [u8]);
-
-impl Serialize for Packed<'_> {
-    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.serialize_bytes(self.0)
-    }
-}
-
-struct PackedOwned(Vec<u8>);
-
-impl<'de> Deserialize<'de> for PackedOwned {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        deserializer.deserialize_byte_buf(BytesVisitor)
-    }
-}
-
-struct BytesVisitor;
-
-impl<'de> Visitor<'de> for BytesVisitor {
-    type Value = PackedOwned;
-
-    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("bytes")
-    }
-
-    fn visit_bytes<E>(self, bytes: &[u8]) -> Result<Self::Value, E> {
-        Ok(PackedOwned(bytes.to_vec()))
-    }
-
-    fn visit_byte_buf<E>(self, bytes: Vec<u8>) -> Result<Self::Value, E> {
-        Ok(PackedOwned(bytes))
-    }
-
-    fn visit_seq<A: SeqAccess<'de>>(self, mut sequence: A) -> Result<Self::Value, A::Error> {
-        let mut bytes = Vec::new();
-        while let Some(byte) = sequence.next_element()? {
-            bytes.push(byte);
-        }
-        Ok(PackedOwned(bytes))
-    }
-}
-
 impl Serialize for Document {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        (self.content.digest, Packed(&self.content.packed)).serialize(serializer)
+        (self.content.digest, &self.content.packed).serialize(serializer)
     }
 }
 
 impl<'de> Deserialize<'de> for Document {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let (digest, PackedOwned(packed)) = Deserialize::deserialize(deserializer)?;
-        let packed = packed.into_boxed_slice();
+        let (digest, packed) = Deserialize::deserialize(deserializer)?;
         Ok(Self { content: Arc::new(Content { digest, packed, text: OnceLock::new() }) })
     }
 }
--- a/crates/store-plane/src/replication/answers.rs
+++ b/crates/store-plane/src/replication/answers.rs
@@ -16,7 +16,7 @@
     HEARTBEAT_PATH, MOVED_PATH, READ_PATH, REPLICATE_PATH, SUBMIT_PATH, TAKE_OVER_PATH,
 };
 use super::owned::JobState;
-use super::state::{has_end, results, Owned};
+use super::state::{handed_in, has_end, results, Owned};
 use super::store::{JobStore, Shared};
 use super::tend::OWNER_SILENT;
 
@@ -194,17 +194,15 @@
 
     /// The batch job, read anew from its log where it is over.
     fn job_of(&self, id: &JobId) -> Option<Arc<Job>> {
-        let (parsed, handed_in) = {
+        let body = {
             let state = self.lock();
             let owned = state.owned.get(id)?;
-            (owned.job.clone(), owned.ownership.committed().first().cloned())
+            if owned.job.is_some() {
+                return owned.job.clone();
+            }
+            handed_in(owned.ownership.committed())?.body.clone()
         };
-        if parsed.is_some() {
-            return parsed;
-        }
-        let handed_in = handed_in?;
-        let Entry::Job(handed_in) = &*handed_in else { return None };
-        Job::parse(&handed_in.body).ok().map(Arc::new)
+        Job::parse(&body).ok().map(Arc::new)
     }
 
     async fn end(self: &Arc<Self>, id: &JobId) -> Answer<()> {
@@ -331,7 +329,7 @@
 
 /// The results from position `after` on, as many as fit.
 fn page(committed: &[Arc<Entry>], after: usize) -> Option<Page> {
-    let Entry::Job(handed_in) = &**committed.first()? else { return None };
+    let handed_in = handed_in(committed)?;
     let mut deliveries = Vec::from(b"[");
     let mut next = after;
     for result in results(committed).skip(after) {
--- a/crates/store-plane/src/replication/owner.rs
+++ b/crates/store-plane/src/replication/owner.rs
@@ -12,7 +12,7 @@
 
 use super::messages::{Call, ReplicateReply, REPLICATE_PATH};
 use super::owned::{Deposed, JobState, OwnedJob};
-use super::state::{contains, has_end, is_of, results, Owned, State};
+use super::state::{contains, handed_in, has_end, is_of, results, Owned, State};
 use super::store::Shared;
 
 /// The owner in a ballot that only stands for an epoch.
@@ -147,7 +147,7 @@
     fn hand_out(self: &Arc<Self>, state: &mut State, id: &JobId) {
         let Some(owned) = state.owned.get_mut(id) else { return };
         let committed = owned.ownership.committed();
-        let Some(Entry::Job(handed_in)) = committed.first().map(|entry| &**entry) else { return };
+        let Some(handed_in) = handed_in(committed) else { return };
         let Ok(job) = Job::parse(&handed_in.body) else { return };
         let job = Arc::new(job);
         owned.job = Some(Arc::clone(&job));
--- a/crates/store-plane/src/replication/state.rs
+++ b/crates/store-plane/src/replication/state.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use batch::{
-    Ballot, Entry, ItemResult, Job, JobId, Ownership, Record, Replica, ReplicaReply, ReplicaRequest, StoreId,
+    Ballot, Entry, HandedIn, ItemResult, Job, JobId, Ownership, Record, Replica, ReplicaReply,
+    ReplicaRequest, StoreId,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
@@ -191,6 +192,14 @@
     })
 }
 
+/// The batch job as it was handed in: the first entry of its log.
+pub(super) fn handed_in(entries: &[Arc<Entry>]) -> Option<&HandedIn> {
+    match &**entries.first()? {
+        Entry::Job(handed_in) => Some(handed_in),
+        Entry::Result(_) | Entry::End => None,
+    }
+}
+
 /// Whether the trainer ended the batch job.
 pub(super) fn has_end(entries: &[Arc<Entry>]) -> bool {
     entries.last().is_some_and(|entry| matches!(**entry, Entry::End))
