Keep the lease until the outcome of each order is known

The leader sent an order into a partition, got SIGTERM and released its lease 10 ms later; its order arrived 6.2 s after it was sent, 1.4 s after that of the next leader, with the lower fencing token.

Cause: "an order reaches its server within the timeout of its call (1 s), or never" was an assumption. The second was the time for which the caller waited; the bytes stayed in the kernel, which retransmits them at growing intervals, also after the process has ended. The same assumption stood where one leader sends a further order to a server after 1 s, where a machine leads again after a restart, and where a leader is killed.

Change: connections to servers have a TCP user timeout of 1 s, which the kernel observes after the end of the process too; rpc::http_client requires one. An order is pending until its outcome is known or its connection has failed, 12 s at most, and its server gets no further order meanwhile. A leader that gets SIGTERM sends no more orders and renews its lease until none is pending, for graceS less 1.2 s at most. With fenceChecked it releases the lease at once.

Why it works: whatever delays an order, the leader that sent it still leads when it arrives, or the kernel has dropped it. Not covered, and written down: a leader that is killed while a proxy on the way has acknowledged its order.

The simulator now delivers orders of processes that have ended, and partitions model servers in two ways (dropped after the user timeout; kept by a proxy, whatever becomes of the sender).

--- a/crates/control-plane/src/discovery/platform.rs
+++ b/crates/control-plane/src/discovery/platform.rs
@@ -123,7 +123,7 @@
     /// Panics if the HTTP client cannot be created. Creating it involves no I/O.
     #[must_use]
     pub fn new(address: String) -> Self {
-        Self { http: rpc::http_client(CONNECT_TIMEOUT), address }
+        Self { http: rpc::http_client(CONNECT_TIMEOUT, PAGE_TIMEOUT), address }
     }
 
     async fn read_pages(&self, version: ServerListVersion) -> Result<ServerList, PlatformError> {
--- a/crates/control-plane/src/election/campaign.rs
+++ b/crates/control-plane/src/election/campaign.rs
@@ -118,10 +118,13 @@
     }
 
     /// Requests or renews the lease in one round, if this member is an acceptor. On success, raises the
-    /// fencing token and records the issuer of orders where necessary.
+    /// fencing token and records the issuer of orders where necessary. A process that shuts down renews its
+    /// lease, but acquires none.
     async fn acquire_or_renew_lease(&mut self) {
         let control = Arc::clone(&self.view.view().control);
-        if !control.acceptors.iter().any(|member| member.name == self.member_name) {
+        let is_acceptor = control.acceptors.iter().any(|member| member.name == self.member_name);
+        let is_shutting_down = *self.stage.borrow() != ElectionStage::Running;
+        if !is_acceptor || is_shutting_down && !self.candidate.holds_lease(self.leadership.now()) {
             tokio::time::sleep(INELIGIBLE_PAUSE).await;
             return;
         }
--- a/crates/control-plane/src/election/fencing.rs
+++ b/crates/control-plane/src/election/fencing.rs
@@ -14,9 +14,9 @@
 use crate::liveness::ping_address;
 use crate::{ChangeFailure, Proposer};
 
-/// Maximum time from the start of an order to the reply of the server. No order arrives later than this after
-/// it was sent, so a new leader waits for this time.
-pub(crate) const ORDER_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Maximum time for which TCP retransmits an order (`TCP_USER_TIMEOUT`), also if the process has ended. No
+/// order arrives later than this after it was sent, so a new leader waits for this time.
+pub(crate) const ORDER_DELIVERY_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Maximum time for the reply of the previous issuer of orders to a ping.
 const PREVIOUS_ISSUER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum time for which one change of the control state is retried.
@@ -59,7 +59,8 @@
         let order_delay_ms = delay.as_millis() as u64;
         log::info!(fence = state.fence, order_delay_ms; "lease acquired");
         let now = self.leadership.now();
-        let lease = LeaderLease::acquired(state, &self.member_name, now, expires_at, delay, ORDER_TIMEOUT);
+        let lease =
+            LeaderLease::acquired(state, &self.member_name, now, expires_at, delay, ORDER_DELIVERY_TIMEOUT);
         self.leadership
             .set_lease(Some(previous_lease.map_or(lease, |previous_lease| lease.continuing(previous_lease))));
         self.leadership.notify_if_orders_allowed();
@@ -103,7 +104,7 @@
         if is_immediate {
             Duration::ZERO
         } else {
-            self.order_gap.between_leaders + ORDER_TIMEOUT
+            self.order_gap.between_leaders + ORDER_DELIVERY_TIMEOUT
         }
     }
 
--- a/crates/control-plane/src/election/leadership.rs
+++ b/crates/control-plane/src/election/leadership.rs
@@ -9,8 +9,8 @@
 
 use crate::ViewCell;
 
-/// Maximum time for which [`Leadership::resign`] waits until the grantors were notified.
-const RESIGN_TIMEOUT: Duration = Duration::from_millis(800);
+/// Maximum time for which [`Leadership::resign`] waits until the grantors were notified of the release.
+pub const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Leader lease of this process while it has one, and the stage of its participation in the election.
 pub struct Leadership {
@@ -20,6 +20,8 @@
     lease: Mutex<Option<LeaderLease>>,
     stage: watch::Sender<ElectionStage>,
     orders_allowed: Notify,
+    /// Number of orders that this process has sent and whose outcome is pending, of all terms.
+    pending_orders: watch::Sender<usize>,
 }
 
 /// Stage of the participation of this process in the election.
@@ -27,6 +29,8 @@
 pub(super) enum ElectionStage {
     /// The process is a candidate or the leader.
     Running,
+    /// The process sends no more orders. A leader renews its lease until the outcome of each order is known.
+    AwaitingOrderOutcomes,
     /// The process must release the lease and withdraw from the election.
     Resigning,
     /// The process has released the lease and withdrawn.
@@ -44,6 +48,7 @@
             lease: Mutex::new(None),
             stage: watch::Sender::new(ElectionStage::Running),
             orders_allowed: Notify::new(),
+            pending_orders: watch::Sender::new(0),
         }
     }
 
@@ -54,26 +59,62 @@
     }
 
     /// Returns the fencing token for orders to servers: the one of [`Leadership::fence`], once no order of
-    /// another leader can arrive any more.
+    /// another leader can arrive any more, and until [`Leadership::resign`] is called.
     #[must_use]
     pub fn fence_for_orders(&self) -> Option<u64> {
-        self.lease()?.fence_for_orders_at(self.now()).filter(|fence| !self.is_outdated(*fence))
+        let is_running = *self.stage.borrow() == ElectionStage::Running;
+        let lease = self.lease().filter(|_| is_running)?;
+        lease.fence_for_orders_at(self.now()).filter(|fence| !self.is_outdated(*fence))
+    }
+
+    /// Returns a permit for one order with this fencing token, unless the token is no longer that of
+    /// [`Leadership::fence_for_orders`]. The caller keeps the permit until the outcome of the order is known.
+    pub(crate) fn permit_order(self: &Arc<Self>, fence: u64) -> Option<OrderPermit> {
+        if self.fence_for_orders() != Some(fence) {
+            return None;
+        }
+        self.pending_orders.send_modify(|pending| *pending += 1);
+        Some(OrderPermit { leadership: Arc::clone(self) })
     }
 
     /// Releases the lease before the process shuts down, so that the next leader need not wait until it
-    /// expires. No further orders are sent. Returns once the grantors were notified, or after a timeout of
-    /// 0.8 s.
-    pub async fn resign(&self) {
-        self.set_lease(None);
+    /// expires. No further orders are sent.
+    ///
+    /// An order whose outcome is unknown may still be on its way to the server. If the lease were released,
+    /// it could arrive after an order of the next leader, and take the server back to an older version. So the
+    /// lease is kept until the outcome of each order is known, for at most `max_order_wait`.
+    ///
+    /// Returns once the grantors were notified of the release, or [`RELEASE_TIMEOUT`] after it.
+    pub async fn resign(&self, max_order_wait: Duration) {
         let mut stage = self.stage.subscribe();
         // One receiver is the subscription above. A running election has another one.
         let is_election_running = self.stage.receiver_count() > 1;
         if !is_election_running {
+            self.set_lease(None);
             return;
         }
+        self.await_order_outcomes(max_order_wait).await;
+        self.set_lease(None);
         self.stage.send_replace(ElectionStage::Resigning);
         let resigned = stage.wait_for(|stage| *stage == ElectionStage::Resigned);
-        let _ = tokio::time::timeout(RESIGN_TIMEOUT, resigned).await;
+        let _ = tokio::time::timeout(RELEASE_TIMEOUT, resigned).await;
+    }
+
+    /// Waits until no order is pending, for at most `max_wait`. Meanwhile no further order is permitted.
+    async fn await_order_outcomes(&self, max_wait: Duration) {
+        self.stage.send_replace(ElectionStage::AwaitingOrderOutcomes);
+        let mut pending_orders = self.pending_orders.subscribe();
+        let pending = *pending_orders.borrow_and_update();
+        if pending == 0 {
+            return;
+        }
+        let max_wait_ms = max_wait.as_millis() as u64;
+        log::info!(pending, max_wait_ms; "keeping the lease until the outcome of all orders is known");
+        let all_outcomes = pending_orders.wait_for(|pending| *pending == 0);
+        if tokio::time::timeout(max_wait, all_outcomes).await.is_err() {
+            let pending = *self.pending_orders.borrow();
+            log::warn!(pending; "releasing the lease although the outcome of some orders is unknown");
+        }
     }
 
     /// Waits until [`Leadership::fence_for_orders`] may have become available.
@@ -139,3 +180,15 @@
         self.lease.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Permit to send one order to a server. While it exists, the outcome of the order counts as unknown, and
+/// [`Leadership::resign`] keeps the lease.
+pub(crate) struct OrderPermit {
+    leadership: Arc<Leadership>,
+}
+
+impl Drop for OrderPermit {
+    fn drop(&mut self) {
+        self.leadership.pending_orders.send_modify(|pending| *pending -= 1);
+    }
+}
--- a/crates/control-plane/src/election/mod.rs
+++ b/crates/control-plane/src/election/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! This module owns [`Leadership`], which only [`LeaderElection`] and [`Leadership::resign`] write. The tasks
 //! of the leader (reading the platform's list, reconciliation, orders to servers) request the fencing token
-//! from it before each step. The crate `lease` implements the lease protocol; [`QuorumService`]
+//! from it before each step, and the order dispatcher a permit for each order. The crate `lease` implements the lease protocol; [`QuorumService`]
 //! runs its grantor together with the acceptor of the same disk.
 
 mod campaign;
@@ -18,8 +18,9 @@
 
 pub use campaign::LeaderElection;
 pub use fencing::OrderGap;
-pub(crate) use fencing::ORDER_TIMEOUT;
-pub use leadership::Leadership;
+pub(crate) use fencing::ORDER_DELIVERY_TIMEOUT;
+pub(crate) use leadership::OrderPermit;
+pub use leadership::{Leadership, RELEASE_TIMEOUT};
 pub use quorum_service::QuorumService;
 
 /// Time for which a grant of the leader lease is valid.
--- a/crates/control-plane/src/rollout/order_dispatcher.rs
+++ b/crates/control-plane/src/rollout/order_dispatcher.rs
@@ -6,7 +6,7 @@
 
 use futures_util::future::{BoxFuture, FutureExt};
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use rollout::{ReportRequest, RolloutAction, VersionOrder};
+use rollout::{OrderReply, Pacing, ReportRequest, RolloutAction, VersionOrder};
 use state::View;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -14,6 +14,7 @@
 use super::planner_input::PlannerInput;
 use super::version_report_batcher::VersionReportBatcher;
 use super::{CallOutcome, CallTag, OrderTracker, ServerCalls};
+use crate::election::OrderPermit;
 use crate::{Leadership, ViewCell};
 
 /// Maximum pause before the next step, if no event occurs earlier.
@@ -114,26 +115,33 @@
 
     fn start_calls(&mut self, actions: Vec<RolloutAction>) {
         for action in actions {
-            // The lease is checked again before each call: the process may have been suspended.
-            if self.dispatcher.leadership.fence_for_orders() != self.tracker.fence() {
+            if self.start_call(action).is_none() {
                 return;
             }
-            let Some(fence) = self.tracker.fence() else { return };
-            let Some(tag) = self.tracker.record_call(&action) else { return };
-            let servers = Arc::clone(&self.dispatcher.servers);
-            let member_name = self.dispatcher.member_name.clone();
-            self.calls.push(Box::pin(async move {
-                let outcome = match action {
-                    RolloutAction::SendOrder(order) => {
-                        send_order(&*servers, order, &member_name, fence).await
-                    }
-                    RolloutAction::RequestReport(request) => request_report(&*servers, request).await,
-                };
-                (tag, outcome)
-            }));
         }
     }
 
+    /// Starts a call of the present term. Returns `None` if that term has ended.
+    fn start_call(&mut self, action: RolloutAction) -> Option<()> {
+        let fence = self.tracker.fence()?;
+        // The lease is checked again before each call: the process may have been suspended.
+        let permit = self.dispatcher.leadership.permit_order(fence)?;
+        let tag = self.tracker.record_call(&action)?;
+        let servers = Arc::clone(&self.dispatcher.servers);
+        let member_name = self.dispatcher.member_name.clone();
+        self.calls.push(match action {
+            RolloutAction::SendOrder(order) => {
+                Box::pin(
+                    async move { (tag, send_order(&*servers, order, &member_name, fence, permit).await) },
+                )
+            }
+            RolloutAction::RequestReport(request) => {
+                Box::pin(async move { (tag, request_report(&*servers, request).await) })
+            }
+        });
+        Some(())
+    }
+
     async fn wait_for_event(&mut self, pause: Duration) -> ControlFlow<()> {
         let is_leader = self.tracker.fence().is_some();
         tokio::select! {
@@ -162,14 +170,19 @@
     }
 }
 
+/// Sends an order and waits for its outcome. Until then the order is pending, so that neither a further order
+/// of this leader nor, after a graceful shutdown, one of the next leader can precede it at the server.
 async fn send_order(
     servers: &dyn ServerCalls,
     order: VersionOrder,
     member_name: &str,
     fence: u64,
+    _pending: OrderPermit,
 ) -> CallOutcome {
     let body = serde_json::to_string(&order.body(member_name, fence)).unwrap_or_default();
-    let reply = servers.send_order(&order, body).await;
+    let replied =
+        tokio::time::timeout(Pacing::default().order_timeout, servers.send_order(&order, body)).await;
+    let reply = replied.unwrap_or(OrderReply::Indeterminate);
     log::info!(version = order.version, fence; "order to {} for {}: {reply}", order.server, order.model);
     CallOutcome::Answered(order.server, reply)
 }
--- a/crates/control-plane/src/rollout/server_calls.rs
+++ b/crates/control-plane/src/rollout/server_calls.rs
@@ -5,7 +5,7 @@
 use futures_util::future::BoxFuture;
 use rollout::{OrderReply, ReportRequest, ServerReport, VersionOrder};
 
-use crate::election::ORDER_TIMEOUT;
+use crate::election::ORDER_DELIVERY_TIMEOUT;
 
 /// HTTP path of the server to which orders are posted.
 const ORDER_PATH: &str = "/api/order";
@@ -21,7 +21,8 @@
 
 /// Sender of orders and requests for reports to servers. No call is ever retried.
 pub trait ServerCalls: Send + Sync {
-    /// Sends an order to its server; `body` is the JSON encoding of the order.
+    /// Sends an order to its server; `body` is the JSON encoding of the order. Returns once the outcome of the
+    /// order is known or its connection has failed; the caller bounds the wait for a server that does neither.
     fn send_order<'a>(&'a self, order: &'a VersionOrder, body: String) -> BoxFuture<'a, OrderReply>;
     /// Requests a report. Returns `None` if no valid report arrives in time.
     fn request_report<'a>(&'a self, request: &'a ReportRequest) -> BoxFuture<'a, Option<ServerReport>>;
@@ -46,7 +47,7 @@
     /// Panics if the HTTP client cannot be created. Creating it involves no I/O.
     #[must_use]
     pub fn new() -> Self {
-        Self { http: rpc::http_client(CONNECT_TIMEOUT) }
+        Self { http: rpc::http_client(CONNECT_TIMEOUT, ORDER_DELIVERY_TIMEOUT) }
     }
 }
 
@@ -58,7 +59,6 @@
                 .post(format!("http://{}{ORDER_PATH}", order.address))
                 .header("Content-Type", "application/json")
                 .header(EXPECTED_SERVER_HEADER, &*order.server)
-                .timeout(ORDER_TIMEOUT)
                 .body(body);
             match request.send().await {
                 Ok(response) => OrderReply::from_status(response.status().as_u16()),
--- a/crates/control-plane/tests/leader_election.rs
+++ b/crates/control-plane/tests/leader_election.rs
@@ -17,6 +17,8 @@
     OrderGap { between_leaders: Duration::from_secs(60), is_fence_checked: false };
 /// Gap for servers that reject orders with a lower fencing token.
 const GAP_WITH_FENCE_CHECK: OrderGap = OrderGap { is_fence_checked: true, ..GAP_WITHOUT_FENCE_CHECK };
+/// Maximum time for which a leader that resigns waits for the outcomes of its orders.
+const MAX_ORDER_WAIT: Duration = Duration::from_secs(10);
 /// Maximum time of each wait in these tests.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -60,7 +62,7 @@
     let fence = wait_for_fence(|| first.fence_for_orders()).await;
 
     let started_at = Instant::now();
-    first.resign().await;
+    first.resign(MAX_ORDER_WAIT).await;
     assert_eq!(first.fence(), None);
     let second = start_election(&nodes[1]);
     let next = wait_for_fence(|| second.fence()).await;
@@ -108,7 +110,7 @@
 #[tokio::test]
 async fn given_a_process_without_an_election_when_it_resigns_then_it_returns_immediately() {
     let started_at = Instant::now();
-    Leadership::new(Arc::default()).resign().await;
+    Leadership::new(Arc::default()).resign(MAX_ORDER_WAIT).await;
     assert!(started_at.elapsed() < LEASE_TTL / 2);
 }
 
@@ -140,7 +142,7 @@
         if previous == PreviousLeader::ShutsDown {
             nodes[0].ping_service.set_shutting_down();
         }
-        first.resign().await;
+        first.resign(MAX_ORDER_WAIT).await;
         let second = start_election_with(&nodes[1], gap);
         wait_for_fence(|| second.fence()).await;
         let fence_for_orders = wait_for_fence(|| second.fence_for_orders());
--- a/crates/rollout/src/pacing.rs
+++ b/crates/rollout/src/pacing.rs
@@ -27,8 +27,13 @@
     pub initial_retry_delay: Duration,
     /// Maximum delay after a failed call.
     pub max_retry_delay: Duration,
-    /// Time after which a call without an outcome counts as failed.
-    pub call_timeout: Duration,
+    /// Time after which a request for a report without an outcome counts as failed. A server also counts as
+    /// loading for this time after an order was sent, unless the outcome of the order is known earlier.
+    pub report_timeout: Duration,
+    /// Time after which an order without an outcome becomes indeterminate. Until then the server gets no further
+    /// order, because the first one might arrive after it. It exceeds twice the duration of an ordinary partition:
+    /// TCP retransmits a segment at intervals that double, so it can arrive that much later.
+    pub order_timeout: Duration,
     /// Maximum time for which a server that drains running requests before its load counts as loading. Other
     /// servers may load afterwards.
     pub max_drain_time: Duration,
@@ -46,7 +51,8 @@
             max_report_interval: Duration::from_millis(700),
             initial_retry_delay: Duration::from_millis(500),
             max_retry_delay: Duration::from_secs(4),
-            call_timeout: Duration::from_secs(3),
+            report_timeout: Duration::from_secs(3),
+            order_timeout: Duration::from_secs(12),
             max_drain_time: Duration::from_secs(10),
         }
     }
--- a/crates/rollout/src/report_schedule.rs
+++ b/crates/rollout/src/report_schedule.rs
@@ -87,7 +87,7 @@
         match self.state {
             ReportState::NotNeeded => None,
             ReportState::DueAt(due) => Some(due),
-            ReportState::InFlight { requested_at } => Some(requested_at + pacing.call_timeout),
+            ReportState::InFlight { requested_at } => Some(requested_at + pacing.report_timeout),
         }
     }
 }
--- a/crates/rollout/src/server_progress.rs
+++ b/crates/rollout/src/server_progress.rs
@@ -127,7 +127,7 @@
         }
         match &self.state {
             OrderState::Unknown | OrderState::Idle | OrderState::Replaced => None,
-            OrderState::InFlight { since, .. } => Some(*since + self.pacing.call_timeout),
+            OrderState::InFlight { since, .. } => Some(*since + self.pacing.report_timeout),
             OrderState::Loading { since, is_draining: true, .. } => Some(*since + self.pacing.max_drain_time),
             OrderState::Loading { since, .. }
             | OrderState::Indeterminate { since, .. }
@@ -200,16 +200,16 @@
         !self.server.is_closing && self.report.take_due(now)
     }
 
-    /// Treats calls without an outcome after [`Pacing::call_timeout`] as failed; such an order becomes
-    /// indeterminate.
+    /// Treats an order without an outcome after [`Pacing::order_timeout`] as indeterminate, and a request for a
+    /// report without one after [`Pacing::report_timeout`] as failed.
     pub(crate) fn expire_calls(&mut self, now: Duration) {
         if let OrderState::InFlight { since, .. } = self.state {
-            if since + self.pacing.call_timeout <= now {
+            if since + self.pacing.order_timeout <= now {
                 self.on_order_reply(now, OrderReply::Indeterminate);
             }
         }
         if let Some(requested_at) = self.report.in_flight_since() {
-            if requested_at + self.pacing.call_timeout <= now {
+            if requested_at + self.pacing.report_timeout <= now {
                 self.on_report_failure(now);
             }
         }
@@ -223,7 +223,7 @@
         }
         let report = self.report.next_deadline(&self.pacing);
         let reply = match self.state {
-            OrderState::InFlight { since, .. } => Some(since + self.pacing.call_timeout),
+            OrderState::InFlight { since, .. } => Some(since + self.pacing.order_timeout),
             _ => None,
         };
         let retry = (self.retry_at > now).then_some(self.retry_at);
--- a/crates/rollout/tests/planner.rs
+++ b/crates/rollout/tests/planner.rs
@@ -331,6 +331,26 @@
     assert!(matches!(actions[..], [RolloutAction::RequestReport(_)]), "{actions:?}");
 }
 
+/// Guards against a further order that arrives before a delayed earlier one, which then takes the server back.
+#[test]
+fn given_an_order_without_outcome_when_a_newer_version_is_targeted_then_the_server_gets_no_order_before_the_timeout(
+) {
+    let pacing = Pacing::default();
+    let mut planner = planner_with_idle_servers(pacing, &[server(0, "a", 1), server(1, "a", 1)]);
+    assert_eq!(orders(&planner.next_actions(ms(1))).len(), 2);
+    planner.on_order_reply(ms(2), "i-1", OrderReply::AlreadyLoaded);
+    planner.set_target_version(ms(2), MODEL, 3);
+    assert_eq!(orders(&planner.next_actions(ms(2))), [("i-1", 3, UpdateMethod::Drain)]);
+    planner.on_order_reply(ms(3), "i-1", OrderReply::AlreadyLoaded);
+    let mut now = ms(3);
+    while now < ms(1) + pacing.order_timeout {
+        assert!(planner.next_actions(now).is_empty(), "a call at {now:?}");
+        now = planner.next_wakeup(now).expect("the order has a timeout");
+    }
+    planner.on_order_reply(now, "i-0", OrderReply::AlreadyLoaded);
+    assert_eq!(orders(&planner.next_actions(now)), [("i-0", 3, UpdateMethod::Drain)]);
+}
+
 #[test]
 fn given_lower_target_versions_when_set_then_the_highest_is_kept() {
     let mut planner = planner_with_idle_servers(Pacing::default(), &[server(0, "a", 1)]);
--- a/crates/rpc/src/transport.rs
+++ b/crates/rpc/src/transport.rs
@@ -47,9 +47,8 @@
     /// Panics if the HTTP client cannot be set up. The setup needs no I/O.
     #[must_use]
     pub fn new() -> Self {
-        let builder = http_client_builder(CONNECT_TIMEOUT)
-            .tcp_user_timeout(TCP_USER_TIMEOUT)
-            .pool_idle_timeout(POOL_IDLE_TIMEOUT);
+        let builder =
+            http_client_builder(CONNECT_TIMEOUT, TCP_USER_TIMEOUT).pool_idle_timeout(POOL_IDLE_TIMEOUT);
         Self { http: build(builder) }
     }
 }
--- a/crates/rushrudder/src/node.rs
+++ b/crates/rushrudder/src/node.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use control_plane::{operator_routes, Capability, ViewCell};
+use control_plane::{operator_routes, Capability, ViewCell, RELEASE_TIMEOUT};
 use data_plane::{Forwarder, Ingress, IngressSettings};
 use error_stack::Report;
 use register::Member;
 use settings::NodeSettings;
 use tokio::task::JoinHandle;
+use tokio::time::{timeout_at, Instant};
 
 use crate::control::{listen_at, local_member, ControlPlane, OutboundClients, RecoveredDisk};
 use crate::job_api::JobApi;
@@ -25,8 +26,8 @@
 /// Time after SIGTERM for which new connections are still accepted. The platform directs clients to the node
 /// until two readiness checks have failed.
 const ACCEPT_WHILE_DRAINING: Duration = Duration::from_millis(2500);
-/// Part of the platform's termination grace period that is reserved for the exit of the process. The
-/// drain timeout ends before it.
+/// Part of the platform's termination grace period that is reserved for the exit of the process. The graceful
+/// shutdown ends before it.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
 /// Runs a traffic node until the process receives SIGTERM, then shuts down gracefully.
@@ -60,13 +61,22 @@
     pub control: ControlPlane,
     /// Identity of this process as an acceptor; `None` if it has no disk.
     member: Option<Member>,
+    /// Maximum duration of the graceful shutdown.
+    shutdown_timeout: Duration,
+    /// Maximum time for which a leader that shuts down waits for the outcomes of its orders to servers.
+    max_order_wait: Duration,
 }
 
 impl TrafficNode {
     /// Creates a traffic node. It contains an acceptor if `disk` is given.
     pub fn new(settings: &NodeSettings, disk: Option<RecoveredDisk>, clients: OutboundClients) -> Self {
         let member = disk.as_ref().map(|disk| local_member(settings, disk.incarnation));
-        Self { control: ControlPlane::new(settings, disk, clients), member }
+        let shutdown_timeout = shutdown_timeout(settings);
+        // Servers that check fencing tokens reject an order that arrives after one of the next leader.
+        let is_fence_checked = settings.timing_rules.servers_check_fencing();
+        let max_order_wait =
+            if is_fence_checked { Duration::ZERO } else { shutdown_timeout.saturating_sub(RELEASE_TIMEOUT) };
+        Self { control: ControlPlane::new(settings, disk, clients), member, shutdown_timeout, max_order_wait }
     }
 
     /// Starts the tasks of the control plane.
@@ -79,13 +89,18 @@
         operator_routes(Arc::clone(&self.control.view), Arc::clone(&self.control.proposer))
     }
 
-    /// Prepares the end of the process: releases the leader lease, and lets a standby replace the acceptor.
+    /// Prepares the end of the process: releases the leader lease once the outcomes of all orders to servers
+    /// are known, and lets a standby replace the acceptor.
     pub async fn resign(&self) {
+        let deadline = Instant::now() + self.shutdown_timeout;
         self.control.stop_joining();
         self.control.ping_service.set_shutting_down();
-        self.control.leadership.resign().await;
+        self.control.leadership.resign(self.max_order_wait).await;
         if let Some(member) = &self.member {
-            self.control.acceptor_membership(member.clone()).leave().await;
+            let membership = self.control.acceptor_membership(member.clone());
+            if timeout_at(deadline, membership.leave()).await.is_err() {
+                log::warn!("the process ends before a standby has replaced its acceptor");
+            }
         }
     }
 }
@@ -138,10 +153,15 @@
         is_ready: Box::new(move || is_ready(&ready_view)),
         is_configuration_confirmed: Box::new(move || is_recently_confirmed(&confirmed_view)),
         accept_while_draining: ACCEPT_WHILE_DRAINING,
-        drain_timeout: settings.timing_rules.termination_grace_period().saturating_sub(EXIT_MARGIN),
+        drain_timeout: shutdown_timeout(settings),
     }
 }
 
+/// Returns the maximum duration of the graceful shutdown, which ends before the platform kills the process.
+fn shutdown_timeout(settings: &NodeSettings) -> Duration {
+    settings.timing_rules.termination_grace_period().saturating_sub(EXIT_MARGIN)
+}
+
 /// Whether the process has a confirmed control state, a server list and a configuration, all of which it
 /// needs to handle requests.
 fn is_ready(view: &ViewCell) -> bool {
--- a/crates/simulator/src/bin/simulate.rs
+++ b/crates/simulator/src/bin/simulate.rs
@@ -34,7 +34,9 @@
     jobs: usize,
     /// What is played: small, large (two machines may fail), changes (many changes), turnover (machines are replaced one
     /// after the other, seeds change, all machines lose power in the end), large-turnover, absences (long suspensions and
-    /// partitions while acceptors are replaced), disks (failed syncs, stalls, losses of power, undecodable records).
+    /// partitions while acceptors are replaced), disks (failed syncs, stalls, losses of power, undecodable records),
+    /// server-links (partitions of model servers while the leader changes), proxied-server-links (proxies delay what is
+    /// sent to model servers while nodes shut down).
     #[options(short = "S", default = "small")]
     setup: String,
     /// Play the faults of this seed in all runs; everything else is drawn from the seed of the run.
@@ -61,6 +63,8 @@
             "large-turnover" => Some(Setup::large_turnover()),
             "absences" => Some(Setup::absences()),
             "disks" => Some(Setup::disks()),
+            "server-links" => Some(Setup::server_links()),
+            "proxied-server-links" => Some(Setup::proxied_server_links()),
             _ => None,
         }
     }
--- a/crates/simulator/src/fleet/calls.rs
+++ b/crates/simulator/src/fleet/calls.rs
@@ -39,11 +39,26 @@
 }
 
 impl CallTable {
-    /// Removes the calls that a machine has made.
+    /// Removes the calls that a machine has made. None of them arrives any more.
     pub(super) fn drop_calls_of(&mut self, machine: usize) {
         self.pending.retain(|_, pending| pending.caller != machine);
     }
 
+    /// Closes the connections of a process that has ended without a loss of power: TCP still delivers its calls to
+    /// servers, but nobody receives the replies. All other calls are removed.
+    pub(super) fn close_calls_of(&mut self, machine: usize) {
+        self.pending
+            .retain(|_, pending| pending.caller != machine || matches!(pending.to, Endpoint::Server(_)));
+        for pending in self.pending.values_mut().filter(|pending| pending.caller == machine) {
+            drop(pending.reply.take());
+        }
+    }
+
+    /// Makes the connection of a call fail: the caller learns that the outcome is unknown.
+    pub(super) fn fail_connection(&mut self, call: u64) {
+        self.pending.remove(&call);
+    }
+
     /// Resets the connections of a machine: pending calls from and to this machine fail with an unknown
     /// outcome.
     pub(super) fn reset_connections(&mut self, machine: usize) {
--- a/crates/simulator/src/fleet/delivery.rs
+++ b/crates/simulator/src/fleet/delivery.rs
@@ -10,6 +10,7 @@
 use super::Fleet;
 use crate::external_requests::ExternalReply;
 use crate::model_server::ModelServer;
+use crate::server_links::USER_TIMEOUT;
 use crate::transport::{CallOutcome, Endpoint, OutgoingCall};
 
 /// Time after which a message that a partition has stopped is sent again.
@@ -42,7 +43,11 @@
         let caller_process_exits = self.machines[caller].process_exits();
         let pending = PendingCall { caller, caller_process_exits, to, path, body, reply: Some(reply) };
         self.calls.pending.insert(call, pending);
-        for delay in self.network.delays(&mut self.random, from, to) {
+        let delays = self.network.delays(&mut self.random, self.now, from, to);
+        if delays.is_empty() && matches!(to, Endpoint::Server(_)) {
+            self.schedule(USER_TIMEOUT, FleetEvent::ConnectionFails { call });
+        }
+        for delay in delays {
             self.schedule(transmission + delay, FleetEvent::CallArrives { call, resends: 0 });
         }
     }
@@ -59,7 +64,9 @@
 
     /// Sends the reply of a node to an operator or trainer.
     fn send_external_reply(&mut self, call: u64, reply: &ExternalReply) {
-        for delay in self.network.delays(&mut self.random, Endpoint::ExternalClients, Endpoint::Platform) {
+        for delay in
+            self.network.delays(&mut self.random, self.now, Endpoint::ExternalClients, Endpoint::Platform)
+        {
             self.schedule(delay, FleetEvent::ExternalReplyArrives { call, reply: reply.clone() });
         }
     }
@@ -80,7 +87,11 @@
         transmission: Duration,
         outcome: &CallOutcome,
     ) {
-        for delay in self.network.delays(&mut self.random, from, to) {
+        let delays = self.network.delays(&mut self.random, self.now, from, to);
+        if delays.is_empty() && matches!(from, Endpoint::Server(_)) {
+            self.schedule(USER_TIMEOUT, FleetEvent::ConnectionFails { call });
+        }
+        for delay in delays {
             let event = FleetEvent::ReplyArrives { call, outcome: outcome.clone(), resends: 0 };
             self.schedule(transmission + delay, event);
         }
--- a/crates/simulator/src/fleet/events.rs
+++ b/crates/simulator/src/fleet/events.rs
@@ -13,6 +13,8 @@
     Start { machine: usize, process_exits: u64 },
     /// A call arrives at its receiver, after `resends` earlier arrivals that a partition prevented.
     CallArrives { call: u64, resends: u32 },
+    /// The connection of a call fails, because TCP has given up.
+    ConnectionFails { call: u64 },
     /// The reply to a call arrives at the caller, after `resends` earlier arrivals that a partition
     /// prevented.
     ReplyArrives { call: u64, outcome: CallOutcome, resends: u32 },
--- a/crates/simulator/src/fleet/external_clients.rs
+++ b/crates/simulator/src/fleet/external_clients.rs
@@ -20,7 +20,7 @@
     pub fn send_request(&mut self, node: usize, request: ExternalRequest) -> u64 {
         let call = self.events.next_number();
         let (from, to) = (Endpoint::ExternalClients, Endpoint::Machine(node));
-        for delay in self.network.delays(&mut self.random, from, to) {
+        for delay in self.network.delays(&mut self.random, self.now, from, to) {
             self.schedule(delay, FleetEvent::ExternalRequestArrives { node, call, request: request.clone() });
         }
         call
--- a/crates/simulator/src/fleet/fault_injection.rs
+++ b/crates/simulator/src/fleet/fault_injection.rs
@@ -6,13 +6,15 @@
 
 use super::{Fleet, MachineKind, MAX_RESTART_DELAY};
 use crate::process;
+use crate::ServerPartitionKind;
 
 impl Fleet {
     /// Kills the process of a machine. The machine starts another process within a second.
     pub fn kill(&mut self, machine: usize) {
         self.record_failure(machine, MAX_RESTART_DELAY);
         self.machines[machine].disk.kill();
-        self.end_process(machine);
+        self.machines[machine].end_process();
+        self.calls.close_calls_of(machine);
         self.calls.reset_connections(machine);
         self.schedule_start(machine, MAX_RESTART_DELAY);
     }
@@ -117,6 +119,11 @@
         self.calls.reset_connections(machine);
     }
 
+    /// Partitions a model server from all machines for this time.
+    pub fn partition_server(&mut self, server: usize, kind: ServerPartitionKind, duration: Duration) {
+        self.network.partition_server(server, kind, self.now + duration);
+    }
+
     /// Changes the seeds in the settings of a machine, and reloads the settings if the machine has a process.
     pub fn set_seeds(&mut self, machine: usize, seeds: Vec<usize>) {
         self.machines[machine].configured_seeds = Some(seeds);
@@ -126,7 +133,7 @@
         }
     }
 
-    /// Ends the process of a machine and removes the calls that it has made.
+    /// Ends the process of a machine and removes the calls that it has made, as a loss of power does.
     fn end_process(&mut self, machine: usize) {
         self.machines[machine].end_process();
         self.calls.drop_calls_of(machine);
--- a/crates/simulator/src/fleet/mod.rs
+++ b/crates/simulator/src/fleet/mod.rs
@@ -160,6 +160,7 @@
                 }
             }
             FleetEvent::CallArrives { call, resends } => self.deliver_call(call, resends),
+            FleetEvent::ConnectionFails { call } => self.calls.fail_connection(call),
             FleetEvent::ReplyArrives { call, outcome, resends } => self.deliver_reply(call, outcome, resends),
             FleetEvent::ExternalRequestArrives { node, call, request } => {
                 self.deliver_external_request(node, call, request);
--- a/crates/simulator/src/fleet/observe.rs
+++ b/crates/simulator/src/fleet/observe.rs
@@ -11,7 +11,9 @@
 use super::machine::Machine;
 use super::{Fleet, FleetShape, MachineKind};
 use crate::logging::set_log_context;
+use crate::model_server::ORDER_PATH;
 use crate::process::Process;
+use crate::transport::Endpoint;
 
 impl Fleet {
     /// Returns the indices of the traffic nodes with a disk that the fleet had at its start.
@@ -144,6 +146,13 @@
         self.machines.iter().position(|machine| machine.name == owner)
     }
 
+    /// Whether an order to a server is on its way, or the reply to it.
+    #[must_use]
+    pub fn has_order_in_flight(&self, server: usize) -> bool {
+        let mut pending = self.calls.pending.values();
+        pending.any(|call| call.to == Endpoint::Server(server) && call.path == ORDER_PATH)
+    }
+
     /// Returns the progress of a store in the migration of its batch jobs; `None` for a traffic node or
     /// without a process.
     #[must_use]
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -21,6 +21,7 @@
 mod model_server;
 mod network;
 mod process;
+mod server_links;
 pub mod simulation;
 mod transport;
 
@@ -33,3 +34,4 @@
 pub use logging::print_logs;
 pub use model_server::{ModelServer, ReceivedOrder};
 pub use network::Network;
+pub use server_links::ServerPartitionKind;
--- a/crates/simulator/src/network.rs
+++ b/crates/simulator/src/network.rs
@@ -5,6 +5,7 @@
 
 use fastrand::Rng;
 
+use crate::server_links::{ServerLinks, ServerPartitionKind};
 use crate::transport::Endpoint;
 
 /// Range of the delay of a message that is not late, in microseconds.
@@ -12,8 +13,8 @@
 /// Range of the delay of a late message, in microseconds.
 const LATE_DELAY_MICROS: std::ops::Range<u64> = 100_000..3_000_000;
 
-/// Range of the delay of a late message to a model server, in microseconds. It ends at the time limit of
-/// calls to servers, because an order arrives within the time limit of its call or never.
+/// Range of the delay of a late message to a model server, in microseconds. It ends at the user timeout of the
+/// program's connections to servers, after which TCP does not send an order again.
 const LATE_DELAY_TO_SERVER_MICROS: std::ops::Range<u64> = 100_000..1_000_000;
 
 /// The network of a fleet: probabilities of lost, duplicated and late messages, and the present partitions.
@@ -28,6 +29,7 @@
     pub late_per_mille: u32,
     /// Pairs of machine indices `(from, to)`: messages from the first machine to the second do not arrive.
     partitions: BTreeSet<(usize, usize)>,
+    server_links: ServerLinks,
 }
 
 impl Network {
@@ -59,7 +61,12 @@
         }
     }
 
-    /// Ends all partitions. The probabilities of lost, duplicated and late messages stay.
+    /// Partitions a model server from all machines until `ends_at`, in simulated time.
+    pub fn partition_server(&mut self, server: usize, kind: ServerPartitionKind, ends_at: Duration) {
+        self.server_links.partition(server, kind, ends_at);
+    }
+
+    /// Ends all partitions of machines. The probabilities of lost, duplicated and late messages stay.
     pub fn heal(&mut self) {
         self.partitions.clear();
     }
@@ -73,9 +80,27 @@
         }
     }
 
-    /// Draws the delay of each copy of a message: none if the message is dropped, two if it is duplicated. A
-    /// message of an endpoint to itself is delivered once, without delay.
-    pub(crate) fn delays(&self, random: &mut Rng, from: Endpoint, to: Endpoint) -> Vec<Duration> {
+    /// Draws the delay of each copy of a message that is sent at `now`: none if the message is dropped, two if it is
+    /// duplicated. A message of an endpoint to itself is delivered once, without delay. A partition of a server adds
+    /// the time until the message is retransmitted after it; partitions of machines are not included.
+    pub(crate) fn delays(
+        &self,
+        random: &mut Rng,
+        now: Duration,
+        from: Endpoint,
+        to: Endpoint,
+    ) -> Vec<Duration> {
+        let delays = self.delays_without_partition(random, from, to);
+        let ((Endpoint::Server(server), _) | (_, Endpoint::Server(server))) = (from, to) else {
+            return delays;
+        };
+        let Some(retransmitted_after) = self.server_links.retransmission_delay(server, now) else {
+            return Vec::new();
+        };
+        delays.into_iter().map(|delay| retransmitted_after + delay).collect()
+    }
+
+    fn delays_without_partition(&self, random: &mut Rng, from: Endpoint, to: Endpoint) -> Vec<Duration> {
         if from == to {
             return vec![Duration::ZERO];
         }
--- /dev/null
+++ b/crates/simulator/src/server_links.rs
@@ -0,0 +1,55 @@
+//! Partitions between the machines and the model servers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time after which TCP first retransmits unacknowledged bytes. Each further interval is twice as long.
+const FIRST_RETRANSMISSION_AFTER: Duration = Duration::from_millis(200);
+/// Time for which the TCP of a machine retransmits a call to a server before the connection fails, as the
+/// program sets it with `TCP_USER_TIMEOUT`.
+pub(crate) const USER_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// What becomes of bytes that are sent to or by a server during a partition.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerPartitionKind {
+    /// Nothing acknowledges the bytes. They are dropped when the sender's TCP reaches its user timeout.
+    Unacknowledged,
+    /// A proxy on the near side of the partition has acknowledged the bytes. It retransmits them until they arrive,
+    /// also if the sender has closed or reset its connection or has ended.
+    BufferedByProxy,
+}
+
+/// A partition of one server.
+#[derive(Clone, Copy, Debug)]
+struct Partition {
+    kind: ServerPartitionKind,
+    ends_at: Duration,
+}
+
+/// The links of the model servers, and which of them are partitioned.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ServerLinks {
+    /// Partitions by the index of the server. Those that have ended stay until the next one.
+    partitions: BTreeMap<usize, Partition>,
+}
+
+impl ServerLinks {
+    /// Partitions a server from all machines until `ends_at`.
+    pub(crate) fn partition(&mut self, server: usize, kind: ServerPartitionKind, ends_at: Duration) {
+        self.partitions.insert(server, Partition { kind, ends_at });
+    }
+
+    /// Returns the time after which bytes that are sent at `now` pass the link of a server: zero, or the time of the
+    /// first retransmission after the partition; `None` if they never pass.
+    pub(crate) fn retransmission_delay(&self, server: usize, now: Duration) -> Option<Duration> {
+        let Some(partition) = self.partitions.get(&server) else { return Some(Duration::ZERO) };
+        let mut sent_after = Duration::ZERO;
+        let mut interval = FIRST_RETRANSMISSION_AFTER;
+        while now + sent_after < partition.ends_at {
+            sent_after += interval;
+            interval *= 2;
+        }
+        let is_dropped = partition.kind == ServerPartitionKind::Unacknowledged && sent_after >= USER_TIMEOUT;
+        (!is_dropped).then_some(sent_after)
+    }
+}
--- a/crates/simulator/src/simulation/faults/failure_limits.rs
+++ b/crates/simulator/src/simulation/faults/failure_limits.rs
@@ -8,15 +8,25 @@
 use crate::{Fleet, MachineKind};
 
 /// Whether the disk of a machine may be erased now: fewer machines have failed than the settings tolerate. An
-/// earlier failure counts until the system has recovered from it ([`FaultMix::All`], [`FaultMix::Absences`],
-/// [`FaultMix::Disks`]), or until the catch-up time of the machine is over ([`FaultMix::Turnover`]).
+/// earlier failure counts until the catch-up time of the machine is over ([`FaultMix::Turnover`]), or until the
+/// system has recovered from it (all other mixes).
 pub(super) fn may_lose_disk(fleet: &Fleet, mix: FaultMix, machine: usize) -> bool {
     match mix {
-        FaultMix::All | FaultMix::Absences | FaultMix::Disks => has_recovered(fleet, machine),
+        FaultMix::All
+        | FaultMix::Absences
+        | FaultMix::Disks
+        | FaultMix::ServerLinks
+        | FaultMix::ProxiedServerLinks => has_recovered(fleet, machine),
         FaultMix::Turnover => is_below_failure_limit(fleet, machine),
     }
 }
 
+/// Whether a process may be shut down now. With [`FaultMix::ProxiedServerLinks`], fewer machines must count as
+/// failed than the settings tolerate, since a leader can keep its lease only while a majority replies.
+pub(super) fn may_terminate(fleet: &Fleet, mix: FaultMix) -> bool {
+    mix != FaultMix::ProxiedServerLinks || fleet.failed_machine_count() < fleet.shape().tolerated_failures
+}
+
 /// Whether the machine is present with a disk, and fewer machines count as failed than the settings tolerate.
 fn is_below_failure_limit(fleet: &Fleet, machine: usize) -> bool {
     let has_disk = fleet.kind(machine) != MachineKind::DisklessNode;
--- a/crates/simulator/src/simulation/faults/injection.rs
+++ b/crates/simulator/src/simulation/faults/injection.rs
@@ -2,14 +2,17 @@
 
 use std::time::Duration;
 
-use super::failure_limits::may_lose_disk;
+use super::failure_limits::{may_lose_disk, may_terminate};
 use super::{Fault, FaultKind, FaultMix};
-use crate::{Fleet, MachineKind};
+use crate::{Fleet, MachineKind, ServerPartitionKind};
 
 /// Number of messages in a thousand that an ordinary network drops. It duplicates the same number.
 const ORDINARY_LOSS_PER_MILLE: u32 = 10;
 /// Number of messages in a thousand that a lossy network drops. It duplicates the same number.
 const HIGH_LOSS_PER_MILLE: u32 = 100;
+/// Maximum duration of a partition behind a proxy. What the proxy buffers arrives within the termination grace
+/// period.
+const MAX_PROXIED_PARTITION: Duration = Duration::from_secs(5);
 /// Number of seeds in the changed settings.
 const SEEDS_PER_MACHINE: usize = 3;
 
@@ -49,12 +52,15 @@
 }
 
 /// Injects a fault and returns it if it has a duration. Erasing a disk, which includes the removal of a
-/// machine, has no effect if too many machines have failed already.
+/// machine, has no effect if too many machines have failed already; with some mixes, so has a shutdown.
 pub(in crate::simulation) fn inject(fault: &Fault, mix: FaultMix, fleet: &mut Fleet) -> Option<ActiveFault> {
     let machine = select_target(fault, fleet)?;
     match fault.kind {
         FaultKind::Kill | FaultKind::KillLeader => fleet.kill(machine),
-        FaultKind::Terminate => fleet.terminate(machine, false),
+        FaultKind::Terminate | FaultKind::TerminateLeader if may_terminate(fleet, mix) => {
+            fleet.terminate(machine, false);
+        }
+        FaultKind::Terminate | FaultKind::TerminateLeader => {}
         FaultKind::Freeze | FaultKind::FreezeLeader => fleet.freeze(machine),
         FaultKind::SlowDown => fleet.slow_down(machine, true),
         FaultKind::LosePower => lose_power(fleet, machine),
@@ -73,6 +79,7 @@
         FaultKind::FailSync => fleet.fail_sync(machine),
         FaultKind::ChangeSeeds => change_seeds(fleet),
         FaultKind::ResetConnections => fleet.reset_connections(machine),
+        FaultKind::PartitionServer | FaultKind::PartitionProxiedServer => partition_server(fault, fleet),
         FaultKind::Isolate
         | FaultKind::IsolateLeader
         | FaultKind::PartitionOneWay
@@ -86,6 +93,18 @@
     Some(ActiveFault { kind: fault.kind, machine, ends_at: fleet.now + fault.duration })
 }
 
+/// Partitions a random model server from all machines.
+fn partition_server(fault: &Fault, fleet: &mut Fleet) {
+    let server = fault.selector % fleet.servers.len();
+    let (kind, duration) = match fault.kind {
+        FaultKind::PartitionProxiedServer => {
+            (ServerPartitionKind::BufferedByProxy, fault.duration.min(MAX_PROXIED_PARTITION))
+        }
+        _ => (ServerPartitionKind::Unacknowledged, fault.duration),
+    };
+    fleet.partition_server(server, kind, duration);
+}
+
 /// Injects a partition or a higher loss of messages.
 fn inject_into_network(fault: &Fault, fleet: &mut Fleet, machine: usize) {
     let machines = fleet.machines();
--- a/crates/simulator/src/simulation/faults/mod.rs
+++ b/crates/simulator/src/simulation/faults/mod.rs
@@ -59,6 +59,13 @@
     LossyNetwork,
     /// Changes the seeds in all settings to random nodes, with or without a disk.
     ChangeSeeds,
+    /// Shuts the process of the lease holder down gracefully and restarts it.
+    TerminateLeader,
+    /// Partitions a model server from all machines ([`crate::ServerPartitionKind::Unacknowledged`]).
+    PartitionServer,
+    /// Partitions a model server from the proxy before it, for at most 5 s
+    /// ([`crate::ServerPartitionKind::BufferedByProxy`]).
+    PartitionProxiedServer,
 }
 
 impl FaultKind {
@@ -81,7 +88,7 @@
 
     /// Whether the fault affects the machine of the lease holder, if that is running.
     fn targets_leader(self) -> bool {
-        matches!(self, Self::KillLeader | Self::FreezeLeader | Self::IsolateLeader)
+        matches!(self, Self::KillLeader | Self::FreezeLeader | Self::IsolateLeader | Self::TerminateLeader)
     }
 }
 
@@ -99,6 +106,11 @@
     /// Mostly disk faults: failed syncs, stalls, losses of power and records that cannot be decoded. A disk
     /// is erased or gets such a record only after the system has recovered from earlier failures.
     Disks,
+    /// Mostly partitions of model servers, and changes of the leader of any kind.
+    ServerLinks,
+    /// Partitions of model servers behind a proxy, and graceful shutdowns. Other changes of the leader are left out:
+    /// nothing can prevent a proxy from delivering an order after its sender was killed.
+    ProxiedServerLinks,
 }
 
 /// A planned fault of a run.
--- a/crates/simulator/src/simulation/faults/plan.rs
+++ b/crates/simulator/src/simulation/faults/plan.rs
@@ -100,6 +100,34 @@
     FaultKind::LossyNetwork,
 ];
 
+/// Kinds of [`FaultMix::ServerLinks`]. A kind that occurs several times is drawn correspondingly more often.
+const SERVER_LINK_KINDS: [FaultKind; 16] = [
+    FaultKind::PartitionServer,
+    FaultKind::PartitionServer,
+    FaultKind::PartitionServer,
+    FaultKind::PartitionServer,
+    FaultKind::PartitionServer,
+    FaultKind::PartitionServer,
+    FaultKind::PartitionServer,
+    FaultKind::PartitionServer,
+    FaultKind::TerminateLeader,
+    FaultKind::TerminateLeader,
+    FaultKind::KillLeader,
+    FaultKind::KillLeader,
+    FaultKind::FreezeLeader,
+    FaultKind::IsolateLeader,
+    FaultKind::ResetConnections,
+    FaultKind::LosePower,
+];
+
+/// Kinds of [`FaultMix::ProxiedServerLinks`]. A kind that occurs several times is drawn correspondingly more often.
+const PROXIED_SERVER_LINK_KINDS: [FaultKind; 4] = [
+    FaultKind::PartitionProxiedServer,
+    FaultKind::PartitionProxiedServer,
+    FaultKind::TerminateLeader,
+    FaultKind::Terminate,
+];
+
 /// Draws the faults of a seed, in the order of their times. All times are below `length`. `interval` is the
 /// mean time between two faults before a third of the intervals is shortened.
 pub(in crate::simulation) fn plan_faults(
@@ -114,6 +142,8 @@
         FaultMix::Turnover => &TURNOVER_KINDS,
         FaultMix::Absences => &ABSENCE_KINDS,
         FaultMix::Disks => &DISK_KINDS,
+        FaultMix::ServerLinks => &SERVER_LINK_KINDS,
+        FaultMix::ProxiedServerLinks => &PROXIED_SERVER_LINK_KINDS,
     };
     let mut faults = Vec::new();
     let mut at = interval.mul_f64(random.f64());
--- a/crates/simulator/src/simulation/setup.rs
+++ b/crates/simulator/src/simulation/setup.rs
@@ -82,6 +82,18 @@
         Self { mix: FaultMix::Disks, fault_interval, changes_per_second: 6.0, ..Self::small() }
     }
 
+    /// Returns a setup in which model servers are partitioned from the machines while the leader changes.
+    #[must_use]
+    pub fn server_links() -> Self {
+        Self { mix: FaultMix::ServerLinks, ..Self::small() }
+    }
+
+    /// Returns a setup in which proxies buffer what is sent to model servers while nodes shut down gracefully.
+    #[must_use]
+    pub fn proxied_server_links() -> Self {
+        Self { mix: FaultMix::ProxiedServerLinks, ..Self::small() }
+    }
+
     /// Returns [`Setup::small`] with a longer run and ten times as many changes of the configuration per
     /// second.
     #[must_use]
--- a/crates/simulator/src/transport.rs
+++ b/crates/simulator/src/transport.rs
@@ -17,7 +17,7 @@
 
 /// The path at which the platform serves its list of servers.
 const LIST_PATH: &str = "list";
-/// Time limit of a call to a server or the platform.
+/// Time limit of a request to a server for its report, and of a call to the platform.
 const EXTERNAL_CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// A sender or receiver of messages.
@@ -92,13 +92,17 @@
         body: Bytes,
         timeout: Duration,
     ) -> CallOutcome {
+        let called = self.call_without_limit(caller, to, path, body);
+        let no_reply = |_| Err(CallError::Unknown("no reply within the time limit of the call".into()));
+        tokio::time::timeout(timeout, called).await.unwrap_or_else(no_reply)
+    }
+
+    /// Sends a call and waits until its outcome is known or its connection fails.
+    async fn call_without_limit(&self, caller: usize, to: Endpoint, path: &str, body: Bytes) -> CallOutcome {
         let (reply, receiver) = oneshot::channel();
         self.lock().calls.push(OutgoingCall { caller, to, path: path.to_owned(), body, reply });
-        match tokio::time::timeout(timeout, receiver).await {
-            Ok(Ok(outcome)) => outcome,
-            Ok(Err(_)) => Err(CallError::Unknown("the connection was reset before a reply".into())),
-            Err(_) => Err(CallError::Unknown("no reply within the time limit of the call".into())),
-        }
+        let failed = |_| Err(CallError::Unknown("the connection failed before a reply".into()));
+        receiver.await.unwrap_or_else(failed)
     }
 }
 
@@ -121,7 +125,7 @@
 }
 
 impl SimulatedTransport {
-    /// Calls a model server or the platform.
+    /// Requests something from a model server or the platform.
     async fn call_external(&self, to: Endpoint, path: &str, body: Bytes) -> CallOutcome {
         self.outbox.call(self.machine, to, path, body, EXTERNAL_CALL_TIMEOUT).await
     }
@@ -149,7 +153,7 @@
     fn send_order<'a>(&'a self, order: &'a VersionOrder, body: String) -> BoxFuture<'a, OrderReply> {
         Box::pin(async move {
             let to = Endpoint::Server(model_server::index_of_address(order.address));
-            match self.call_external(to, ORDER_PATH, body.into()).await {
+            match self.outbox.call_without_limit(self.machine, to, ORDER_PATH, body.into()).await {
                 Ok((status, _)) => OrderReply::from_status(status),
                 Err(error) if error.may_have_run() => OrderReply::Indeterminate,
                 Err(_) => OrderReply::NotAccepted,
--- a/crates/simulator/tests/simulation.rs
+++ b/crates/simulator/tests/simulation.rs
@@ -20,6 +20,10 @@
     absences_from_60 = { Setup::absences(), 60..120 },
     disks_from_0 = { Setup::disks(), 0..60 },
     disks_from_60 = { Setup::disks(), 60..120 },
+    server_links_from_0 = { Setup::server_links(), 0..60 },
+    server_links_from_60 = { Setup::server_links(), 60..120 },
+    proxied_server_links_from_0 = { Setup::proxied_server_links(), 0..60 },
+    proxied_server_links_from_60 = { Setup::proxied_server_links(), 60..120 },
     many_changes_from_0 = { Setup::many_changes(), 0..20 },
     many_changes_from_120 = { Setup::many_changes(), 120..140 },
 )]
@@ -52,6 +56,8 @@
     large_turnover = { Setup::large_turnover() },
     absences = { Setup::absences() },
     disks = { Setup::disks() },
+    server_links = { Setup::server_links() },
+    proxied_server_links = { Setup::proxied_server_links() },
 )]
 fn given_the_same_seed_when_simulated_again_then_the_run_is_identical(setup: Setup) {
     for seed in 0..5 {
