rollout: match the reply of an order with that order

Cause: the planner matched the outcome of an order by server only. The list may show the version of an order before its reply arrives; the planner then sends the next one. When the outcome of the first arrived, or its call timed out, it was taken for that of the second, which no longer counted as pending although a proxy still had it. So a third order was sent, and the second arrived after it.

Change: an outcome carries its order, and counts only while that order is in flight.

--- a/crates/control-plane/src/rollout/order_dispatcher.rs
+++ b/crates/control-plane/src/rollout/order_dispatcher.rs
@@ -184,7 +184,7 @@
         tokio::time::timeout(Pacing::default().order_timeout, servers.send_order(&order, body)).await;
     let reply = replied.unwrap_or(OrderReply::Indeterminate);
     log::info!(version = order.version, fence; "order to {} for {}: {reply}", order.server, order.model);
-    CallOutcome::Answered(order.server, reply)
+    CallOutcome::Answered(order, reply)
 }
 
 async fn request_report(servers: &dyn ServerCalls, request: ReportRequest) -> CallOutcome {
--- a/crates/control-plane/src/rollout/order_tracker.rs
+++ b/crates/control-plane/src/rollout/order_tracker.rs
@@ -3,14 +3,14 @@
 
 use std::time::Duration;
 
-use rollout::{OrderReply, Pacing, Planner, RolloutAction, ServerId, ServerReport};
+use rollout::{OrderReply, Pacing, Planner, RolloutAction, ServerId, ServerReport, VersionOrder};
 
 /// Outcome of a call to a server.
 #[derive(Clone, Debug)]
 pub enum CallOutcome {
     /// An order has finished: the server has replied or was not reached, or it is unknown whether the order
     /// has arrived.
-    Answered(ServerId, OrderReply),
+    Answered(VersionOrder, OrderReply),
     /// A server has sent its report.
     Reported(ServerId, Box<ServerReport>),
     /// A server has not sent a valid report in time.
@@ -85,7 +85,7 @@
         }
         let Some(term) = self.term.as_mut().filter(|term| term.fence == tag.fence) else { return };
         match outcome {
-            CallOutcome::Answered(server, reply) => term.planner.on_order_reply(now, server, *reply),
+            CallOutcome::Answered(order, reply) => term.planner.on_order_reply(now, order, *reply),
             CallOutcome::Reported(server, report) => term.planner.on_report(now, server, report),
             CallOutcome::NotReported(server) => term.planner.on_report_failure(now, server),
         }
--- a/crates/control-plane/tests/order_tracker.rs
+++ b/crates/control-plane/tests/order_tracker.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use control_plane::{CallOutcome, CallTag, OrderTracker};
-use rollout::{OrderReply, RolloutAction, RolloutServer, ServerId, ServerReport};
+use rollout::{OrderReply, RolloutAction, RolloutServer, ServerId, ServerReport, VersionOrder};
 use yare::parameterized;
 
 const SERVER: &str = "i-1";
@@ -41,8 +41,8 @@
     CallOutcome::Reported(ServerId::from(SERVER), Box::new(report))
 }
 
-/// Returns a tracker whose first term has an order in flight, and the tag of that order.
-fn tracker_with_order_in_flight() -> (OrderTracker, CallTag) {
+/// Returns a tracker whose first term has an order in flight, that order and its tag.
+fn tracker_with_order_in_flight() -> (OrderTracker, VersionOrder, CallTag) {
     let mut tracker = OrderTracker::default();
     tracker.set_term(Some(1));
     let requested = send_due_calls(&mut tracker, millis(0));
@@ -52,8 +52,8 @@
     );
     tracker.record_outcome(millis(10), requested[0].0, &report_outcome());
     let ordered = send_due_calls(&mut tracker, millis(600));
-    assert!(matches!(&ordered[..], [(_, RolloutAction::SendOrder(_))]), "{ordered:?}");
-    (tracker, ordered[0].0)
+    let [(tag, RolloutAction::SendOrder(order))] = &ordered[..] else { panic!("{ordered:?}") };
+    (tracker, order.clone(), *tag)
 }
 
 #[parameterized(
@@ -63,14 +63,14 @@
 fn given_an_order_in_flight_when_another_term_begins_then_no_call_is_sent_before_the_order_has_finished(
     reply: OrderReply,
 ) {
-    let (mut tracker, tag) = tracker_with_order_in_flight();
+    let (mut tracker, order, tag) = tracker_with_order_in_flight();
     tracker.set_term(None);
     tracker.set_term(Some(2));
     assert!(
         due_actions(&mut tracker, millis(700)).is_empty(),
         "an order with the old token may still arrive"
     );
-    tracker.record_outcome(millis(900), tag, &CallOutcome::Answered(SERVER.into(), reply));
+    tracker.record_outcome(millis(900), tag, &CallOutcome::Answered(order, reply));
     assert!(
         matches!(&due_actions(&mut tracker, millis(900))[..], [RolloutAction::RequestReport(_)]),
         "the new term requests a report first"
@@ -79,9 +79,9 @@
 
 #[test]
 fn given_an_order_of_an_earlier_term_when_it_is_rejected_late_then_the_present_term_continues() {
-    let (mut tracker, tag) = tracker_with_order_in_flight();
+    let (mut tracker, order, tag) = tracker_with_order_in_flight();
     tracker.set_term(Some(2));
-    tracker.record_outcome(millis(700), tag, &CallOutcome::Answered(SERVER.into(), OrderReply::Fenced));
+    tracker.record_outcome(millis(700), tag, &CallOutcome::Answered(order, OrderReply::Fenced));
     let requested = send_due_calls(&mut tracker, millis(700));
     assert!(
         matches!(&requested[..], [(_, RolloutAction::RequestReport(_))]),
--- a/crates/rollout/src/planner.rs
+++ b/crates/rollout/src/planner.rs
@@ -90,12 +90,12 @@
     }
 
     /// Handles the outcome of an order that [`Planner::next_actions`] returned.
-    pub fn on_order_reply(&mut self, now: Duration, server: &str, reply: OrderReply) {
+    pub fn on_order_reply(&mut self, now: Duration, order: &VersionOrder, reply: OrderReply) {
         if reply == OrderReply::Fenced {
             self.is_superseded = true;
         }
-        if let Some(progress) = self.servers.get_mut(server) {
-            progress.on_order_reply(now, reply);
+        if let Some(progress) = self.servers.get_mut(&order.server) {
+            progress.on_order_reply(now, order, reply);
         }
     }
 
--- a/crates/rollout/src/server_progress.rs
+++ b/crates/rollout/src/server_progress.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::actions::{OrderReply, UpdateMethod};
+use crate::actions::{OrderReply, UpdateMethod, VersionOrder};
 use crate::pacing::Pacing;
 use crate::report_schedule::ReportSchedule;
 use crate::server::{ModelName, RolloutServer};
@@ -141,10 +141,18 @@
         self.report.cancel();
     }
 
-    /// Handles the outcome of the order in flight. Ignored if no order is in flight.
-    pub(crate) fn on_order_reply(&mut self, now: Duration, reply: OrderReply) {
+    /// Handles the outcome of an order. Ignored unless this order is in flight: a reply may arrive after the version
+    /// was observed, when a further order has been sent.
+    pub(crate) fn on_order_reply(&mut self, now: Duration, order: &VersionOrder, reply: OrderReply) {
         let OrderState::InFlight { goal, .. } = &self.state else { return };
-        let goal = goal.clone();
+        if goal.model == order.model && goal.version == order.version {
+            let goal = goal.clone();
+            self.finish_order(now, goal, reply);
+        }
+    }
+
+    /// Updates the state by the outcome of the order in flight, which has this goal.
+    fn finish_order(&mut self, now: Duration, goal: LoadGoal, reply: OrderReply) {
         match reply {
             OrderReply::Accepted => self.start_loading(now, goal),
             OrderReply::AlreadyLoaded => self.record_version(&goal.model, goal.version),
@@ -203,9 +211,10 @@
     /// Treats an order without an outcome after [`Pacing::order_timeout`] as indeterminate, and a request for a
     /// report without one after [`Pacing::report_timeout`] as failed.
     pub(crate) fn expire_calls(&mut self, now: Duration) {
-        if let OrderState::InFlight { since, .. } = self.state {
-            if since + self.pacing.order_timeout <= now {
-                self.on_order_reply(now, OrderReply::Indeterminate);
+        if let OrderState::InFlight { goal, since } = &self.state {
+            if *since + self.pacing.order_timeout <= now {
+                let goal = goal.clone();
+                self.finish_order(now, goal, OrderReply::Indeterminate);
             }
         }
         if let Some(requested_at) = self.report.in_flight_since() {
--- a/crates/rollout/tests/common/mod.rs
+++ b/crates/rollout/tests/common/mod.rs
@@ -149,7 +149,7 @@
 
 /// Event that is delivered to the planner at its due time.
 enum FleetEvent {
-    OrderReply(Arc<str>, OrderReply),
+    OrderReply(VersionOrder, OrderReply),
     Report(Arc<str>, ServerReport),
     ReportFailure(Arc<str>),
     ListDue,
@@ -279,7 +279,7 @@
         };
         let loading = self.servers.iter().filter(|server| server.loading.is_some()).count();
         self.max_loading = self.max_loading.max(loading);
-        self.events.push((arrival + CALL_LATENCY, FleetEvent::OrderReply(Arc::clone(&order.server), reply)));
+        self.events.push((arrival + CALL_LATENCY, FleetEvent::OrderReply(order.clone(), reply)));
         self.orders.push((self.now, order));
     }
 
@@ -301,7 +301,7 @@
         self.events = later;
         for (_, event) in due {
             match event {
-                FleetEvent::OrderReply(id, reply) => self.planner.on_order_reply(self.now, &id, reply),
+                FleetEvent::OrderReply(order, reply) => self.planner.on_order_reply(self.now, &order, reply),
                 FleetEvent::Report(id, report) => self.planner.on_report(self.now, &id, &report),
                 FleetEvent::ReportFailure(id) => self.planner.on_report_failure(self.now, &id),
                 FleetEvent::ListDue => self.read_list(),
--- a/crates/rollout/tests/large_fleet.rs
+++ b/crates/rollout/tests/large_fleet.rs
@@ -36,7 +36,7 @@
         match action {
             RolloutAction::SendOrder(order) => {
                 orders += 1;
-                planner.on_order_reply(now, &order.server, OrderReply::Accepted);
+                planner.on_order_reply(now, &order, OrderReply::Accepted);
                 planner.on_version_observed(&order.server, &order.model, order.version);
             }
             RolloutAction::RequestReport(request) => planner.on_report(now, &request.server, &idle_report(1)),
--- a/crates/rollout/tests/planner.rs
+++ b/crates/rollout/tests/planner.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 
 use common::{address, ms, CallFault, ServerFleet, MODEL, OTHER_MODEL};
-use rollout::{OrderReply, Pacing, Planner, RolloutAction, RolloutServer, ServerReport, UpdateMethod};
+use rollout::{
+    OrderReply, Pacing, Planner, RolloutAction, RolloutServer, ServerReport, UpdateMethod, VersionOrder,
+};
 use yare::parameterized;
 
 /// Returns a list entry of a server with this version of [`MODEL`].
@@ -29,6 +31,17 @@
     actions.iter().filter_map(order).collect()
 }
 
+/// Returns the order to this server to load a version of [`MODEL`].
+fn order_to(server: &str, version: u64) -> VersionOrder {
+    VersionOrder {
+        server: server.into(),
+        address: address(0),
+        model: MODEL.into(),
+        version,
+        method: UpdateMethod::Drain,
+    }
+}
+
 /// Returns a planner with version 2 of [`MODEL`] as target, after each of these servers has reported that it
 /// is idle.
 fn planner_with_idle_servers(pacing: Pacing, servers: &[RolloutServer]) -> Planner {
@@ -207,7 +220,7 @@
 fn given_a_version_observed_in_a_response_when_the_list_lags_then_the_order_is_not_repeated() {
     let mut planner = planner_with_idle_servers(Pacing::default(), &[server(0, "a", 1)]);
     assert_eq!(orders(&planner.next_actions(ms(1))), [("i-0", 2, UpdateMethod::Drain)]);
-    planner.on_order_reply(ms(5), "i-0", OrderReply::Accepted);
+    planner.on_order_reply(ms(5), &order_to("i-0", 2), OrderReply::Accepted);
     planner.on_version_observed("i-0", MODEL, 2);
     planner.set_servers([server(0, "a", 1)]);
     assert!(planner.next_actions(ms(5000)).is_empty());
@@ -219,7 +232,7 @@
 fn given_an_accepted_order_when_the_list_shows_the_version_then_no_report_is_requested() {
     let mut planner = planner_with_idle_servers(Pacing::default(), &[server(0, "a", 1)]);
     assert_eq!(planner.next_actions(ms(1)).len(), 1);
-    planner.on_order_reply(ms(5), "i-0", OrderReply::Accepted);
+    planner.on_order_reply(ms(5), &order_to("i-0", 2), OrderReply::Accepted);
     planner.set_servers([server(0, "a", 2)]);
     assert!(planner.next_actions(ms(5000)).is_empty());
     assert_eq!(planner.next_wakeup(ms(5000)), None);
@@ -234,10 +247,10 @@
     let mut planner =
         planner_with_idle_servers(pacing, &[server(0, "a", 1), server(1, "a", 1), server(2, "a", 1)]);
     assert_eq!(orders(&planner.next_actions(ms(1)))[0].0, "i-0");
-    planner.on_order_reply(ms(1), "i-0", OrderReply::Accepted);
+    planner.on_order_reply(ms(1), &order_to("i-0", 2), OrderReply::Accepted);
     assert!(planner.next_actions(ms(400)).is_empty());
     assert_eq!(orders(&planner.next_actions(ms(401)))[0].0, "i-1");
-    planner.on_order_reply(ms(401), "i-1", OrderReply::Accepted);
+    planner.on_order_reply(ms(401), &order_to("i-1", 2), OrderReply::Accepted);
     let actions = planner.next_actions(ms(651));
     assert!(matches!(actions[..], [RolloutAction::RequestReport(_)]), "{actions:?}");
     planner.on_report(ms(651), "i-0", &ServerReport { occupied: true, running, ..ServerReport::default() });
@@ -265,8 +278,8 @@
 fn given_a_fenced_order_when_planning_then_no_more_orders_are_sent() {
     let mut planner = planner_with_idle_servers(Pacing::default(), &[server(0, "a", 1), server(1, "b", 1)]);
     assert_eq!(planner.next_actions(ms(1)).len(), 2);
-    planner.on_order_reply(ms(2), "i-0", OrderReply::Fenced);
-    planner.on_order_reply(ms(2), "i-1", OrderReply::NotAccepted);
+    planner.on_order_reply(ms(2), &order_to("i-0", 2), OrderReply::Fenced);
+    planner.on_order_reply(ms(2), &order_to("i-1", 2), OrderReply::NotAccepted);
     assert!(planner.is_superseded());
     assert!(planner.next_actions(ms(9000)).is_empty());
     assert_eq!(planner.next_wakeup(ms(2)), None);
@@ -276,7 +289,7 @@
 fn given_another_server_at_the_address_when_it_replies_then_the_replaced_server_gets_no_more_calls() {
     let mut planner = planner_with_idle_servers(Pacing::default(), &[server(0, "a", 1)]);
     assert_eq!(planner.next_actions(ms(1)).len(), 1);
-    planner.on_order_reply(ms(2), "i-0", OrderReply::WrongServer);
+    planner.on_order_reply(ms(2), &order_to("i-0", 2), OrderReply::WrongServer);
     assert!(planner.next_actions(ms(9000)).is_empty());
     assert_eq!(planner.next_wakeup(ms(2)), None);
 }
@@ -291,7 +304,7 @@
     while sent.len() < 6 {
         if !planner.next_actions(now).is_empty() {
             sent.push(now);
-            planner.on_order_reply(now, "i-0", reply);
+            planner.on_order_reply(now, &order_to("i-0", 2), reply);
         }
         now = planner.next_wakeup(now).expect("the order is retried");
     }
@@ -303,7 +316,7 @@
 fn given_a_busy_server_when_reports_show_it_idle_then_the_order_is_sent_again() {
     let mut planner = planner_with_idle_servers(Pacing::default(), &[server(0, "a", 1)]);
     assert_eq!(planner.next_actions(ms(1)).len(), 1);
-    planner.on_order_reply(ms(2), "i-0", OrderReply::Busy);
+    planner.on_order_reply(ms(2), &order_to("i-0", 2), OrderReply::Busy);
     assert!(planner.next_actions(ms(3)).is_empty());
     let mut now = planner.next_wakeup(ms(3)).expect("a report is scheduled");
     for _ in 0..4 {
@@ -331,6 +344,22 @@
     assert!(matches!(actions[..], [RolloutAction::RequestReport(_)]), "{actions:?}");
 }
 
+/// Guards against an order that counts as finished because of the reply to an earlier one: the server got a further
+/// order while it was pending, and the delayed one took it back to an older version.
+#[test]
+fn given_an_order_whose_version_was_observed_when_its_reply_arrives_then_the_next_order_stays_in_flight() {
+    let mut planner = planner_with_idle_servers(Pacing::default(), &[server(0, "a", 1)]);
+    assert_eq!(orders(&planner.next_actions(ms(1))), [("i-0", 2, UpdateMethod::Drain)]);
+    planner.on_version_observed("i-0", MODEL, 2);
+    planner.set_target_version(ms(2), MODEL, 3);
+    assert_eq!(orders(&planner.next_actions(ms(2))), [("i-0", 3, UpdateMethod::Drain)]);
+    planner.on_order_reply(ms(3), &order_to("i-0", 2), OrderReply::NotAccepted);
+    planner.set_target_version(ms(4), MODEL, 4);
+    assert!(planner.next_actions(ms(2000)).is_empty(), "the order for version 3 is pending");
+    planner.on_order_reply(ms(2001), &order_to("i-0", 3), OrderReply::AlreadyLoaded);
+    assert_eq!(orders(&planner.next_actions(ms(2001))), [("i-0", 4, UpdateMethod::Drain)]);
+}
+
 /// Guards against a further order that arrives before a delayed earlier one, which then takes the server back.
 #[test]
 fn given_an_order_without_outcome_when_a_newer_version_is_targeted_then_the_server_gets_no_order_before_the_timeout(
@@ -338,16 +367,16 @@
     let pacing = Pacing::default();
     let mut planner = planner_with_idle_servers(pacing, &[server(0, "a", 1), server(1, "a", 1)]);
     assert_eq!(orders(&planner.next_actions(ms(1))).len(), 2);
-    planner.on_order_reply(ms(2), "i-1", OrderReply::AlreadyLoaded);
+    planner.on_order_reply(ms(2), &order_to("i-1", 2), OrderReply::AlreadyLoaded);
     planner.set_target_version(ms(2), MODEL, 3);
     assert_eq!(orders(&planner.next_actions(ms(2))), [("i-1", 3, UpdateMethod::Drain)]);
-    planner.on_order_reply(ms(3), "i-1", OrderReply::AlreadyLoaded);
+    planner.on_order_reply(ms(3), &order_to("i-1", 3), OrderReply::AlreadyLoaded);
     let mut now = ms(3);
     while now < ms(1) + pacing.order_timeout {
         assert!(planner.next_actions(now).is_empty(), "a call at {now:?}");
         now = planner.next_wakeup(now).expect("the order has a timeout");
     }
-    planner.on_order_reply(now, "i-0", OrderReply::AlreadyLoaded);
+    planner.on_order_reply(now, &order_to("i-0", 2), OrderReply::AlreadyLoaded);
     assert_eq!(orders(&planner.next_actions(now)), [("i-0", 3, UpdateMethod::Drain)]);
 }
 
