Make orders conditional on the number of accepted orders

Cause: a related path of the late order. Nothing on the side of a killed leader prevents that something on the way, which has acknowledged its order, delivers it after one of the next leader.

Change: an order names the number of orders that the server must have accepted before (ifRevision, the callCount expected): that of the last report that the planner used, and one more for each accepted order since. A server that has accepted another number replies with 409, and is asked for a report, as before for one that is busy. The field is left out while the number is not known, so that the golden files of the existing forms stay; one for the new form is added. No other stored or internal form changes.

--- a/crates/control-plane/tests/golden/server_calls.rs
+++ b/crates/control-plane/tests/golden/server_calls.rs
@@ -53,6 +53,7 @@
         model: "m".into(),
         version: 3,
         method: UpdateMethod::Drain,
+        expected_order_count: None,
     };
     let body = serde_json::to_string(&order.body("a", 12)).expect("the order is serialized");
     assert_eq!(calls.send_order(&order, body).await, OrderReply::from_status(200));
--- a/crates/control-plane/tests/leader_election.rs
+++ b/crates/control-plane/tests/leader_election.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use control_plane::{LeaderElection, Leadership, OrderGap, LEASE_TTL};
+use control_plane::{Leadership, OrderGap, LEASE_TTL};
 use state::change::with_raised_fence;
 use state::ControlState;
-use support::{start_nodes, Node};
+use support::{start_election_with, start_nodes, Node};
 use tokio::time::Instant;
 use yare::parameterized;
 
@@ -28,20 +28,6 @@
     start_election_with(node, GAP_WITHOUT_FENCE_CHECK)
 }
 
-fn start_election_with(node: &Node, gap: OrderGap) -> Arc<Leadership> {
-    let leadership = Arc::new(Leadership::new(Arc::clone(&node.view)));
-    let election = LeaderElection {
-        member_name: node.member.name.clone(),
-        order_gap: gap,
-        leadership: Arc::clone(&leadership),
-        view: Arc::clone(&node.view),
-        proposer: Arc::clone(&node.proposer),
-        client: rpc::Client::new(),
-    };
-    tokio::spawn(election.run());
-    leadership
-}
-
 /// Calls `fence` until it returns a fencing token.
 async fn wait_for_fence(fence: impl Fn() -> Option<u64>) -> u64 {
     let first_fence = async {
--- a/crates/control-plane/tests/pending_orders.rs
+++ b/crates/control-plane/tests/pending_orders.rs
@@ -5,12 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use control_plane::{LeaderElection, Leadership, OrderDispatcher, OrderGap, ServerCalls, LEASE_TTL};
+use control_plane::{Leadership, OrderDispatcher, OrderGap, ServerCalls, LEASE_TTL};
 use futures_util::future::{BoxFuture, FutureExt};
 use rollout::{OrderReply, ReportRequest, ServerReport, VersionOrder};
 use state::change::with_target_version;
 use state::{ServerCondition, ServerEntry, ServerList};
-use support::{list_version, start_nodes, Node};
+use support::{list_version, start_election_with, start_nodes, Node};
 use tokio::sync::watch;
 use tokio::time::{timeout, Instant};
 
@@ -54,20 +54,6 @@
     }
 }
 
-fn start_election(node: &Node) -> Arc<Leadership> {
-    let leadership = Arc::new(Leadership::new(Arc::clone(&node.view)));
-    let election = LeaderElection {
-        member_name: node.member.name.clone(),
-        order_gap: GAP,
-        leadership: Arc::clone(&leadership),
-        view: Arc::clone(&node.view),
-        proposer: Arc::clone(&node.proposer),
-        client: rpc::Client::new(),
-    };
-    tokio::spawn(election.run());
-    leadership
-}
-
 /// Starts the election and the order dispatcher of a node with one server, whose model is to get version 2.
 /// Returns once the order for it has been sent.
 async fn start_leader_with_pending_order(node: &Node, servers: &Arc<PendingOrders>) -> Arc<Leadership> {
@@ -82,7 +68,7 @@
         models: [("m".into(), 1)].into(),
     };
     node.view.adopt_servers(Arc::new(ServerList::new(list_version(0, 1), [entry])));
-    let leadership = start_election(node);
+    let leadership = start_election_with(node, GAP);
     let dispatcher = OrderDispatcher {
         member_name: node.member.name.clone(),
         leadership: Arc::clone(&leadership),
@@ -103,7 +89,7 @@
     let nodes = start_nodes(3, 0).await;
     let servers = PendingOrders::new();
     let first = start_leader_with_pending_order(&nodes[0], &servers).await;
-    let second = start_election(&nodes[1]);
+    let second = start_election_with(&nodes[1], GAP);
 
     let mut resignation = first.resign(TEST_TIMEOUT).boxed();
     assert!(
--- a/crates/control-plane/tests/server_calls.rs
+++ b/crates/control-plane/tests/server_calls.rs
@@ -29,6 +29,7 @@
         model: "m".into(),
         version: 2,
         method: UpdateMethod::Drain,
+        expected_order_count: None,
     };
     let calls = HttpServerCalls::new();
     let reply = timeout(MAX_DELIVERY_TIME, calls.send_order(&order, "x".repeat(LARGE_ORDER_BYTES))).await;
--- a/crates/control-plane/tests/support/mod.rs
+++ b/crates/control-plane/tests/support/mod.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use control_plane::{
-    operator_routes, paths, AcceptorService, PingService, PollService, Proposer, ViewCell, LEASE_TTL,
+    operator_routes, paths, AcceptorService, LeaderElection, Leadership, OrderGap, PingService, PollService,
+    Proposer, ViewCell, LEASE_TTL,
 };
 use lease::{Grantor, GrantorId, LeaseRelease, LeaseRequest};
 use poem::endpoint::BoxEndpoint;
@@ -84,6 +85,21 @@
     started.into_iter().map(|(node, _)| node).collect()
 }
 
+/// Starts the election of a node, with this delay between the orders of two leaders.
+pub fn start_election_with(node: &Node, gap: OrderGap) -> Arc<Leadership> {
+    let leadership = Arc::new(Leadership::new(Arc::clone(&node.view)));
+    let election = LeaderElection {
+        member_name: node.member.name.clone(),
+        order_gap: gap,
+        leadership: Arc::clone(&leadership),
+        view: Arc::clone(&node.view),
+        proposer: Arc::clone(&node.proposer),
+        client: rpc::Client::new(),
+    };
+    tokio::spawn(election.run());
+    leadership
+}
+
 async fn start_node(index: usize) -> (Node, Arc<AcceptorService>) {
     let (acceptor, incarnation) = open_acceptor(&SimulatedDisk::new(index as u64));
     let view = Arc::new(ViewCell::new());
--- a/crates/rollout/src/actions.rs
+++ b/crates/rollout/src/actions.rs
@@ -32,6 +32,10 @@
     pub version: u64,
     /// Treatment of the requests that are running at the server.
     pub method: UpdateMethod,
+    /// Number of orders that the server must have accepted before. A server that has accepted another number rejects
+    /// the order ([`OrderReply::Busy`]), so that a delayed order has no effect once a later one was accepted. `None` if
+    /// the number is not known; the order is then not conditional.
+    pub expected_order_count: Option<u64>,
 }
 
 /// Request for the report of a server.
@@ -60,7 +64,8 @@
     Accepted,
     /// Status 200: the server already has the version.
     AlreadyLoaded,
-    /// Status 409: the server is carrying out another order.
+    /// Status 409: the server is carrying out another order, or has accepted another number of orders than
+    /// [`VersionOrder::expected_order_count`].
     Busy,
     /// Status 412: the server has received a higher fencing token, so the term of the sender has ended.
     Fenced,
--- a/crates/rollout/src/planner.rs
+++ b/crates/rollout/src/planner.rs
@@ -210,9 +210,7 @@
             if progress.is_loading(now) {
                 queue.count_loading(&progress.server.zone);
             }
-            let address = progress.server.address;
-            let LoadGoal { model, version, method } = goal;
-            orders.push(VersionOrder { server: id, address, model, version, method });
+            orders.push(progress.order(goal));
         }
         orders
     }
--- a/crates/rollout/src/server_progress.rs
+++ b/crates/rollout/src/server_progress.rs
@@ -6,7 +6,7 @@
 use crate::actions::{OrderReply, UpdateMethod, VersionOrder};
 use crate::pacing::Pacing;
 use crate::report_schedule::ReportSchedule;
-use crate::server::{ModelName, RolloutServer};
+use crate::server::{ModelName, RolloutServer, ServerId};
 use crate::wire::ServerReport;
 
 /// Number of consecutive failed calls after which a server no longer counts as loading, so that other servers
@@ -58,6 +58,8 @@
     /// Newest observed version of each model. An incarnation never returns to a lower version.
     versions: BTreeMap<ModelName, u64>,
     state: OrderState,
+    /// Number of orders that the server has accepted since its start; `None` before the first report.
+    order_count: Option<u64>,
     report: ReportSchedule,
     /// Number of calls that failed since the last successful one.
     consecutive_failures: u32,
@@ -74,6 +76,7 @@
             running: 0,
             pacing: *pacing,
             state: OrderState::Unknown,
+            order_count: None,
             report: ReportSchedule::new(pacing),
             consecutive_failures: 0,
             retry_at: Duration::ZERO,
@@ -100,10 +103,26 @@
         let known = self.versions.entry(ModelName::clone(model)).or_insert(version);
         *known = version.max(*known);
         if self.goal().is_some_and(|goal| goal.model == *model && goal.version <= version) {
+            if !matches!(self.state, OrderState::Loading { .. }) {
+                self.count_accepted_order();
+            }
             self.become_idle();
         }
     }
 
+    /// Returns the order to load this version.
+    pub(crate) fn order(&self, goal: LoadGoal) -> VersionOrder {
+        let LoadGoal { model, version, method } = goal;
+        VersionOrder {
+            server: ServerId::clone(&self.server.id),
+            address: self.server.address,
+            model,
+            version,
+            method,
+            expected_order_count: self.order_count,
+        }
+    }
+
     /// Returns whether an order may be sent to the server now.
     pub(crate) fn can_receive_order(&self, now: Duration) -> bool {
         self.state == OrderState::Idle && self.retry_at <= now && !self.server.is_closing
@@ -155,7 +174,10 @@
     fn finish_order(&mut self, now: Duration, goal: LoadGoal, reply: OrderReply) {
         match reply {
             OrderReply::Accepted => self.start_loading(now, goal),
-            OrderReply::AlreadyLoaded => self.record_version(&goal.model, goal.version),
+            OrderReply::AlreadyLoaded => {
+                self.become_idle();
+                self.record_version(&goal.model, goal.version);
+            }
             OrderReply::Busy => self.await_report(now, OrderState::Busy { since: now }),
             OrderReply::Indeterminate => {
                 self.await_report(now, OrderState::Indeterminate { goal, since: now });
@@ -250,6 +272,11 @@
         }
     }
 
+    /// Counts an order that the server has accepted.
+    fn count_accepted_order(&mut self) {
+        self.order_count = self.order_count.map(|count| count + 1);
+    }
+
     /// Records that no order is in progress. The next order may be sent immediately.
     fn become_idle(&mut self) {
         self.state = OrderState::Idle;
@@ -263,6 +290,7 @@
     fn start_loading(&mut self, now: Duration, goal: LoadGoal) {
         let is_draining = goal.method == UpdateMethod::Drain && self.running > 0;
         self.state = OrderState::Loading { goal, since: now, is_draining };
+        self.count_accepted_order();
         self.consecutive_failures = 0;
         let due = now + self.pacing.load_duration + self.pacing.confirmation_delay;
         self.report.schedule_first(due, &self.pacing);
@@ -285,13 +313,17 @@
             return;
         }
         match &self.state {
-            OrderState::Unknown => self.become_idle(),
+            OrderState::Unknown => {
+                self.order_count = Some(report.orders_accepted);
+                self.become_idle();
+            }
             OrderState::Loading { since, .. }
             | OrderState::Indeterminate { since, .. }
             | OrderState::Busy { since } => {
                 // A report that was requested earlier may show the state before the server accepted the
                 // order.
                 if *since + self.pacing.max_report_age <= requested_at {
+                    self.order_count = Some(report.orders_accepted);
                     self.become_idle();
                 } else {
                     self.report.schedule_next(now, &self.pacing);
@@ -305,6 +337,9 @@
     /// unless an order is in flight. If an order of this planner was accepted or is indeterminate, the report
     /// is taken to confirm it. Otherwise the server is carrying out an order of another sender.
     fn on_occupied_report(&mut self, now: Duration, report: &ServerReport) {
+        if matches!(self.state, OrderState::Indeterminate { .. }) {
+            self.count_accepted_order();
+        }
         let is_draining_now = |goal: &LoadGoal| goal.method == UpdateMethod::Drain && report.running > 0;
         self.state = match std::mem::replace(&mut self.state, OrderState::Idle) {
             OrderState::Unknown | OrderState::Idle | OrderState::Busy { .. } => {
--- a/crates/rollout/src/wire.rs
+++ b/crates/rollout/src/wire.rs
@@ -59,6 +59,8 @@
     holder: &'a str,
     #[serde(rename = "fence")]
     fencing_token: u64,
+    #[serde(rename = "ifRevision", skip_serializing_if = "Option::is_none")]
+    expected_order_count: Option<u64>,
 }
 
 impl VersionOrder {
@@ -73,6 +75,7 @@
             method: self.method,
             holder,
             fencing_token,
+            expected_order_count: self.expected_order_count,
         }
     }
 }
--- a/crates/rollout/tests/common/mod.rs
+++ b/crates/rollout/tests/common/mod.rs
@@ -48,6 +48,8 @@
 struct ServerSnapshot {
     at: Duration,
     versions: BTreeMap<Arc<str>, u64>,
+    /// Number of orders that the server had accepted since its start.
+    order_count: u64,
     occupied: bool,
 }
 
@@ -79,7 +81,7 @@
             is_closing: false,
             fault: CallFault::None,
             busy_until: Duration::ZERO,
-            history: vec![ServerSnapshot { at: Duration::ZERO, versions, occupied: false }],
+            history: vec![ServerSnapshot { at: Duration::ZERO, versions, order_count: 0, occupied: false }],
             loading: None,
             orders_accepted: Vec::new(),
             orders_received: 0,
@@ -93,6 +95,11 @@
         latest.unwrap_or(&self.history[0])
     }
 
+    /// Returns the number of orders that the server has accepted since its start.
+    fn order_count(&self) -> u64 {
+        self.history.last().expect("the history is never empty").order_count
+    }
+
     pub fn version(&self, model: &str) -> u64 {
         self.history.last().expect("the history is never empty").versions[model]
     }
@@ -103,12 +110,14 @@
             let (model, version, until) = self.loading.take().expect("a load is in progress");
             let mut versions = self.history.last().expect("the history is never empty").versions.clone();
             versions.insert(model, version);
-            self.history.push(ServerSnapshot { at: until, versions, occupied: false });
+            let order_count = self.order_count();
+            self.history.push(ServerSnapshot { at: until, versions, order_count, occupied: false });
         }
     }
 
     fn handle_order(&mut self, now: Duration, order: &VersionOrder) -> OrderReply {
-        if self.loading.is_some() {
+        let is_expected = order.expected_order_count.is_none_or(|count| count == self.order_count());
+        if self.loading.is_some() || !is_expected {
             return OrderReply::Busy;
         }
         if self.version(&order.model) >= order.version {
@@ -117,7 +126,8 @@
         let start = if order.method == UpdateMethod::Drain { now.max(self.busy_until) } else { now };
         self.loading = Some((Arc::clone(&order.model), order.version, start + LOAD_DURATION));
         let versions = self.history.last().expect("the history is never empty").versions.clone();
-        self.history.push(ServerSnapshot { at: now, versions, occupied: true });
+        let order_count = self.order_count() + 1;
+        self.history.push(ServerSnapshot { at: now, versions, order_count, occupied: true });
         self.orders_accepted.push((Arc::clone(&order.model), order.version));
         OrderReply::Accepted
     }
@@ -130,7 +140,7 @@
                 .map(|(name, version)| ModelReport { name: Arc::clone(name), version: *version })
                 .collect(),
             occupied: snapshot.occupied,
-            orders_accepted: self.orders_accepted.len() as u64,
+            orders_accepted: snapshot.order_count,
             queued: 0,
             running: u64::from(now < self.busy_until),
         }
@@ -221,7 +231,8 @@
         server.id = format!("{}'", server.id).into();
         server.loading = None;
         server.fault = CallFault::None;
-        server.history = vec![ServerSnapshot { at: Duration::ZERO, versions, occupied: false }];
+        server.history =
+            vec![ServerSnapshot { at: Duration::ZERO, versions, order_count: 0, occupied: false }];
     }
 
     /// Returns whether every server that is not closing has exactly this version of the model.
--- a/crates/rollout/tests/golden.rs
+++ b/crates/rollout/tests/golden.rs
@@ -5,16 +5,22 @@
 use yare::parameterized;
 
 #[parameterized(
-    drain = { "order_hold.json", UpdateMethod::Drain },
-    in_place = { "order_keep.json", UpdateMethod::InPlace },
+    drain = { "order_hold.json", UpdateMethod::Drain, None },
+    in_place = { "order_keep.json", UpdateMethod::InPlace, None },
+    conditional = { "order_conditional.json", UpdateMethod::InPlace, Some(6) },
 )]
-fn given_an_order_when_serialized_then_it_matches_the_golden_file(name: &str, method: UpdateMethod) {
+fn given_an_order_when_serialized_then_it_matches_the_golden_file(
+    name: &str,
+    method: UpdateMethod,
+    expected_order_count: Option<u64>,
+) {
     let order = VersionOrder {
         server: "i-1".into(),
         address: ([10, 0, 0, 1], 80).into(),
         model: "daka510000".into(),
         version: 3,
         method,
+        expected_order_count,
     };
     let body = serde_json::to_string(&order.body("machine-7/17a2", 41)).expect("an order can be serialized");
     assert_eq!(body, golden(name, &body));
--- a/crates/rollout/tests/planner.rs
+++ b/crates/rollout/tests/planner.rs
@@ -39,6 +39,7 @@
         model: MODEL.into(),
         version,
         method: UpdateMethod::Drain,
+        expected_order_count: None,
     }
 }
 
--- a/crates/rollout/tests/wire.rs
+++ b/crates/rollout/tests/wire.rs
@@ -14,9 +14,10 @@
         model: "daka510000".into(),
         version: 2,
         method: UpdateMethod::Drain,
+        expected_order_count: Some(5),
     };
     let body = serde_json::to_string(&order.body("node-7", 41)).expect("an order can be serialized");
-    let expected = r#"{"order":"edition","model":"daka510000","edition":2,"method":"hold","holder":"node-7","fence":41}"#;
+    let expected = r#"{"order":"edition","model":"daka510000","edition":2,"method":"hold","holder":"node-7","fence":41,"ifRevision":5}"#;
     assert_eq!(body, expected);
 }
 
--- a/crates/simulator/src/model_server.rs
+++ b/crates/simulator/src/model_server.rs
@@ -44,6 +44,8 @@
     version: u64,
     holder: String,
     fence: u64,
+    #[serde(rename = "ifRevision")]
+    expected_order_count: Option<u64>,
 }
 
 /// A version that is being loaded.
@@ -65,6 +67,9 @@
     loading: Option<Load>,
     /// Number of accepted orders, which reports contain.
     accepted_orders: u64,
+    /// Whether the server rejects an order that expects another number of accepted orders. Servers of the platform do;
+    /// without it, each delayed order has an effect.
+    pub checks_order_count: bool,
     /// All received orders, accepted or not, in the order of their receipt.
     pub(crate) received_orders: Vec<ReceivedOrder>,
 }
@@ -78,6 +83,7 @@
             versions: BTreeMap::from([(model.into(), 1)]),
             loading: None,
             accepted_orders: 0,
+            checks_order_count: false,
             received_orders: Vec::new(),
         }
     }
@@ -120,6 +126,10 @@
         }
         let Ok(order) = serde_json::from_slice::<OrderBody>(body) else { return (400, Bytes::new()) };
         self.received_orders.push(ReceivedOrder { at: now, holder: order.holder, fence: order.fence });
+        let is_expected = order.expected_order_count.is_none_or(|count| count == self.accepted_orders);
+        if self.checks_order_count && !is_expected {
+            return (409, Bytes::new());
+        }
         (self.start_load(now, order.model, order.version), Bytes::new())
     }
 
--- a/crates/simulator/tests/scenarios/orders.rs
+++ b/crates/simulator/tests/scenarios/orders.rs
@@ -82,6 +82,23 @@
     }
 }
 
+/// Guards against a delayed order of a killed leader that takes the server back to an older version. Nothing prevents
+/// its arrival, but it expects fewer accepted orders than the server then has.
+#[test]
+fn given_an_order_buffered_by_a_proxy_when_the_leader_is_killed_then_the_server_keeps_the_newest_version() {
+    for seed in SEEDS {
+        let mut scenario = Scenario::start(seed, FleetShape::default());
+        scenario.fleet.servers.iter_mut().for_each(|server| server.checks_order_count = true);
+        let leader =
+            send_order_into_partition(&mut scenario, ServerPartitionKind::BufferedByProxy, seconds(1), seed);
+        scenario.fleet.kill(leader);
+        scenario.set_target_version();
+        scenario.await_rollout();
+        scenario.fleet.run_for(MAX_DELAY);
+        scenario.await_rollout();
+    }
+}
+
 /// Guards against the assumption that no order arrives after the end of its sender: TCP retransmits it until the user
 /// timeout, for which the next leader waits.
 #[test]
