--- a/crates/store-plane/tests/golden/messages.rs
+++ b/crates/store-plane/tests/golden/messages.rs
@@ -18,7 +18,8 @@
 
 use super::messages::{
     AddressedRequest, Heartbeat, HeartbeatReply, JobHeartbeat, JobHeartbeatReply, MigrationStatus,
-    OwnerReply, ReadRequest, ReplicateReply, ResultPage, Submission, SubmitReply, TakeoverRequest,
+    OwnerReply, ReadRequest, ReleaseNotice, ReplicateReply, ResultPage, Submission, SubmitReply,
+    TakeoverRequest,
 };
 
 /// Store id whose bytes are all different.
@@ -106,6 +107,11 @@
     check("take-over-reply", &());
 }
 
+#[test]
+fn given_a_release_notice_when_encoded_then_its_bytes_match_the_golden_file() {
+    check("release-notice", &addressed(ReleaseNotice { from: 300 }));
+}
+
 #[test]
 fn given_heartbeats_when_encoded_then_their_bytes_match_the_golden_files() {
     let job_heartbeat = |job: &str, is_established| JobHeartbeat {
