--- a/crates/rollout/tests/common/mod.rs
+++ b/crates/rollout/tests/common/mod.rs
@@ -1,4 +1,5 @@
-//! Simulated fleet of model servers, in memory and with simulated time.
+//! Simulated fleet of model servers, in memory and with simulated time, and planners with given servers.
+#![allow(dead_code, reason = "each test file uses only some of the items")]
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -341,3 +342,50 @@
         SocketAddr::V6(_) => unreachable!("the fleet has only IPv4 addresses"),
     }
 }
+
+/// Returns a list entry of a server with this version of [`MODEL`].
+pub fn server(index: usize, zone: &str, version: u64) -> RolloutServer {
+    RolloutServer {
+        id: format!("i-{index}").into(),
+        address: address(index),
+        zone: zone.into(),
+        is_closing: false,
+        models: BTreeMap::from([(Arc::from(MODEL), version)]),
+    }
+}
+
+/// Returns the server, version and method of each order among the actions.
+pub fn orders<'a>(actions: &'a [RolloutAction]) -> Vec<(&'a str, u64, UpdateMethod)> {
+    let order = |action: &'a RolloutAction| match action {
+        RolloutAction::SendOrder(order) => Some((&*order.server, order.version, order.method)),
+        RolloutAction::RequestReport(_) => None,
+    };
+    actions.iter().filter_map(order).collect()
+}
+
+/// Returns the order to this server to load a version of [`MODEL`].
+pub fn order_to(server: &str, version: u64) -> VersionOrder {
+    VersionOrder {
+        server: server.into(),
+        address: address(0),
+        model: MODEL.into(),
+        version,
+        method: UpdateMethod::Drain,
+        expected_order_count: None,
+    }
+}
+
+/// Returns a planner with version 2 of [`MODEL`] as target, after each of these servers has reported that it
+/// is idle.
+pub fn planner_with_idle_servers(pacing: Pacing, servers: &[RolloutServer]) -> Planner {
+    let mut planner = Planner::new(pacing);
+    planner.set_servers(servers.iter().cloned());
+    planner.set_target_version(ms(0), MODEL, 2);
+    for action in planner.next_actions(ms(0)) {
+        let RolloutAction::RequestReport(request) = action else {
+            panic!("an order was sent before the first report of a server")
+        };
+        planner.on_report(ms(0), &request.server, &ServerReport::default());
+    }
+    planner
+}
