Bound the time from the check of the lease to the arrival of an order

Cause: took the timeout of the complete call away from orders, and gave their connections a user timeout of 1 s. Before that timeout begins, a new connection may take 0.5 s to come up, so an order could arrive 1.5 s after the lease was checked for it. The next leader waits leaseMs + thawMs + 1 s and may have the lease 0.15 s after it ended: its first order could have come 2.95 s after that one, where leaseMs is 3 s.

Change: a connection must come up within 0.3 s, and the user timeout is the rest of ORDER_DELIVERY_TIMEOUT, 0.7 s. The simulator takes its limit from that constant in place of one of its own.

Evidence: found by reading; no run showed it, since a connection on loopback cannot be delayed by less than the second after which a SYN is sent again. The sum holds by construction. The test of the closed receive window now allows two delivery timeouts in place of three seconds.

--- a/crates/control-plane/src/election/fencing.rs
+++ b/crates/control-plane/src/election/fencing.rs
@@ -14,9 +14,10 @@
 use crate::liveness::ping_address;
 use crate::{ChangeFailure, Proposer};
 
-/// Maximum time for which TCP retransmits an order (`TCP_USER_TIMEOUT`), also if the process has ended. No
-/// order arrives later than this after it was sent, so a new leader waits for this time.
-pub(crate) const ORDER_DELIVERY_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Maximum time from the check of the lease for an order until the order arrives or is dropped: the time to
+/// establish a connection, and the time for which TCP retransmits the order, also if the process has ended.
+/// A new leader waits for this time.
+pub const ORDER_DELIVERY_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Maximum time for the reply of the previous issuer of orders to a ping.
 const PREVIOUS_ISSUER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum time for which one change of the control state is retried.
--- a/crates/control-plane/src/election/mod.rs
+++ b/crates/control-plane/src/election/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! This module owns [`Leadership`], which only [`LeaderElection`] and [`Leadership::resign`] write. The tasks
 //! of the leader (reading the platform's list, reconciliation, orders to servers) request the fencing token
-//! from it before each step, and the order dispatcher a permit for each order. The crate `lease` implements the lease protocol; [`QuorumService`]
-//! runs its grantor together with the acceptor of the same disk.
+//! from it before each step. The order dispatcher takes a permit for each order from it. The crate `lease` implements
+//! the lease protocol; [`QuorumService`] runs its grantor together with the acceptor of the same disk.
 
 mod campaign;
 mod fencing;
@@ -17,8 +17,7 @@
 use state::ControlState;
 
 pub use campaign::LeaderElection;
-pub use fencing::OrderGap;
-pub(crate) use fencing::ORDER_DELIVERY_TIMEOUT;
+pub use fencing::{OrderGap, ORDER_DELIVERY_TIMEOUT};
 pub(crate) use leadership::OrderPermit;
 pub use leadership::{Leadership, RELEASE_TIMEOUT};
 pub use quorum_service::QuorumService;
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -35,7 +35,9 @@
     ControlUpdate, PollReply, PollRequest, PollService, Poller, RecentLists, ServerChanges, ServerUpdate,
     VersionChange,
 };
-pub use election::{LeaderElection, Leadership, OrderGap, QuorumService, LEASE_TTL, RELEASE_TIMEOUT};
+pub use election::{
+    LeaderElection, Leadership, OrderGap, QuorumService, LEASE_TTL, ORDER_DELIVERY_TIMEOUT, RELEASE_TIMEOUT,
+};
 pub use liveness::{AcceptorContacts, PingReply, PingService};
 pub use operator_api::operator_routes;
 pub use reconcile::{PendingStore, Reconciler};
--- a/crates/control-plane/src/rollout/server_calls.rs
+++ b/crates/control-plane/src/rollout/server_calls.rs
@@ -17,7 +17,10 @@
 /// Maximum time from the request for a report to its last byte.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Maximum time to establish a new connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum time without an acknowledgement of sent data by the server's TCP before the connection fails. It
+/// begins once a connection is established, so it is the rest of the time in which an order must arrive.
+const USER_TIMEOUT: Duration = ORDER_DELIVERY_TIMEOUT.saturating_sub(CONNECT_TIMEOUT);
 
 /// Sender of orders and requests for reports to servers. No call is ever retried.
 pub trait ServerCalls: Send + Sync {
@@ -47,7 +50,7 @@
     /// Panics if the HTTP client cannot be created. Creating it involves no I/O.
     #[must_use]
     pub fn new() -> Self {
-        Self { http: rpc::http_client(CONNECT_TIMEOUT, ORDER_DELIVERY_TIMEOUT) }
+        Self { http: rpc::http_client(CONNECT_TIMEOUT, USER_TIMEOUT) }
     }
 }
 
--- a/crates/control-plane/tests/server_calls.rs
+++ b/crates/control-plane/tests/server_calls.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
-use control_plane::{HttpServerCalls, ServerCalls};
+use control_plane::{HttpServerCalls, ServerCalls, ORDER_DELIVERY_TIMEOUT};
 use rollout::{OrderReply, UpdateMethod, VersionOrder};
 use tokio::net::TcpSocket;
 use tokio::time::timeout;
 
 /// Size of an order that fits neither into the receive buffer of the server nor into the send buffer of the leader.
 const LARGE_ORDER_BYTES: usize = 32 * 1024 * 1024;
-/// Time after which the kernel has dropped the order: three times the user timeout of 1 s.
-const MAX_DELIVERY_TIME: Duration = Duration::from_secs(3);
+/// Time after which the kernel has dropped the order. It checks the user timeout only when it probes the window.
+const MAX_DELIVERY_TIME: Duration = ORDER_DELIVERY_TIMEOUT.saturating_mul(2);
 
 /// Guards against review/3: an order that is not acknowledged must not stay in the kernel, which would deliver it
 /// later, when another process may be the leader. A closed receive window delays the bytes as a partition does.
--- a/crates/simulator/src/fleet/delivery.rs
+++ b/crates/simulator/src/fleet/delivery.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use control_plane::ORDER_DELIVERY_TIMEOUT;
 use rpc::CallError;
 use state::ServerEntry;
 
@@ -10,7 +11,6 @@
 use super::Fleet;
 use crate::external_requests::ExternalReply;
 use crate::model_server::ModelServer;
-use crate::server_links::USER_TIMEOUT;
 use crate::transport::{CallOutcome, Endpoint, OutgoingCall};
 
 /// Time after which a message that a partition has stopped is sent again.
@@ -45,7 +45,7 @@
         self.calls.pending.insert(call, pending);
         let delays = self.network.delays(&mut self.random, self.now, from, to);
         if delays.is_empty() && matches!(to, Endpoint::Server(_)) {
-            self.schedule(USER_TIMEOUT, FleetEvent::ConnectionFails { call });
+            self.schedule(ORDER_DELIVERY_TIMEOUT, FleetEvent::ConnectionFails { call });
         }
         for delay in delays {
             self.schedule(transmission + delay, FleetEvent::CallArrives { call, resends: 0 });
@@ -89,7 +89,7 @@
     ) {
         let delays = self.network.delays(&mut self.random, self.now, from, to);
         if delays.is_empty() && matches!(from, Endpoint::Server(_)) {
-            self.schedule(USER_TIMEOUT, FleetEvent::ConnectionFails { call });
+            self.schedule(ORDER_DELIVERY_TIMEOUT, FleetEvent::ConnectionFails { call });
         }
         for delay in delays {
             let event = FleetEvent::ReplyArrives { call, outcome: outcome.clone(), resends: 0 };
--- a/crates/simulator/src/server_links.rs
+++ b/crates/simulator/src/server_links.rs
@@ -3,16 +3,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use control_plane::ORDER_DELIVERY_TIMEOUT;
+
 /// Time after which TCP first retransmits unacknowledged bytes. Each further interval is twice as long.
 const FIRST_RETRANSMISSION_AFTER: Duration = Duration::from_millis(200);
-/// Time for which the TCP of a machine retransmits a call to a server before the connection fails, as the
-/// program sets it with `TCP_USER_TIMEOUT`.
-pub(crate) const USER_TIMEOUT: Duration = Duration::from_millis(1000);
-
 /// What becomes of bytes that are sent to or by a server during a partition.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerPartitionKind {
-    /// Nothing acknowledges the bytes. They are dropped when the sender's TCP reaches its user timeout.
+    /// Nothing acknowledges the bytes. They are dropped when the sender's TCP gives up (`ORDER_DELIVERY_TIMEOUT`).
     Unacknowledged,
     /// A proxy on the near side of the partition has acknowledged the bytes. It retransmits them until they arrive,
     /// also if the sender has closed or reset its connection or has ended.
@@ -49,7 +47,8 @@
             sent_after += interval;
             interval *= 2;
         }
-        let is_dropped = partition.kind == ServerPartitionKind::Unacknowledged && sent_after >= USER_TIMEOUT;
+        let is_dropped =
+            partition.kind == ServerPartitionKind::Unacknowledged && sent_after >= ORDER_DELIVERY_TIMEOUT;
         (!is_dropped).then_some(sent_after)
     }
 }
