control-plane: count only orders as pending

A request for a report took a permit for an order too, and gave it back when its future was made: harmless, but the count woke its watchers and the name said something else. The lease is checked once for each call, as before, and only an order is counted (PendingOrder, Leadership::begin_order).

--- a/crates/control-plane/src/election/leadership.rs
+++ b/crates/control-plane/src/election/leadership.rs
@@ -67,14 +67,11 @@
         lease.fence_for_orders_at(self.now()).filter(|fence| !self.is_outdated(*fence))
     }
 
-    /// Returns a permit for one order with this fencing token, unless the token is no longer that of
-    /// [`Leadership::fence_for_orders`]. The caller keeps the permit until the outcome of the order is known.
-    pub(crate) fn permit_order(self: &Arc<Self>, fence: u64) -> Option<OrderPermit> {
-        if self.fence_for_orders() != Some(fence) {
-            return None;
-        }
+    /// Counts an order as pending, which the caller sends now with the token of
+    /// [`Leadership::fence_for_orders`]. The caller keeps the returned value until the outcome is known.
+    pub(crate) fn begin_order(self: &Arc<Self>) -> PendingOrder {
         self.pending_orders.send_modify(|pending| *pending += 1);
-        Some(OrderPermit { leadership: Arc::clone(self) })
+        PendingOrder { leadership: Arc::clone(self) }
     }
 
     /// Releases the lease before the process shuts down, so that the next leader need not wait until it
@@ -100,7 +97,7 @@
         let _ = tokio::time::timeout(RELEASE_TIMEOUT, resigned).await;
     }
 
-    /// Waits until no order is pending, for at most `max_wait`. Meanwhile no further order is permitted.
+    /// Waits until no order is pending, for at most `max_wait`. Meanwhile no further order is sent.
     async fn await_order_outcomes(&self, max_wait: Duration) {
         self.stage.send_replace(ElectionStage::AwaitingOrderOutcomes);
         let mut pending_orders = self.pending_orders.subscribe();
@@ -181,13 +178,12 @@
     }
 }
 
-/// Permit to send one order to a server. While it exists, the outcome of the order counts as unknown, and
-/// [`Leadership::resign`] keeps the lease.
-pub(crate) struct OrderPermit {
+/// An order to a server whose outcome is unknown. While it exists, [`Leadership::resign`] keeps the lease.
+pub(crate) struct PendingOrder {
     leadership: Arc<Leadership>,
 }
 
-impl Drop for OrderPermit {
+impl Drop for PendingOrder {
     fn drop(&mut self) {
         self.leadership.pending_orders.send_modify(|pending| *pending -= 1);
     }
--- a/crates/control-plane/src/election/mod.rs
+++ b/crates/control-plane/src/election/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! This module owns [`Leadership`], which only [`LeaderElection`] and [`Leadership::resign`] write. The tasks
 //! of the leader (reading the platform's list, reconciliation, orders to servers) request the fencing token
-//! from it before each step. The order dispatcher takes a permit for each order from it. The crate `lease` implements
+//! from it before each step. The order dispatcher counts its pending orders in it. The crate `lease` implements
 //! the lease protocol; [`QuorumService`] runs its grantor together with the acceptor of the same disk.
 
 mod campaign;
@@ -18,7 +18,7 @@
 
 pub use campaign::LeaderElection;
 pub use fencing::{OrderGap, ORDER_DELIVERY_TIMEOUT};
-pub(crate) use leadership::OrderPermit;
+pub(crate) use leadership::PendingOrder;
 pub use leadership::{Leadership, RELEASE_TIMEOUT};
 pub use quorum_service::QuorumService;
 
--- a/crates/control-plane/src/rollout/order_dispatcher.rs
+++ b/crates/control-plane/src/rollout/order_dispatcher.rs
@@ -14,7 +14,7 @@
 use super::planner_input::PlannerInput;
 use super::version_report_batcher::VersionReportBatcher;
 use super::{CallOutcome, CallTag, OrderTracker, ServerCalls};
-use crate::election::OrderPermit;
+use crate::election::PendingOrder;
 use crate::{Leadership, ViewCell};
 
 /// Maximum pause before the next step, if no event occurs earlier.
@@ -123,16 +123,19 @@
 
     /// Starts a call of the present term. Returns `None` if that term has ended.
     fn start_call(&mut self, action: RolloutAction) -> Option<()> {
+        let leadership = &self.dispatcher.leadership;
         let fence = self.tracker.fence()?;
         // The lease is checked again before each call: the process may have been suspended.
-        let permit = self.dispatcher.leadership.permit_order(fence)?;
-        let tag = self.tracker.record_call(&action)?;
+        if leadership.fence_for_orders() != Some(fence) {
+            return None;
+        }
         let servers = Arc::clone(&self.dispatcher.servers);
-        let member_name = self.dispatcher.member_name.clone();
+        let tag = self.tracker.record_call(&action)?;
         self.calls.push(match action {
             RolloutAction::SendOrder(order) => {
+                let (pending, member_name) = (leadership.begin_order(), self.dispatcher.member_name.clone());
                 Box::pin(
-                    async move { (tag, send_order(&*servers, order, &member_name, fence, permit).await) },
+                    async move { (tag, send_order(&*servers, order, &member_name, fence, pending).await) },
                 )
             }
             RolloutAction::RequestReport(request) => {
@@ -177,7 +180,7 @@
     order: VersionOrder,
     member_name: &str,
     fence: u64,
-    _pending: OrderPermit,
+    _pending: PendingOrder,
 ) -> CallOutcome {
     let body = serde_json::to_string(&order.body(member_name, fence)).unwrap_or_default();
     let replied =
