Keep only the server of a pending order out of a new term

Cause: while an order of an earlier term was pending, the new term of the same process sent no call to any server.

Change: the tracker keeps that server out of the planner until the order has finished, and passes the servers again then. The input of the planner is also passed again whenever the term changes, not only if there was a step without a term in between.

Found by reading.

--- a/crates/control-plane/src/rollout/order_dispatcher.rs
+++ b/crates/control-plane/src/rollout/order_dispatcher.rs
@@ -74,7 +74,9 @@
     async fn step(&mut self) -> ControlFlow<()> {
         let step_started = Instant::now();
         let now = self.started_at.elapsed();
-        self.tracker.set_term(self.dispatcher.leadership.fence_for_orders());
+        if self.tracker.set_term(self.dispatcher.leadership.fence_for_orders()) {
+            self.planner_input.reset();
+        }
         self.reports.publish(now, &self.dispatcher.view, &self.dispatcher.leadership);
         let (actions, pause) = self.plan(now);
         self.start_calls(actions);
@@ -101,11 +103,8 @@
 
     /// Returns the calls that are due now, and the time until the next step if no event occurs earlier.
     fn plan(&mut self, now: Duration) -> (Vec<RolloutAction>, Duration) {
-        let Some(planner) = self.tracker.planner() else {
-            self.planner_input.reset();
-            return (Vec::new(), MAX_POLL_INTERVAL);
-        };
-        self.planner_input.update(planner, now, &self.views.borrow_and_update());
+        self.planner_input.update(&mut self.tracker, now, &self.views.borrow_and_update());
+        let Some(planner) = self.tracker.planner() else { return (Vec::new(), MAX_POLL_INTERVAL) };
         let actions = planner.next_actions(now);
         let next_step_at = planner.next_wakeup(now).into_iter().chain(self.reports.due_at()).min();
         let pause =
@@ -169,7 +168,9 @@
             let listed = self.views.borrow().servers.servers.len();
             self.reports.add(now, server, report, listed);
         }
-        self.tracker.record_outcome(now, tag, outcome);
+        if self.tracker.record_outcome(now, tag, outcome) {
+            self.planner_input.reset();
+        }
     }
 }
 
--- a/crates/control-plane/src/rollout/order_tracker.rs
+++ b/crates/control-plane/src/rollout/order_tracker.rs
@@ -1,9 +1,12 @@
 //! Tracking of the calls to servers in each term of the lease: which calls may be sent, and which term
 //! receives their outcomes. This module performs no I/O and reads no clock.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use rollout::{OrderReply, Pacing, Planner, RolloutAction, ServerId, ServerReport, VersionOrder};
+use rollout::{
+    OrderReply, Pacing, Planner, RolloutAction, RolloutServer, ServerId, ServerReport, VersionOrder,
+};
 
 /// Outcome of a call to a server.
 #[derive(Clone, Debug)]
@@ -17,11 +20,10 @@
     NotReported(ServerId),
 }
 
-/// Tag of a call in flight: the term that started the call, and whether it is an order.
+/// Tag of a call in flight: the fencing token of the term that started the call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallTag {
     fence: u64,
-    is_order: bool,
 }
 
 /// Term of the lease that this process holds now.
@@ -34,23 +36,23 @@
 ///
 /// Calls may outlive the term that started them. The outcome of a call is passed only to the planner of its
 /// own term. While an order of an earlier term may still arrive at its server, the present term sends no
-/// calls.
+/// calls to that server.
 #[derive(Default)]
 pub struct OrderTracker {
     term: Option<Term>,
-    /// Fencing tokens of all orders in flight, one entry per order.
-    orders_in_flight: Vec<u64>,
+    /// Fencing token and server of all orders in flight, one entry per order.
+    orders_in_flight: Vec<(u64, ServerId)>,
 }
 
 impl OrderTracker {
     /// Continues the term with this fencing token, or starts it with a new planner. `None` ends the present
-    /// term.
-    pub fn set_term(&mut self, fence: Option<u64>) {
-        match fence {
-            None => self.term = None,
-            Some(fence) if self.fence() == Some(fence) => {}
-            Some(fence) => self.term = Some(Term { fence, planner: Planner::new(Pacing::default()) }),
+    /// term. Returns whether the term has changed.
+    pub fn set_term(&mut self, fence: Option<u64>) -> bool {
+        let has_changed = self.fence() != fence;
+        if has_changed {
+            self.term = fence.map(|fence| Term { fence, planner: Planner::new(Pacing::default()) });
         }
+        has_changed
     }
 
     /// Returns the fencing token of the present term, or `None` if there is no term.
@@ -59,35 +61,47 @@
         self.term.as_ref().map(|term| term.fence)
     }
 
-    /// Returns the planner of the present term, or `None` without a term or while an order of an earlier term
-    /// is in flight.
+    /// Returns the planner of the present term, or `None` without a term.
     pub fn planner(&mut self) -> Option<&mut Planner> {
-        let term = self.term.as_mut()?;
-        let has_earlier_orders = self.orders_in_flight.iter().any(|fence| *fence != term.fence);
-        (!has_earlier_orders).then_some(&mut term.planner)
+        self.term.as_mut().map(|term| &mut term.planner)
+    }
+
+    /// Passes the servers of the newest server list to the planner, without those at which an order of an
+    /// earlier term may still arrive. Must be called again once such an order has finished
+    /// ([`OrderTracker::record_outcome`]).
+    pub fn set_servers(&mut self, servers: impl IntoIterator<Item = RolloutServer>) {
+        let Some(term) = &mut self.term else { return };
+        let earlier_orders = self.orders_in_flight.iter().filter(|(fence, _)| *fence != term.fence);
+        let blocked: BTreeSet<&ServerId> = earlier_orders.map(|(_, server)| server).collect();
+        term.planner.set_servers(servers.into_iter().filter(|server| !blocked.contains(&server.id)));
     }
 
     /// Records that a call of the present term is sent now. Returns `None` if there is no term.
     pub fn record_call(&mut self, action: &RolloutAction) -> Option<CallTag> {
-        let tag = CallTag { fence: self.fence()?, is_order: matches!(action, RolloutAction::SendOrder(_)) };
-        if tag.is_order {
-            self.orders_in_flight.push(tag.fence);
+        let fence = self.fence()?;
+        if let RolloutAction::SendOrder(order) = action {
+            self.orders_in_flight.push((fence, ServerId::clone(&order.server)));
         }
-        Some(tag)
+        Some(CallTag { fence })
     }
 
     /// Records the outcome of a call at the time `now`, and passes it to the planner if the call belongs to
-    /// the present term.
-    pub fn record_outcome(&mut self, now: Duration, tag: CallTag, outcome: &CallOutcome) {
-        if tag.is_order {
-            let finished = self.orders_in_flight.iter().position(|fence| *fence == tag.fence);
+    /// the present term. Returns whether an order of an earlier term has finished.
+    pub fn record_outcome(&mut self, now: Duration, tag: CallTag, outcome: &CallOutcome) -> bool {
+        if let CallOutcome::Answered(order, _) = outcome {
+            let is_finished =
+                |(fence, server): &(u64, ServerId)| *fence == tag.fence && *server == order.server;
+            let finished = self.orders_in_flight.iter().position(is_finished);
             finished.map(|index| self.orders_in_flight.swap_remove(index));
         }
-        let Some(term) = self.term.as_mut().filter(|term| term.fence == tag.fence) else { return };
+        let Some(term) = self.term.as_mut().filter(|term| term.fence == tag.fence) else {
+            return matches!(outcome, CallOutcome::Answered(..));
+        };
         match outcome {
             CallOutcome::Answered(order, reply) => term.planner.on_order_reply(now, order, *reply),
             CallOutcome::Reported(server, report) => term.planner.on_report(now, server, report),
             CallOutcome::NotReported(server) => term.planner.on_report_failure(now, server),
         }
+        false
     }
 }
--- a/crates/control-plane/src/rollout/planner_input.rs
+++ b/crates/control-plane/src/rollout/planner_input.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rollout::{ModelName, Planner, RolloutServer};
+use rollout::{ModelName, RolloutServer};
 use state::{ServerCondition, ServerEntry, View};
 
+use super::OrderTracker;
+
 /// Input of the planner of one term. Passing a list of thousands of servers takes milliseconds, and the
 /// planner is called after each reply of a server, so each list is passed only once.
 #[derive(Default)]
@@ -16,14 +18,15 @@
 }
 
 impl PlannerInput {
-    /// Clears the passed view, because the next call of `update` is for a new planner.
+    /// Clears the passed view, so that the next call of `update` passes all of it.
     pub(super) fn reset(&mut self) {
         self.passed_view = None;
     }
 
-    /// Passes the target versions of `view`, and its servers that have models, to the planner if they have
-    /// changed since the previous call.
-    pub(super) fn update(&mut self, planner: &mut Planner, now: Duration, view: &Arc<View>) {
+    /// Passes the target versions of `view`, and its servers that have models, to the planner of the present
+    /// term if they have changed since the previous call.
+    pub(super) fn update(&mut self, tracker: &mut OrderTracker, now: Duration, view: &Arc<View>) {
+        let Some(planner) = tracker.planner() else { return };
         let previous = self.passed_view.replace(Arc::clone(view));
         if previous.as_ref().is_some_and(|previous| Arc::ptr_eq(previous, view)) {
             return;
@@ -34,7 +37,7 @@
         planner.set_in_place_models(in_place_models(view));
         if previous.as_ref().is_none_or(|previous| !Arc::ptr_eq(&previous.servers, &view.servers)) {
             let servers = view.servers.servers.iter().filter(|server| !server.models.is_empty());
-            planner.set_servers(servers.map(|server| rollout_server(server)));
+            tracker.set_servers(servers.map(|server| rollout_server(server)));
         }
     }
 }
--- a/crates/control-plane/tests/order_tracker.rs
+++ b/crates/control-plane/tests/order_tracker.rs
@@ -12,20 +12,30 @@
     Duration::from_millis(milliseconds)
 }
 
-/// Returns the calls that are due in the present term, for one server whose model is one version behind.
-fn due_actions(tracker: &mut OrderTracker, now: Duration) -> Vec<RolloutAction> {
-    let Some(planner) = tracker.planner() else { return Vec::new() };
-    planner.set_target_version(now, "m", 2);
-    planner.set_servers([RolloutServer {
-        id: SERVER.into(),
+/// Returns a server whose model is one version behind.
+fn server(id: &str) -> RolloutServer {
+    RolloutServer {
+        id: id.into(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: "z".into(),
         is_closing: false,
         models: [("m".into(), 1)].into(),
-    }]);
+    }
+}
+
+/// Returns the calls that are due in the present term, with these servers.
+fn due_actions_at(tracker: &mut OrderTracker, now: Duration, servers: &[&str]) -> Vec<RolloutAction> {
+    tracker.set_servers(servers.iter().map(|id| server(id)));
+    let Some(planner) = tracker.planner() else { return Vec::new() };
+    planner.set_target_version(now, "m", 2);
     planner.next_actions(now)
 }
 
+/// Returns the calls that are due in the present term, with one server.
+fn due_actions(tracker: &mut OrderTracker, now: Duration) -> Vec<RolloutAction> {
+    due_actions_at(tracker, now, &[SERVER])
+}
+
 /// Records all due calls as sent and returns them with their tags.
 fn send_due_calls(tracker: &mut OrderTracker, now: Duration) -> Vec<(CallTag, RolloutAction)> {
     let actions = due_actions(tracker, now);
@@ -77,6 +87,23 @@
     );
 }
 
+/// Guards against a new term that waits for the order of one server before it orders any other.
+#[test]
+fn given_an_order_in_flight_when_another_term_begins_then_the_other_servers_get_their_calls() {
+    let (mut tracker, order, tag) = tracker_with_order_in_flight();
+    tracker.set_term(None);
+    tracker.set_term(Some(2));
+    let servers = [SERVER, "i-2"];
+    let requested: Vec<RolloutAction> = due_actions_at(&mut tracker, millis(700), &servers);
+    let [RolloutAction::RequestReport(request)] = &requested[..] else { panic!("{requested:?}") };
+    assert_eq!(&*request.server, "i-2");
+    let outcome = CallOutcome::Answered(order, OrderReply::Accepted);
+    assert!(tracker.record_outcome(millis(900), tag, &outcome), "an order of an earlier term has finished");
+    let requested = due_actions_at(&mut tracker, millis(900), &servers);
+    let [RolloutAction::RequestReport(request)] = &requested[..] else { panic!("{requested:?}") };
+    assert_eq!(&*request.server, SERVER);
+}
+
 #[test]
 fn given_an_order_of_an_earlier_term_when_it_is_rejected_late_then_the_present_term_continues() {
     let (mut tracker, order, tag) = tracker_with_order_in_flight();
