--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::net::SocketAddr;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -11,9 +12,14 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: usize) -> i32;
 }
 
+/// Option of `prctl`: the signal that a process gets when the thread that started it has ended.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGCONT: i32 = 18;
+const SIGKILL: usize = 9;
 
 const ZONES: [&str; 3] = ["bandung-a", "bandung-b", "bogor-c"];
 
@@ -66,13 +72,33 @@
     is_new: bool,
 }
 
+/// Addresses of the machines of a fleet.
+#[derive(Clone)]
+pub struct Addresses {
+    prefix: String,
+}
+
+impl Addresses {
+    pub fn of(&self, host: usize, port: u16) -> SocketAddr {
+        format!("{}.{host}:{port}", self.prefix).parse().unwrap()
+    }
+
+    pub fn front(&self, counter: usize) -> SocketAddr {
+        self.of(10 + counter, 8144)
+    }
+
+    pub fn control(&self, counter: usize) -> SocketAddr {
+        self.of(10 + counter, 8146)
+    }
+}
+
 pub struct Fleet {
+    pub addresses: Addresses,
     pub machines: Vec<Machine>,
     pub carriers: Arc<Mutex<Vec<Carrier>>>,
     pub record: Record,
     directory: PathBuf,
     executable: PathBuf,
-    prefix: String,
     counters: usize,
 }
 
@@ -88,13 +114,14 @@
         let directory = std::env::temp_dir().join(format!("rushrudder-review-{pid}"));
         fs::create_dir_all(&directory).map_err(|e| e.to_string())?;
         let prefix = format!("127.{}.{}", 60 + pid / 250 % 150, pid % 250);
+        let addresses = Addresses { prefix };
         let mut fleet = Self {
             machines: Vec::new(),
             carriers: Arc::default(),
             record,
             directory,
             executable,
-            prefix,
+            addresses,
             counters,
         };
         for index in 0..counters {
@@ -112,7 +139,7 @@
     fn add(&mut self, name: String, role: &'static str, zone: usize, host: usize, has_disk: bool) {
         let home = self.directory.join(&name);
         self.machines.push(Machine {
-            ip: format!("{}.{host}", self.prefix),
+            ip: format!("{}.{host}", self.addresses.prefix),
             role,
             settings: home.join("local.toml"),
             data: has_disk.then(|| home.join("data")),
@@ -123,18 +150,6 @@
         });
     }
 
-    pub fn address(&self, host: usize, port: u16) -> SocketAddr {
-        format!("{}.{host}:{port}", self.prefix).parse().unwrap()
-    }
-
-    pub fn front(&self, counter: usize) -> SocketAddr {
-        self.address(10 + counter, 8144)
-    }
-
-    pub fn control(&self, counter: usize) -> SocketAddr {
-        self.address(10 + counter, 8146)
-    }
-
     fn start_platform(&self) -> Result<(), String> {
         let carriers = Arc::clone(&self.carriers);
         let handler: Handler = Arc::new(move |request, stream| {
@@ -145,13 +160,14 @@
             let body = format!("{{\"carriers\":[{}],\"next\":null}}", entries.join(","));
             answer(stream, "200 OK", &[("Content-Type", "application/json")], body.as_bytes())
         });
-        serve(self.address(4, 8142), handler).map_err(|e| format!("the platform's list: {e}"))
+        serve(self.addresses.of(4, 8142), handler).map_err(|e| format!("the platform's list: {e}"))?;
+        Ok(())
     }
 
     fn write_settings(&self, machine: &Machine) {
         let is_node = machine.role == "node";
         let seeds: Vec<String> =
-            (0..3.min(self.counters)).map(|i| format!("\"{}\"", self.control(i))).collect();
+            (0..3.min(self.counters)).map(|i| format!("\"{}\"", self.addresses.control(i))).collect();
         let data =
             machine.data.as_ref().map_or(String::new(), |data| format!("dataDir = \"{}\"\n", data.display()));
         let posts = if is_node {
@@ -189,7 +205,7 @@
             memory = if is_node { 260 } else { 300 },
             handles = if is_node { 4100 } else { 8200 },
             disk = if is_node { 64 } else { 500 },
-            cloud = self.address(4, 8142),
+            cloud = self.addresses.of(4, 8142),
         );
         fs::create_dir_all(machine.settings.parent().unwrap()).unwrap();
         if let Some(data) = &machine.data {
@@ -218,6 +234,13 @@
             }
         }
         command.stdin(Stdio::null()).stdout(log.try_clone().unwrap()).stderr(log);
+        // Also a script that is killed leaves no process behind.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
         machine.child = Some(command.spawn().unwrap());
         machine.is_new = false;
     }
@@ -241,6 +264,21 @@
         }
     }
 
+    /// Removes the data of a machine whose process does not run.
+    pub fn wipe(&self, index: usize) {
+        if let Some(data) = &self.machines[index].data {
+            let _ = fs::remove_dir_all(data);
+        }
+    }
+
+    /// Most memory that a process has had resident at once since its start, in MB.
+    pub fn peak_memory_mb(&self, index: usize) -> u64 {
+        let Some(child) = &self.machines[index].child else { return 0 };
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmHWM")).unwrap_or("");
+        line.split_whitespace().nth(1).and_then(|kb| kb.parse::<u64>().ok()).unwrap_or(0) / 1024
+    }
+
     /// Names of processes that ended by themselves.
     pub fn ended(&mut self) -> Vec<String> {
         let mut names = Vec::new();
@@ -263,7 +301,7 @@
             let base = base.to_string();
             let headers = [("Content-Type", "application/json"), ("If-Match", base.as_str())];
             let result = call(
-                self.control(node),
+                self.addresses.control(node),
                 "PUT",
                 "/api/timetable",
                 &headers,
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod servers;
 mod starved_step;
 mod surplus;
+mod wiped_store;
 
 use std::path::Path;
 use std::process::exit;
@@ -34,6 +35,7 @@
     let outcome = match case.as_str() {
         "first-start" => first_start::run(&record, with_trouble),
         "starved-step" => starved_step::run(&record, with_trouble),
+        "wiped-store" => wiped_store::run(&record, with_trouble),
         "surplus" => surplus::run(&record, with_trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standins-2/net.rs
+++ b/review/standins-2/net.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Largest head or body that the stand-ins read.
@@ -105,11 +106,37 @@
 /// Handles one request on a connection; returns whether the connection stays open.
 pub type Handler = Arc<dyn Fn(&Message, &mut TcpStream) -> bool + Send + Sync>;
 
+/// A server of [`serve`], which can be ended like a process that crashes.
+#[derive(Clone)]
+pub struct Serving {
+    address: SocketAddr,
+    has_crashed: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Serving {
+    /// Closes all connections and the listener; connections are refused from then on.
+    pub fn crash(&self) {
+        self.has_crashed.store(true, Ordering::SeqCst);
+        for connection in self.connections.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+        // The listener sees that it has ended with the next connection.
+        let _ = TcpStream::connect_timeout(&self.address, Duration::from_millis(200));
+    }
+}
+
 /// Serves `handler` at an address, one thread for each connection.
-pub fn serve(address: SocketAddr, handler: Handler) -> std::io::Result<()> {
+pub fn serve(address: SocketAddr, handler: Handler) -> std::io::Result<Serving> {
     let listener = TcpListener::bind(address)?;
+    let serving = Serving { address, has_crashed: Arc::default(), connections: Arc::default() };
+    let state = serving.clone();
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if state.has_crashed.load(Ordering::SeqCst) {
+                return;
+            }
+            state.connections.lock().unwrap().extend(stream.try_clone());
             let handler = Arc::clone(&handler);
             std::thread::spawn(move || {
                 let mut stream = stream;
@@ -117,13 +144,15 @@
                 let mut buffered = Buffered::default();
                 while let Some(request) = read_message(&mut stream, &mut buffered, false) {
                     if !handler(&request, &mut stream) {
-                        return;
+                        break;
                     }
                 }
+                // The server keeps a second handle of the connection, so it has to be closed for both.
+                let _ = stream.shutdown(Shutdown::Both);
             });
         }
     });
-    Ok(())
+    Ok(serving)
 }
 
 /// Writes a whole answer with a length.
--- a/review/standins-2/servers.rs
+++ b/review/standins-2/servers.rs
@@ -6,8 +6,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use crate::fleet::{Carrier, Fleet, Record};
-use crate::net::{answer, base64, call, serve, Call, Handler, Json, Message};
+use crate::fleet::{Addresses, Carrier, Fleet, Record};
+use crate::net::{answer, base64, call, serve, Call, Handler, Json, Message, Serving};
 
 pub const HOST: &str = "ficu95.example";
 pub const MODEL: &str = "daka510000";
@@ -36,9 +36,11 @@
 
 /// A model server with weights of version 1.
 pub struct ModelServer {
+    pub id: String,
     pub runs: Arc<Mutex<Vec<Run>>>,
     /// Ids of the requests that the server took, with the times since the start of the script.
     pub begun: Arc<Mutex<Vec<(String, Duration)>>>,
+    pub serving: Serving,
 }
 
 impl ModelServer {
@@ -53,8 +55,9 @@
         decide: Decide,
         surplus: bool,
     ) -> Result<Self, String> {
-        let address: SocketAddr = fleet.address(100 + index, 8080);
+        let address: SocketAddr = fleet.addresses.of(100 + index, 8080);
         let id = format!("i-7f3a91c{index}");
+        let server_id = id.clone();
         fleet.carriers.lock().unwrap().push(Carrier {
             id: id.clone(),
             service: LLM.to_owned(),
@@ -123,8 +126,8 @@
             seen.lock().unwrap().push(Run { id: run_id, status, ended: record.elapsed() });
             status != 0
         });
-        serve(address, handler).map_err(|error| format!("model server: {error}"))?;
-        Ok(Self { runs, begun })
+        let serving = serve(address, handler).map_err(|error| format!("model server: {error}"))?;
+        Ok(Self { id: server_id, runs, begun, serving })
     }
 }
 
@@ -210,7 +213,7 @@
 
 /// Hands a batch job in at one node after the other until one answers 202; returns whether one did before `until`.
 pub fn submit(
-    fleet: &Fleet,
+    addresses: &Addresses,
     record: &Record,
     nodes: usize,
     id: &str,
@@ -222,7 +225,8 @@
     while record.elapsed() < until {
         let headers = [("Host", HOST), ("Attempt-Id", id), ("Content-Type", "application/json")];
         let node = turn % nodes;
-        let said = call(fleet.front(node), "POST", &format!("{LANE}{id}"), &headers, body.as_bytes(), wait);
+        let said =
+            call(addresses.front(node), "POST", &format!("{LANE}{id}"), &headers, body.as_bytes(), wait);
         record.note(format!("trainer: POST of batch job {id} at counter {}: {}", node + 1, said.describe()));
         if said.status() == 202 {
             return true;
@@ -234,10 +238,10 @@
 }
 
 /// Reads the results from a position on; `None` without a clear answer.
-pub fn read(fleet: &Fleet, node: usize, id: &str, after: u64) -> (Call, Option<Json>) {
+pub fn read(addresses: &Addresses, node: usize, id: &str, after: u64) -> (Call, Option<Json>) {
     let path = format!("/api/lots/{id}?after={after}");
     let headers = [("Host", HOST), ("Hold-Ms", "500")];
-    let said = call(fleet.front(node), "GET", &path, &headers, b"", Duration::from_millis(2500));
+    let said = call(addresses.front(node), "GET", &path, &headers, b"", Duration::from_millis(2500));
     let json = match &said {
         Call::Answer(message) if message.status() == 200 => Json::parse(&message.text()),
         _ => None,
--- a/review/standins-2/starved_step.rs
+++ b/review/standins-2/starved_step.rs
@@ -1,5 +1,5 @@
-//! A zone's model servers are reclaimed; a step with one long text then runs out of time, although idle servers could
-//! have run its other groups.
+//! Three model servers are lost for good, one after the other; a step with one long text then runs out of time, although
+//! idle servers could have run its other groups.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,8 +18,9 @@
 /// The trainer's deadline from the first send, and how much longer it waits for an answer.
 const DEADLINE: Duration = Duration::from_millis(15_000);
 const PATIENCE: Duration = Duration::from_millis(1_500);
-/// Time from the notice (`closing`) to the end of the reclaimed servers.
-const NOTICE: Duration = Duration::from_millis(2_500);
+/// The servers that are lost, one of each zone, and the time for which the platform still lists each after its crash.
+const LOST: [usize; 3] = [0, 3, 6];
+const LISTED: Duration = Duration::from_millis(2_500);
 /// Pause between two events of a stream.
 const PAUSE: Duration = Duration::from_millis(115);
 /// Events of an ordinary text and of the one long text.
@@ -53,18 +54,15 @@
     std::thread::sleep(Duration::from_secs(4));
     let mut places = ZONES.len() * BERTHS;
     if with_trouble {
-        fleet
-            .carriers
-            .lock()
-            .unwrap()
-            .iter_mut()
-            .filter(|c| c.zone == 0)
-            .for_each(|c| c.condition = "closing");
-        record.note("platform: notice for the three model servers of bandung-a");
-        std::thread::sleep(NOTICE);
-        fleet.carriers.lock().unwrap().retain(|carrier| carrier.zone != 0);
-        places -= ZONES.iter().filter(|zone| **zone == 0).count() * BERTHS;
-        record.note("platform: they are gone; five servers are left");
+        for lost in LOST {
+            servers[lost].serving.crash();
+            let id = servers[lost].id.clone();
+            record.note(format!("model server {id} crashes, for good"));
+            std::thread::sleep(LISTED);
+            fleet.carriers.lock().unwrap().retain(|carrier| carrier.id != id);
+            record.note(format!("platform: {id} is no longer listed"));
+        }
+        places -= LOST.len() * BERTHS;
     }
     // Long enough for every machine to be in touch, with the list of the servers that are left.
     std::thread::sleep(Duration::from_secs(6));
@@ -72,7 +70,15 @@
         (0..GROUPS * GROUP).map(|i| parcel(&item(i), &format!("g{}", i / GROUP), b"prompt")).collect();
     let sent = record.elapsed();
     let limit = sent + Duration::from_secs(10);
-    if !submit(&fleet, record, 3, STEP, &batch_job(&parcels, WANTED as u32), limit, Duration::from_secs(2)) {
+    if !submit(
+        &fleet.addresses,
+        record,
+        3,
+        STEP,
+        &batch_job(&parcels, WANTED as u32),
+        limit,
+        Duration::from_secs(2),
+    ) {
         return Err("the step was not taken".to_owned());
     }
     let deadline = sent + DEADLINE;
@@ -83,7 +89,7 @@
         listed.chunks(GROUP).filter(|group| group.iter().all(|is_listed| *is_listed)).count()
     };
     while record.elapsed() < deadline + PATIENCE && whole(&listed) < WANTED {
-        if let (_, Some(page)) = read(&fleet, node % 3, STEP, after) {
+        if let (_, Some(page)) = read(&fleet.addresses, node % 3, STEP, after) {
             for result in page.get("deliveries").list() {
                 let id = result.get("id").text();
                 if let Some(index) = (0..listed.len()).find(|index| item(*index) == id) {
--- a/review/standins-2/surplus.rs
+++ b/review/standins-2/surplus.rs
@@ -31,13 +31,22 @@
         .collect();
     let wait = Duration::from_secs(2);
     let limit = Duration::from_secs(50);
-    if !submit(&fleet, record, 3, FIRST_JOB, &batch_job(&ordinary, ORDINARY as u32 / 8), limit, wait) {
+    if !submit(
+        &fleet.addresses,
+        record,
+        3,
+        FIRST_JOB,
+        &batch_job(&ordinary, ORDINARY as u32 / 8),
+        limit,
+        wait,
+    ) {
         return Err("the first batch job was not taken".to_owned());
     }
     if conditions(&fleet, record, FIRST_JOB, ORDINARY).iter().any(|condition| condition != "delivered") {
         return Err("the first batch job was not delivered".to_owned());
     }
-    if !submit(&fleet, record, 3, JOB, &batch_job(&[parcel(ITEM, "h1", b"prompt")], 1), limit, wait) {
+    if !submit(&fleet.addresses, record, 3, JOB, &batch_job(&[parcel(ITEM, "h1", b"prompt")], 1), limit, wait)
+    {
         return Err("the batch job was not taken".to_owned());
     }
     let condition = conditions(&fleet, record, JOB, 1).pop().unwrap_or_default();
@@ -64,7 +73,7 @@
         if record.elapsed() > until || conditions.len() >= items {
             break;
         }
-        if let (_, Some(page)) = read(fleet, node, job, conditions.len() as u64) {
+        if let (_, Some(page)) = read(&fleet.addresses, node, job, conditions.len() as u64) {
             conditions
                 .extend(page.get("deliveries").list().iter().map(|r| r.get("condition").text().to_owned()));
         }
