--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 
 mod first_start;
 mod fleet;
+mod full_stores;
 mod net;
 mod servers;
 mod starved_step;
@@ -34,6 +35,7 @@
     ));
     let outcome = match case.as_str() {
         "first-start" => first_start::run(&record, with_trouble),
+        "full-stores" => full_stores::run(&record, with_trouble),
         "starved-step" => starved_step::run(&record, with_trouble),
         "wiped-store" => wiped_store::run(&record, with_trouble),
         "surplus" => surplus::run(&record, with_trouble),
