--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -19,6 +19,7 @@
 const PR_SET_PDEATHSIG: i32 = 1;
 
 pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
 const SIGKILL: usize = 9;
 
 const ZONES: [&str; 3] = ["bandung-a", "bandung-b", "bogor-c"];
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,10 +4,10 @@
 mod first_start;
 mod fleet;
 mod full_stores;
+mod moved_store;
 mod net;
 mod servers;
 mod starved_step;
-mod surplus;
 mod wiped_store;
 
 use std::path::Path;
@@ -36,9 +36,9 @@
     let outcome = match case.as_str() {
         "first-start" => first_start::run(&record, with_trouble),
         "full-stores" => full_stores::run(&record, with_trouble),
+        "moved-store" => moved_store::run(&record, with_trouble),
         "starved-step" => starved_step::run(&record, with_trouble),
         "wiped-store" => wiped_store::run(&record, with_trouble),
-        "surplus" => surplus::run(&record, with_trouble),
         _ => Err(format!("no case {case}")),
     };
     match outcome {
--- a/review/standins-2/wiped_store.rs
+++ b/review/standins-2/wiped_store.rs
@@ -107,9 +107,9 @@
 
 pub fn run(record: &Record, with_trouble: bool) -> Result<bool, String> {
     let mut fleet = Fleet::new(record.clone(), 3, 3)?;
-    let decide = Arc::new(|_: &str, _: usize| Turn::Whole { events: 5, pause: Duration::from_millis(20) });
+    let decide = Arc::new(|_: &str, _: usize| Turn { events: 5, pause: Duration::from_millis(20) });
     for index in 0..8 {
-        ModelServer::start(&fleet, index, index % 3, record.clone(), decide.clone(), false)?;
+        ModelServer::start(&fleet, index, index % 3, record.clone(), decide.clone())?;
     }
     fleet.start_all();
     if !fleet.put_configuration(0, &configuration(1, 3), Duration::from_secs(30)) {
