--- a/review/standins-2/full_stores.rs
+++ b/review/standins-2/full_stores.rs
@@ -5,7 +5,7 @@
 
 use crate::fleet::{Fleet, Record};
 use crate::net::call;
-use crate::servers::{batch_job, configuration, parcel, read, submit, ModelServer, Turn, HOST};
+use crate::servers::{batch_job, configuration, parcel, read, start_model_server, submit, Turn, HOST};
 
 /// Time for which the trainer hands batch jobs in: eleven of them as usual.
 const TRAFFIC: Duration = Duration::from_millis(16_400);
@@ -42,9 +42,8 @@
 pub fn run(record: &Record, with_trouble: bool) -> Result<bool, String> {
     let mut fleet = Fleet::new(record.clone(), 3, 3)?;
     let decide = Arc::new(|_: &str, _: usize| Turn { events: 5, pause: Duration::from_millis(20) });
-    let mut servers = Vec::new();
     for index in 0..8 {
-        servers.push(ModelServer::start(&fleet, index, index % 3, record.clone(), decide.clone())?);
+        start_model_server(&fleet, index, index % 3, record.clone(), decide.clone())?;
     }
     fleet.start_all();
     if !fleet.put_configuration(0, &configuration(1, 3), Duration::from_secs(30)) {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,8 +6,8 @@
 mod full_stores;
 mod moved_store;
 mod net;
+mod second_disk;
 mod servers;
-mod starved_step;
 mod wiped_store;
 
 use std::path::Path;
@@ -37,7 +37,7 @@
         "first-start" => first_start::run(&record, with_trouble),
         "full-stores" => full_stores::run(&record, with_trouble),
         "moved-store" => moved_store::run(&record, with_trouble),
-        "starved-step" => starved_step::run(&record, with_trouble),
+        "second-disk" => second_disk::run(&record, with_trouble),
         "wiped-store" => wiped_store::run(&record, with_trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standins-2/moved_store.rs
+++ b/review/standins-2/moved_store.rs
@@ -8,7 +8,7 @@
 
 use crate::fleet::{Addresses, Fleet, Record, SIGCONT, SIGSTOP};
 use crate::net::call;
-use crate::servers::{batch_job, configuration, parcel, read, submit, ModelServer, Turn, HOST};
+use crate::servers::{batch_job, configuration, parcel, read, start_model_server, submit, Turn, HOST};
 
 /// Batch jobs that the stores keep besides, items of each, and bytes of the payload of each item: 8 MB of JSON a
 /// batch job.
@@ -83,7 +83,7 @@
         Turn { events: 12, pause: Duration::from_millis(40 + hasher.finish() % 1_000) }
     });
     for index in 0..8 {
-        ModelServer::start(&fleet, index, index % 3, record.clone(), decide.clone())?;
+        start_model_server(&fleet, index, index % 3, record.clone(), decide.clone())?;
     }
     fleet.start_all();
     if !fleet.put_configuration(0, &configuration(1, 3), Duration::from_secs(30)) {
--- a/review/standins-2/net.rs
+++ b/review/standins-2/net.rs
@@ -2,9 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Largest head or body that the stand-ins read.
@@ -106,37 +105,11 @@
 /// Handles one request on a connection; returns whether the connection stays open.
 pub type Handler = Arc<dyn Fn(&Message, &mut TcpStream) -> bool + Send + Sync>;
 
-/// A server of [`serve`], which can be ended like a process that crashes.
-#[derive(Clone)]
-pub struct Serving {
-    address: SocketAddr,
-    has_crashed: Arc<AtomicBool>,
-    connections: Arc<Mutex<Vec<TcpStream>>>,
-}
-
-impl Serving {
-    /// Closes all connections and the listener; connections are refused from then on.
-    pub fn crash(&self) {
-        self.has_crashed.store(true, Ordering::SeqCst);
-        for connection in self.connections.lock().unwrap().drain(..) {
-            let _ = connection.shutdown(Shutdown::Both);
-        }
-        // The listener sees that it has ended with the next connection.
-        let _ = TcpStream::connect_timeout(&self.address, Duration::from_millis(200));
-    }
-}
-
 /// Serves `handler` at an address, one thread for each connection.
-pub fn serve(address: SocketAddr, handler: Handler) -> std::io::Result<Serving> {
+pub fn serve(address: SocketAddr, handler: Handler) -> std::io::Result<()> {
     let listener = TcpListener::bind(address)?;
-    let serving = Serving { address, has_crashed: Arc::default(), connections: Arc::default() };
-    let state = serving.clone();
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            if state.has_crashed.load(Ordering::SeqCst) {
-                return;
-            }
-            state.connections.lock().unwrap().extend(stream.try_clone());
             let handler = Arc::clone(&handler);
             std::thread::spawn(move || {
                 let mut stream = stream;
@@ -147,12 +120,10 @@
                         break;
                     }
                 }
-                // The server keeps a second handle of the connection, so it has to be closed for both.
-                let _ = stream.shutdown(Shutdown::Both);
             });
         }
     });
-    Ok(serving)
+    Ok(())
 }
 
 /// Writes a whole answer with a length.
@@ -274,13 +245,6 @@
         }
     }
 
-    pub fn number(&self) -> u64 {
-        match self {
-            Self::Number(number) => *number as u64,
-            _ => 0,
-        }
-    }
-
     pub fn list(&self) -> &[Self] {
         match self {
             Self::List(items) => items,
--- a/review/standins-2/servers.rs
+++ b/review/standins-2/servers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use crate::fleet::{Addresses, Carrier, Fleet, Record};
-use crate::net::{answer, base64, call, serve, Call, Handler, Json, Message, Serving};
+use crate::net::{answer, base64, call, serve, Call, Handler, Json, Message};
 
 pub const HOST: &str = "ficu95.example";
 pub const MODEL: &str = "daka510000";
@@ -24,69 +24,49 @@
 
 pub type Decide = Arc<dyn Fn(&str, usize) -> Turn + Send + Sync>;
 
-/// A model server with weights of version 1.
-pub struct ModelServer {
-    pub id: String,
-    /// Ids of the requests that the server took, with the times since the start of the script.
-    pub begun: Arc<Mutex<Vec<(String, Duration)>>>,
-    /// The times at which the server's runs ended.
-    pub ended: Arc<Mutex<Vec<Duration>>>,
-    pub serving: Serving,
-}
-
-impl ModelServer {
-    /// Starts the server and lists it. `decide` gives the turn for the id of a request and the number of runs of that id so
-    /// far.
-    pub fn start(
-        fleet: &Fleet,
-        index: usize,
-        zone: usize,
-        record: Record,
-        decide: Decide,
-    ) -> Result<Self, String> {
-        let address: SocketAddr = fleet.addresses.of(100 + index, 8080);
-        let id = format!("i-7f3a91c{index}");
-        let server_id = id.clone();
-        fleet.carriers.lock().unwrap().push(Carrier {
-            id: id.clone(),
-            service: LLM.to_owned(),
-            address,
-            zone,
-            slots: 8,
-            condition: "open",
-            models: vec![(MODEL.to_owned(), 1)],
-        });
-        let begun: Arc<Mutex<Vec<(String, Duration)>>> = Arc::default();
-        let taken = Arc::clone(&begun);
-        let ended: Arc<Mutex<Vec<Duration>>> = Arc::default();
-        let seen = Arc::clone(&ended);
-        let counts: Mutex<HashMap<String, usize>> = Mutex::default();
-        let handler: Handler = Arc::new(move |request, stream| {
-            if let Some(done) = common(request, stream, &id) {
-                return done;
-            }
-            let run_id = request.header("Attempt-Id").unwrap_or("").to_owned();
-            let before = {
-                let mut counts = counts.lock().unwrap();
-                let count = counts.entry(run_id.clone()).or_default();
-                *count += 1;
-                *count - 1
-            };
-            let turn = decide(&run_id, before);
-            taken.lock().unwrap().push((run_id.clone(), record.elapsed()));
-            let from =
-                request.header("Last-Event-Id").and_then(|id| id.parse::<u64>().ok()).map_or(1, |id| id + 1);
-            record.note(format!("server: request {} of {run_id}, from event {from}: {turn:?}", before + 1));
-            let Turn { events, pause } = turn;
-            let is_whole = stream_events(stream, &run_id, from, events, pause);
-            let how = if is_whole { "answered with 200" } else { "closed by the system" };
-            record.note(format!("server: request {} of {run_id} {how}", before + 1));
-            seen.lock().unwrap().push(record.elapsed());
-            is_whole
-        });
-        let serving = serve(address, handler).map_err(|error| format!("model server: {error}"))?;
-        Ok(Self { id: server_id, begun, ended, serving })
-    }
+/// Starts a model server with weights of version 1 and lists it. `decide` gives the turn for the id of a request and the
+/// number of runs of that id so far.
+pub fn start_model_server(
+    fleet: &Fleet,
+    index: usize,
+    zone: usize,
+    record: Record,
+    decide: Decide,
+) -> Result<(), String> {
+    let address: SocketAddr = fleet.addresses.of(100 + index, 8080);
+    let id = format!("i-7f3a91c{index}");
+    fleet.carriers.lock().unwrap().push(Carrier {
+        id: id.clone(),
+        service: LLM.to_owned(),
+        address,
+        zone,
+        slots: 8,
+        condition: "open",
+        models: vec![(MODEL.to_owned(), 1)],
+    });
+    let counts: Mutex<HashMap<String, usize>> = Mutex::default();
+    let handler: Handler = Arc::new(move |request, stream| {
+        if let Some(done) = common(request, stream, &id) {
+            return done;
+        }
+        let run_id = request.header("Attempt-Id").unwrap_or("").to_owned();
+        let before = {
+            let mut counts = counts.lock().unwrap();
+            let count = counts.entry(run_id.clone()).or_default();
+            *count += 1;
+            *count - 1
+        };
+        let turn = decide(&run_id, before);
+        let from =
+            request.header("Last-Event-Id").and_then(|id| id.parse::<u64>().ok()).map_or(1, |id| id + 1);
+        record.note(format!("server: request {} of {run_id}, from event {from}: {turn:?}", before + 1));
+        let Turn { events, pause } = turn;
+        let is_whole = stream_events(stream, &run_id, from, events, pause);
+        let how = if is_whole { "answered with 200" } else { "closed by the system" };
+        record.note(format!("server: request {} of {run_id} {how}", before + 1));
+        is_whole
+    });
+    serve(address, handler).map_err(|error| format!("model server: {error}"))
 }
 
 /// Answers health checks, reports, orders, and requests for another server.
--- a/review/standins-2/wiped_store.rs
+++ b/review/standins-2/wiped_store.rs
@@ -7,7 +7,7 @@
 
 use crate::fleet::{Addresses, Fleet, Record};
 use crate::net::call;
-use crate::servers::{batch_job, configuration, parcel, read, submit, ModelServer, Turn, HOST};
+use crate::servers::{batch_job, configuration, parcel, read, start_model_server, submit, Turn, HOST};
 
 /// Batch jobs, items of each, and bytes of the payload of each item: 15.5 MB of JSON a batch job.
 const JOBS: usize = 12;
@@ -109,7 +109,7 @@
     let mut fleet = Fleet::new(record.clone(), 3, 3)?;
     let decide = Arc::new(|_: &str, _: usize| Turn { events: 5, pause: Duration::from_millis(20) });
     for index in 0..8 {
-        ModelServer::start(&fleet, index, index % 3, record.clone(), decide.clone())?;
+        start_model_server(&fleet, index, index % 3, record.clone(), decide.clone())?;
     }
     fleet.start_all();
     if !fleet.put_configuration(0, &configuration(1, 3), Duration::from_secs(30)) {
