--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -296,6 +296,7 @@
     /// whether it was acknowledged before `until` (time since the start of the script).
     pub fn put_configuration(&self, base: u64, body: &str, until: Duration) -> bool {
         let mut turn = 0;
+        let mut pause = Duration::from_millis(100);
         let mut last = String::new();
         while self.record.elapsed() < until {
             let node = turn % self.counters;
@@ -319,7 +320,8 @@
                 return true;
             }
             turn += 1;
-            std::thread::sleep(Duration::from_millis(250));
+            std::thread::sleep(pause);
+            pause = (pause * 3 / 2).min(Duration::from_secs(1));
         }
         false
     }
--- a/review/standins-2/full_stores.rs
+++ b/review/standins-2/full_stores.rs
@@ -3,9 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::fleet::{Fleet, Record};
+use crate::fleet::{Addresses, Fleet, Record};
 use crate::net::call;
-use crate::servers::{batch_job, configuration, parcel, read, start_model_server, submit, Turn, HOST};
+use crate::servers::{
+    batch_job, configuration, parcel, read, start_model_server, submit, unread_at_all_nodes, Turn, HOST,
+    READ_PAUSE,
+};
 
 /// Time for which the trainer hands batch jobs in: eleven of them as usual.
 const TRAFFIC: Duration = Duration::from_millis(16_400);
@@ -27,10 +30,10 @@
 }
 
 /// Reads a batch job from the start, to its end; returns the number of results, `None` without a clear answer.
-fn read_whole(fleet: &Fleet, node: usize, job: usize) -> Option<usize> {
+fn read_whole(addresses: &Addresses, node: usize, job: usize) -> Option<usize> {
     let mut results = 0;
     loop {
-        let (_, page) = read(&fleet.addresses, node, &job_id(job), results as u64);
+        let (_, page) = read(addresses, node, &job_id(job), results as u64);
         let listed = page?.get("deliveries").list().len();
         results += listed;
         if listed == 0 || results >= ITEMS {
@@ -67,7 +70,7 @@
         if submit(&fleet.addresses, record, 3, &job_id(job), &body, next, Duration::from_secs(3)) {
             accepted.push(job);
             while record.elapsed() < next.min(traffic_end) {
-                if read_whole(&fleet, job % 3, job) == Some(ITEMS) {
+                if read_whole(&fleet.addresses, job % 3, job) == Some(ITEMS) {
                     let path = format!("/api/lots/{}", job_id(job));
                     let ended = call(
                         fleet.addresses.front(0),
@@ -85,7 +88,7 @@
                     read_before.push(job);
                     break;
                 }
-                std::thread::sleep(Duration::from_millis(200));
+                std::thread::sleep(READ_PAUSE);
             }
         }
         job += 1;
@@ -98,21 +101,14 @@
         read_before.len()
     ));
     std::thread::sleep(FINISH);
-    let until = record.elapsed() + READING;
     // A batch job counts as read again once any node has answered all results that were read before.
-    let mut unread = accepted.clone();
-    let is_read = |fleet: &Fleet, node: usize, job: usize| match read_whole(fleet, node, job) {
-        Some(results) => results == ITEMS || !read_before.contains(&job),
-        None => false,
+    let unread = {
+        let addresses = &fleet.addresses;
+        unread_at_all_nodes(record, &accepted, READING, |node, job| match read_whole(addresses, node, job) {
+            Some(results) => results == ITEMS || !read_before.contains(&job),
+            None => false,
+        })
     };
-    let mut tries = 0;
-    while record.elapsed() < until && !unread.is_empty() {
-        let node = tries % 3;
-        unread.retain(|job| record.elapsed() >= until || !is_read(&fleet, node, *job));
-        tries += 1;
-        record.note(format!("reader: {} batch jobs not read yet, after counter {}", unread.len(), node + 1));
-        std::thread::sleep(Duration::from_millis(500));
-    }
     for name in fleet.ended() {
         record.note(format!("{name} ended by itself"));
     }
--- a/review/standins-2/moved_store.rs
+++ b/review/standins-2/moved_store.rs
@@ -8,7 +8,9 @@
 
 use crate::fleet::{Addresses, Fleet, Record, SIGCONT, SIGSTOP};
 use crate::net::call;
-use crate::servers::{batch_job, configuration, parcel, read, start_model_server, submit, Turn, HOST};
+use crate::servers::{
+    batch_job, configuration, parcel, read, start_model_server, submit, Turn, HOST, READ_PAUSE,
+};
 
 /// Batch jobs that the stores keep besides, items of each, and bytes of the payload of each item: 8 MB of JSON a
 /// batch job.
@@ -18,6 +20,8 @@
 /// The batch job whose results are looked at.
 const JOB: &str = "7c41e09b52d6a3f8";
 const ITEMS: usize = 60;
+/// The beginning of the ids of its items.
+const RUNNING: &str = "e5b2907c14db";
 /// The stores: one that owns the batch job, one that has a replica, the one to be emptied, which has another, and
 /// the one that has none until then.
 const OWNER: usize = 3;
@@ -31,7 +35,7 @@
 /// Time from the losses until the frozen store goes on, the wiped one starts and the killed one starts.
 const STILL_FROZEN_FOR: Duration = Duration::from_millis(200);
 const WIPED_FOR: Duration = Duration::from_millis(700);
-const KILLED_FOR: Duration = Duration::from_millis(2_800);
+const KILLED_FOR: Duration = Duration::from_millis(2_700);
 /// `recoverS` and `finishS`, and some more.
 const RECOVER: Duration = Duration::from_secs(24);
 
@@ -51,7 +55,7 @@
     true
 }
 
-/// Hands in and ends a batch job that the stores then keep.
+/// Hands in a batch job that the stores then keep, reads it whole and ends it.
 fn keep_job(addresses: &Addresses, record: &Record, job: usize) -> Result<(), String> {
     let id = format!("7c41e09b52d7{job:04x}");
     let payload = vec![b'x'; PAYLOAD];
@@ -63,6 +67,17 @@
     if !submit(addresses, record, 3, &id, &body, limit, Duration::from_secs(3)) {
         return Err(format!("batch job {id} was not taken"));
     }
+    let mut results = 0;
+    while results < KEPT_ITEMS && record.elapsed() < limit {
+        let (_, page) = read(addresses, job % 3, &id, results as u64);
+        results += page.map_or(0, |page| page.get("deliveries").list().len());
+        if results < KEPT_ITEMS {
+            std::thread::sleep(READ_PAUSE);
+        }
+    }
+    if results < KEPT_ITEMS {
+        return Err(format!("batch job {id} was not done"));
+    }
     let path = format!("/api/lots/{id}");
     let ended = call(addresses.front(0), "DELETE", &path, &[("Host", HOST)], b"", Duration::from_secs(2));
     record.note(format!("trainer: DELETE of {id}: {}", ended.describe()));
@@ -80,7 +95,8 @@
     let decide = Arc::new(|id: &str, before: usize| {
         let mut hasher = DefaultHasher::new();
         (id, before).hash(&mut hasher);
-        Turn { events: 12, pause: Duration::from_millis(40 + hasher.finish() % 1_000) }
+        let longest = if id.starts_with(RUNNING) { 1_000 } else { 20 };
+        Turn { events: 12, pause: Duration::from_millis(10 + hasher.finish() % longest) }
     });
     for index in 0..8 {
         start_model_server(&fleet, index, index % 3, record.clone(), decide.clone())?;
@@ -96,7 +112,7 @@
     }
     std::thread::sleep(Duration::from_secs(1));
     let parcels: Vec<String> =
-        (0..ITEMS).map(|i| parcel(&format!("e5b2907c14db{i:04x}"), &format!("g{i}"), b"prompt")).collect();
+        (0..ITEMS).map(|i| parcel(&format!("{RUNNING}{i:04x}"), &format!("g{i}"), b"prompt")).collect();
     let limit = record.elapsed() + Duration::from_secs(10);
     if !submit(&addresses, record, 3, JOB, &batch_job(&parcels, ITEMS as u32), limit, Duration::from_secs(2))
     {
@@ -123,7 +139,7 @@
                     record.note(format!("trainer: {} results read, clear answer: {is_clear}", mine.len()));
                 }
                 *listed.lock().unwrap() = mine.clone();
-                std::thread::sleep(Duration::from_millis(50));
+                std::thread::sleep(READ_PAUSE);
             }
         })
     };
@@ -153,6 +169,7 @@
         if taken {
             break;
         }
+        std::thread::sleep(Duration::from_millis(100));
     }
     if !taken {
         return Err("the order to empty a store was not taken".to_owned());
@@ -160,6 +177,7 @@
     std::thread::sleep(UNTIL_LOSSES);
     record.note(format!("since they started the stores had at most {} MB", peaks(&fleet)));
     if with_trouble {
+        let struck = record.elapsed();
         fleet.kill(NEW);
         fleet.kill(OWNER);
         fleet.wipe(NEW);
@@ -167,7 +185,6 @@
             "{} loses its disk, {} is killed",
             fleet.machines[NEW].name, fleet.machines[OWNER].name
         ));
-        let struck = record.elapsed();
         let wait = |after: Duration| std::thread::sleep((struck + after).saturating_sub(record.elapsed()));
         wait(STILL_FROZEN_FOR);
         fleet.signal(REPLICA, SIGCONT);
@@ -191,7 +208,7 @@
             break;
         }
         read_on(&addresses, node, &mut read_again);
-        std::thread::sleep(Duration::from_millis(100));
+        std::thread::sleep(READ_PAUSE);
     }
     let mut differing = 0;
     for (position, (id, text)) in read_before.iter().enumerate() {
@@ -211,9 +228,7 @@
         read_again.len()
     ));
     record.note(format!("since they started the stores had at most {} MB", peaks(&fleet)));
-    for pattern in ["epoch"] {
-        fleet.note_logs(pattern, 12);
-    }
+    fleet.note_logs("epoch", 12);
     if read_before.len() < 8 {
         return Err("too few results were read".to_owned());
     }
--- a/review/standins-2/second_disk.rs
+++ b/review/standins-2/second_disk.rs
@@ -7,7 +7,10 @@
 
 use crate::fleet::{Addresses, Fleet, Record};
 use crate::net::call;
-use crate::servers::{batch_job, configuration, parcel, read, start_model_server, submit, Turn, HOST};
+use crate::servers::{
+    batch_job, configuration, parcel, read, start_model_server, submit, unread_at_all_nodes, Turn, HOST,
+    READ_PAUSE,
+};
 
 /// Small batch jobs that the stores keep, and items of each.
 const JOBS: usize = 600;
@@ -46,13 +49,13 @@
         return false;
     }
     while record.elapsed() < limit {
-        std::thread::sleep(Duration::from_millis(50));
         if is_read_whole(addresses, job % 3, job) {
             let path = format!("/api/lots/{}", job_id(job));
             let node = addresses.front(job % 3);
             return call(node, "DELETE", &path, &[("Host", HOST)], b"", Duration::from_secs(2)).status()
                 == 200;
         }
+        std::thread::sleep(READ_PAUSE);
     }
     false
 }
@@ -102,25 +105,9 @@
         }
     }
     std::thread::sleep(RECOVER);
-    let until = record.elapsed() + READING;
-    let unread = AtomicUsize::new(0);
-    std::thread::scope(|scope| {
-        for job in (0..JOBS).step_by(JOBS / READ) {
-            let (addresses, unread) = (&addresses, &unread);
-            scope.spawn(move || {
-                let mut node = job % 3;
-                while !is_read_whole(addresses, node, job) {
-                    if record.elapsed() > until {
-                        unread.fetch_add(1, Ordering::Relaxed);
-                        break;
-                    }
-                    node = (node + 1) % 3;
-                    std::thread::sleep(Duration::from_millis(300));
-                }
-            });
-        }
-    });
-    let unread = unread.into_inner();
+    let tried: Vec<usize> = (0..JOBS).step_by(JOBS / READ).collect();
+    let unread =
+        unread_at_all_nodes(record, &tried, READING, |node, job| is_read_whole(&addresses, node, job)).len();
     let limit = record.elapsed() + Duration::from_secs(8);
     let body = batch_job(&[parcel("e5b2907cffff0000", "g0", b"prompt")], 1);
     let is_taken = submit(&addresses, record, 3, "7c41e09b52d6ffff", &body, limit, Duration::from_secs(3));
--- a/review/standins-2/servers.rs
+++ b/review/standins-2/servers.rs
@@ -164,6 +164,42 @@
     false
 }
 
+/// Time between two reads of a trainer, which reads about twice a second.
+pub const READ_PAUSE: Duration = Duration::from_millis(500);
+
+/// Tries `is_read` for each batch job at all nodes in turn, until it is true or `reading` is over. Returns the batch jobs for
+/// which it was true at no node; each node has been tried for each of them.
+pub fn unread_at_all_nodes(
+    record: &Record,
+    jobs: &[usize],
+    reading: Duration,
+    is_read: impl Fn(usize, usize) -> bool + Sync,
+) -> Vec<usize> {
+    let until = record.elapsed() + reading;
+    let unread = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for &job in jobs {
+            let (unread, is_read) = (&unread, &is_read);
+            scope.spawn(move || {
+                let mut tries = 0;
+                while !is_read((job + tries) % 3, job) {
+                    tries += 1;
+                    if record.elapsed() > until && tries >= 3 {
+                        record.note(format!(
+                            "reader: batch job {job}: {tries} tries at the three nodes, not read"
+                        ));
+                        unread.lock().unwrap().push(job);
+                        return;
+                    }
+                    std::thread::sleep(READ_PAUSE);
+                }
+                record.note(format!("reader: batch job {job}: read at try {}", tries + 1));
+            });
+        }
+    });
+    unread.into_inner().unwrap()
+}
+
 /// Reads the results from a position on; `None` without a clear answer.
 pub fn read(addresses: &Addresses, node: usize, id: &str, after: u64) -> (Call, Option<Json>) {
     let path = format!("/api/lots/{id}?after={after}");
--- a/review/standins-2/wiped_store.rs
+++ b/review/standins-2/wiped_store.rs
@@ -7,7 +7,9 @@
 
 use crate::fleet::{Addresses, Fleet, Record};
 use crate::net::call;
-use crate::servers::{batch_job, configuration, parcel, read, start_model_server, submit, Turn, HOST};
+use crate::servers::{
+    batch_job, configuration, parcel, read, start_model_server, submit, unread_at_all_nodes, Turn, HOST,
+};
 
 /// Batch jobs, items of each, and bytes of the payload of each item: 15.5 MB of JSON a batch job.
 const JOBS: usize = 12;
@@ -158,19 +160,9 @@
     }
     std::thread::sleep(RECOVER);
     record.note(format!("since they started the stores had at most {} MB", peaks(&fleet)));
-    let until = record.elapsed() + READING;
-    let mut unread: Vec<usize> = (0..JOBS).collect();
-    let mut node = 0;
-    while record.elapsed() < until && !unread.is_empty() {
-        unread.retain(|job| record.elapsed() >= until || !is_read_whole(&addresses, node % 3, *job));
-        record.note(format!(
-            "reader: {} batch jobs not read yet, after counter {}",
-            unread.len(),
-            node % 3 + 1
-        ));
-        node += 1;
-        std::thread::sleep(Duration::from_millis(300));
-    }
+    let jobs: Vec<usize> = (0..JOBS).collect();
+    let unread =
+        unread_at_all_nodes(record, &jobs, READING, |node, job| is_read_whole(&addresses, node, job));
     record.note(format!(
         "the platform killed stores {} times; {} of {JOBS} batch jobs that had been read whole could not be read at any \
          node in {READING:?}",
