--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -1,5 +1,6 @@
 //! The JSON documents that trainers exchange with the system: batch jobs and the results of their items.
 
+use std::borrow::Cow;
 use std::collections::{BTreeMap, HashSet};
 use std::fmt;
 use std::sync::Arc;
@@ -78,6 +79,30 @@
     }
 }
 
+/// Returns the decoded body of an item of a submission that [`Job::parse`] accepts; `None` if it has no such item.
+/// Does not build the other items in memory.
+#[must_use]
+pub fn find_item_body(submission: &[u8], item: &str) -> Option<Vec<u8>> {
+    let job: JobBodies<'_> = serde_json::from_slice(submission).ok()?;
+    let found = job.items.iter().find(|candidate| candidate.id == item)?;
+    Some(decode_base64(&found.body).unwrap_or_default())
+}
+
+/// The bodies of the items of a [`Job`], as they stand in its JSON.
+#[derive(Deserialize)]
+struct JobBodies<'a> {
+    #[serde(rename = "parcels", borrow)]
+    items: Vec<ItemBody<'a>>,
+}
+
+#[derive(Deserialize)]
+struct ItemBody<'a> {
+    #[serde(borrow)]
+    id: Cow<'a, str>,
+    #[serde(rename = "payload", borrow, default)]
+    body: Cow<'a, str>,
+}
+
 fn decode_base64(body: &str) -> Option<Vec<u8>> {
     STANDARD.decode(body).ok()
 }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -11,9 +11,9 @@
 mod replication;
 mod schedule;
 
-pub use job::{Item, ItemCondition, ItemId, ItemResult, Job, JobError, JobId, RewardRequest};
+pub use job::{find_item_body, Item, ItemCondition, ItemId, ItemResult, Job, JobError, JobId, RewardRequest};
 pub use replication::{
-    Entry, Ownership, OwnershipPhase, OwnershipTerm, Record, ReplicaLog, ReplicaReply, ReplicaRequest,
-    ReplicaSet, Replicas, StoreId, SubmittedJob,
+    Entry, EntryKind, LoadError, LogEntry, Ownership, OwnershipPhase, OwnershipTerm, Record, ReplicaLog,
+    ReplicaReply, ReplicaRequest, ReplicaSet, Replicas, StoreId, StoredEntry, SubmittedJob,
 };
 pub use schedule::{ItemCandidate, ItemIndex, ItemPhase, JobForecast, JobSchedule, Precedence, Urgency};
--- a/crates/batch/src/replication/log.rs
+++ b/crates/batch/src/replication/log.rs
@@ -5,14 +5,18 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use super::log_entry::LogEntry;
 use super::term::OwnershipTerm;
 use crate::ItemResult;
 
 /// Maximum size of the entries in one message between stores, in bytes. A single larger entry makes a message
 /// by itself.
 pub(super) const MAX_MESSAGE_ENTRY_BYTES: usize = 1024 * 1024;
+/// Maximum size of the entries in the reply to a claim, in bytes. Stores claim many batch jobs at the same time, and
+/// larger logs are fetched one after the other.
+pub(super) const MAX_PROMISE_ENTRY_BYTES: usize = 64 * 1024;
 /// Size of an entry in bytes without its body or result: host and path, versions, and the lengths of all fields.
-const ENTRY_OVERHEAD_BYTES: usize = 64;
+pub(super) const ENTRY_OVERHEAD_BYTES: usize = 64;
 
 /// A batch job as it was submitted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,15 +58,15 @@
 }
 
 /// Returns the size of all `entries` in bytes, see [`Entry::size_bytes`].
-pub(super) fn size_bytes(entries: &[Arc<Entry>]) -> usize {
-    entries.iter().map(|entry| entry.size_bytes()).sum()
+pub(super) fn size_bytes(entries: &[LogEntry]) -> usize {
+    entries.iter().map(LogEntry::size_bytes).sum()
 }
 
 /// Returns the first entries, as many as one message may contain: at most [`MAX_MESSAGE_ENTRY_BYTES`], or one
 /// entry if it is larger.
-pub(super) fn message_prefix(entries: &[Arc<Entry>]) -> &[Arc<Entry>] {
+pub(super) fn message_prefix(entries: &[LogEntry]) -> &[LogEntry] {
     let mut bytes = 0;
-    let exceeds_limit = |entry: &Arc<Entry>| {
+    let exceeds_limit = |entry: &LogEntry| {
         bytes += entry.size_bytes();
         bytes > MAX_MESSAGE_ENTRY_BYTES
     };
--- a/crates/batch/src/replication/log_fetch.rs
+++ b/crates/batch/src/replication/log_fetch.rs
@@ -1,8 +1,7 @@
 //! The log that a claimant fetches from a replica in several messages.
 
-use std::sync::Arc;
-
-use super::log::{Entry, LogEnd};
+use super::log::LogEnd;
+use super::log_entry::LogEntry;
 use super::messages::ReplicaRequest;
 use super::term::{OwnershipTerm, StoreId};
 
@@ -17,7 +16,7 @@
     /// Index of the first of `entries`. The entries before it are those of the claimant's log.
     pub start: usize,
     /// The entries that have arrived.
-    pub entries: Vec<Arc<Entry>>,
+    pub entries: Vec<LogEntry>,
 }
 
 impl LogFetch {
@@ -35,7 +34,7 @@
 
     /// Adds entries of a log that was last written under `accepted`, of which the first has the index
     /// `start`. Ignores them unless they follow those that have arrived.
-    pub fn add(&mut self, accepted: OwnershipTerm, start: usize, entries: Vec<Arc<Entry>>) {
+    pub fn add(&mut self, accepted: OwnershipTerm, start: usize, entries: Vec<LogEntry>) {
         if accepted == self.end.accepted && start == self.next_index() {
             self.entries.extend(entries);
         }
--- a/crates/batch/src/replication/messages.rs
+++ b/crates/batch/src/replication/messages.rs
@@ -1,10 +1,9 @@
 //! Requests of an owner to the replicas of its batch job, and the replies of the replicas.
 
-use std::sync::Arc;
-
 use serde::{Deserialize, Serialize};
 
-use super::log::Entry;
+use super::log::size_bytes;
+use super::log_entry::LogEntry;
 use super::term::OwnershipTerm;
 
 /// A request of an owner to a store about one batch job.
@@ -34,7 +33,7 @@
         /// Number of entries that precede `entries`.
         start: usize,
         /// The entries to write.
-        entries: Vec<Arc<Entry>>,
+        entries: Vec<LogEntry>,
     },
     /// Asks the store for the state of its log. The store promises nothing.
     Query,
@@ -54,7 +53,7 @@
         /// Number of entries that precede `entries`, among them those staged before.
         start: usize,
         /// The entries to keep.
-        entries: Vec<Arc<Entry>>,
+        entries: Vec<LogEntry>,
     },
     /// Asks the store, which has promised the claimant's term, for entries of its log that were too large for
     /// the [`ReplicaReply::Promised`].
@@ -68,6 +67,35 @@
     },
 }
 
+impl ReplicaRequest {
+    /// Returns the entries that the request contains, to replace them by equal ones.
+    pub fn entries_mut(&mut self) -> Option<&mut Vec<LogEntry>> {
+        match self {
+            Self::Append { entries, .. } | Self::Stage { entries, .. } => Some(entries),
+            Self::Prepare { .. } | Self::Query | Self::Delete { .. } | Self::Fetch { .. } => None,
+        }
+    }
+
+    /// Returns the size of the entries that the request contains, see [`Entry::size_bytes`](super::Entry).
+    #[must_use]
+    pub fn size_bytes(&self) -> usize {
+        match self {
+            Self::Append { entries, .. } | Self::Stage { entries, .. } => size_bytes(entries),
+            Self::Prepare { .. } | Self::Query | Self::Delete { .. } | Self::Fetch { .. } => 0,
+        }
+    }
+}
+
+impl ReplicaReply {
+    /// Returns the entries that the reply contains, to replace them by equal ones.
+    pub fn entries_mut(&mut self) -> Option<&mut Vec<LogEntry>> {
+        match self {
+            Self::Promised { entries, .. } | Self::Fetched { entries, .. } => Some(entries),
+            _ => None,
+        }
+    }
+}
+
 /// The reply of a store to a [`ReplicaRequest`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ReplicaReply {
@@ -83,7 +111,7 @@
         start: usize,
         /// The entries that the claimant lacks. Empty if the claimant's log is at least as advanced, or if they
         /// are too large for one message; the claimant then sends [`ReplicaRequest::Fetch`].
-        entries: Vec<Arc<Entry>>,
+        entries: Vec<LogEntry>,
     },
     /// The first `length` entries of the store's log equal those of the owner's log.
     Appended {
@@ -136,6 +164,6 @@
         /// Index of the first of `entries` in the store's log.
         start: usize,
         /// The entries from there on, as many as one message may contain.
-        entries: Vec<Arc<Entry>>,
+        entries: Vec<LogEntry>,
     },
 }
--- a/crates/batch/src/replication/mod.rs
+++ b/crates/batch/src/replication/mod.rs
@@ -7,6 +7,7 @@
 //! majority has accepted it under the owner's term.
 
 mod log;
+mod log_entry;
 mod log_fetch;
 mod messages;
 mod ownership;
@@ -19,6 +20,7 @@
 mod term;
 
 pub use log::{Entry, SubmittedJob};
+pub use log_entry::{EntryKind, LoadError, LogEntry, StoredEntry};
 pub use messages::{ReplicaReply, ReplicaRequest};
 pub use ownership::{Ownership, OwnershipPhase};
 pub use record::Record;
--- a/crates/batch/src/replication/ownership.rs
+++ b/crates/batch/src/replication/ownership.rs
@@ -4,10 +4,10 @@
 //! absence.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 
-use super::log::{message_prefix, Entry, LogEnd};
+use super::log::{message_prefix, LogEnd};
+use super::log_entry::LogEntry;
 use super::log_fetch::LogFetch;
 use super::messages::{ReplicaReply, ReplicaRequest};
 use super::peer_progress::PeerProgress;
@@ -38,7 +38,7 @@
     /// included.
     adopted: LogEnd,
     /// The adopted entries, followed by the entries that this owner appended.
-    log: Vec<Arc<Entry>>,
+    log: Vec<LogEntry>,
     /// The more advanced log of a replica that is being fetched, in the phase `Preparing`.
     fetch: Option<LogFetch>,
     /// Number of entries that a majority has accepted under this term. Never decreases.
@@ -51,7 +51,7 @@
     end: LogEnd,
     /// Index of the first of `entries` in the replica's log.
     start: usize,
-    entries: Vec<Arc<Entry>>,
+    entries: Vec<LogEntry>,
 }
 
 impl PromisedLog {
@@ -101,13 +101,13 @@
 
     /// Returns all entries of the owner's log, whether committed or not.
     #[must_use]
-    pub fn log(&self) -> &[Arc<Entry>] {
+    pub fn log(&self) -> &[LogEntry] {
         &self.log
     }
 
     /// Returns the committed entries: a majority has accepted them under this term. They never change.
     #[must_use]
-    pub fn committed(&self) -> &[Arc<Entry>] {
+    pub fn committed(&self) -> &[LogEntry] {
         &self.log[..self.committed]
     }
 
@@ -130,24 +130,25 @@
     /// # Panics
     ///
     /// Panics if the ownership is not in the phase [`OwnershipPhase::Leading`].
-    pub fn append(&mut self, entries: impl IntoIterator<Item = Arc<Entry>>) {
+    pub fn append(&mut self, entries: impl IntoIterator<Item = LogEntry>) {
         assert_eq!(self.phase, OwnershipPhase::Leading, "only a leading owner appends entries");
         self.log.extend(entries);
     }
 
-    /// Returns the requests to send now to the reachable stores, at most one for each store. A store gets no
-    /// further request until [`Self::handle_reply`] or [`Self::handle_no_reply`] is called for it.
+    /// Returns the requests to send now, at most one for each store, without those that `may_send` holds back.
+    /// A store gets no further request until [`Self::handle_reply`] or [`Self::handle_no_reply`] is called for
+    /// it.
     pub fn next_requests(
         &mut self,
-        is_reachable: impl Fn(StoreId) -> bool,
+        mut may_send: impl FnMut(StoreId, &ReplicaRequest) -> bool,
     ) -> Vec<(StoreId, ReplicaRequest)> {
         let stores: Vec<StoreId> = self.progress.keys().copied().collect();
         let mut requests = Vec::new();
         for store in stores {
-            if self.progress[&store].is_request_in_flight || !is_reachable(store) {
+            if self.progress[&store].is_request_in_flight {
                 continue;
             }
-            if let Some(request) = self.request_for(store) {
+            if let Some(request) = self.request_for(store).filter(|request| may_send(store, request)) {
                 self.progress_of(store).is_request_in_flight = true;
                 requests.push((store, request));
             }
@@ -155,6 +156,19 @@
         requests
     }
 
+    /// Whether a request to a store is in flight while the store lacks the adopted log.
+    #[must_use]
+    pub fn is_sending_adopted_log(&self, store: StoreId) -> bool {
+        let is_in_flight = self.progress.get(&store).is_some_and(|progress| progress.is_request_in_flight);
+        is_in_flight && self.lacks_adopted_log(store)
+    }
+
+    /// Whether a store has not confirmed that it has the adopted log under the owner's term.
+    #[must_use]
+    pub fn lacks_adopted_log(&self, store: StoreId) -> bool {
+        self.progress.get(&store).is_none_or(|progress| progress.length_under(self.term).is_none())
+    }
+
     fn request_for(&self, store: StoreId) -> Option<ReplicaRequest> {
         match self.phase {
             OwnershipPhase::Superseded(_) => None,
@@ -303,7 +317,7 @@
         from: StoreId,
         accepted: OwnershipTerm,
         start: usize,
-        entries: Vec<Arc<Entry>>,
+        entries: Vec<LogEntry>,
     ) {
         let Some(fetch) = self.fetch.as_mut().filter(|fetch| fetch.source == from) else { return };
         fetch.add(accepted, start, entries);
--- a/crates/batch/src/replication/record.rs
+++ b/crates/batch/src/replication/record.rs
@@ -1,10 +1,9 @@
 //! Records that a store writes to its journal.
 
-use std::sync::Arc;
-
 use serde::{Deserialize, Serialize};
 
-use super::log::{size_bytes, Entry};
+use super::log::size_bytes;
+use super::log_entry::LogEntry;
 use super::term::OwnershipTerm;
 use crate::JobId;
 
@@ -30,7 +29,7 @@
         /// Number of entries that the log keeps.
         start: usize,
         /// The entries that follow the kept ones.
-        entries: Vec<Arc<Entry>>,
+        entries: Vec<LogEntry>,
     },
     /// The complete state of a batch job; replaces all earlier records about it.
     Snapshot {
@@ -41,7 +40,7 @@
         /// The term under which the log was last written.
         accepted: OwnershipTerm,
         /// All entries of the log.
-        entries: Vec<Arc<Entry>>,
+        entries: Vec<LogEntry>,
     },
     /// The batch job is deleted.
     Delete {
@@ -54,9 +53,32 @@
     /// Returns the size of its entries in bytes, see [`Entry::size_bytes`].
     #[must_use]
     pub fn size_bytes(&self) -> usize {
+        size_bytes(self.entries())
+    }
+
+    /// Returns the entries that the record contains.
+    #[must_use]
+    pub fn entries(&self) -> &[LogEntry] {
+        match self {
+            Self::Append { entries, .. } | Self::Snapshot { entries, .. } => entries,
+            Self::Epoch(_) | Self::Promise { .. } | Self::Delete { .. } => &[],
+        }
+    }
+
+    /// Returns the record with no entries.
+    #[must_use]
+    pub fn without_entries(&self) -> Self {
         match self {
-            Self::Append { entries, .. } | Self::Snapshot { entries, .. } => size_bytes(entries),
-            Self::Epoch(_) | Self::Promise { .. } | Self::Delete { .. } => 0,
+            Self::Append { job, term, start, .. } => {
+                Self::Append { job: job.clone(), term: *term, start: *start, entries: Vec::new() }
+            }
+            Self::Snapshot { job, promised, accepted, .. } => Self::Snapshot {
+                job: job.clone(),
+                promised: *promised,
+                accepted: *accepted,
+                entries: Vec::new(),
+            },
+            Self::Epoch(_) | Self::Promise { .. } | Self::Delete { .. } => self.clone(),
         }
     }
 
--- a/crates/batch/src/replication/replicas.rs
+++ b/crates/batch/src/replication/replicas.rs
@@ -6,7 +6,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::log::{message_prefix, Entry, LogEnd};
+use super::log::{message_prefix, size_bytes, LogEnd};
+use super::log_entry::LogEntry;
 use super::messages::{ReplicaReply, ReplicaRequest};
 use super::record::Record;
 use super::replica_log::ReplicaLog;
@@ -29,18 +30,12 @@
     term: OwnershipTerm,
     adopted: OwnershipTerm,
     start: usize,
-    entries: Vec<Arc<Entry>>,
+    entries: Vec<LogEntry>,
 }
 
 impl Replicas {
-    /// Restores the replicas from the records of a journal, oldest first.
-    pub fn recover(records: impl IntoIterator<Item = Record>) -> Self {
-        let mut replicas = Self::default();
-        records.into_iter().for_each(|record| replicas.replay(record));
-        replicas
-    }
-
-    fn replay(&mut self, record: Record) {
+    /// Applies the next record of a journal.
+    pub fn replay(&mut self, record: Record) {
         match record {
             Record::Epoch(epoch) => self.epoch = self.epoch.max(epoch),
             Record::Promise { job, term } => {
@@ -56,7 +51,7 @@
                 }
             }
             Record::Snapshot { job, promised, accepted, entries } => {
-                self.logs.insert(job, ReplicaLog { promised, accepted, entries });
+                self.logs.insert(job, ReplicaLog::new(promised, accepted, entries));
             }
             Record::Delete { job } => {
                 self.logs.remove(&job);
@@ -87,6 +82,19 @@
         self.logs.get(job)
     }
 
+    /// Returns the size of the entries that owners have sent ahead for batch jobs other than `job`, in bytes.
+    #[must_use]
+    pub fn staged_bytes_of_others(&self, job: &str) -> usize {
+        let others = self.staged.iter().filter(|(other, _)| ***other != *job);
+        others.map(|(_, staged)| size_bytes(&staged.entries)).sum()
+    }
+
+    /// Drops the entries that owners have sent ahead for the batch jobs that `is_abandoned` selects. If their
+    /// owner is still there, it sends them again.
+    pub fn drop_staged(&mut self, is_abandoned: impl Fn(&JobId) -> bool) {
+        self.staged.retain(|job, _| !is_abandoned(job));
+    }
+
     /// Iterates over the logs of all batch jobs that this store replicates.
     pub fn logs(&self) -> impl Iterator<Item = (&JobId, &ReplicaLog)> {
         self.logs.iter()
--- a/crates/batch/src/replication/staged_entries.rs
+++ b/crates/batch/src/replication/staged_entries.rs
@@ -1,8 +1,6 @@
 //! Entries of an adopted log that a replica keeps until the append that completes them.
 
-use std::sync::Arc;
-
-use super::log::Entry;
+use super::log_entry::LogEntry;
 use super::term::OwnershipTerm;
 
 /// Entries that an owner has sent ahead of an append, since the log that it adopted is too large for one
@@ -14,7 +12,7 @@
     /// Index of the first entry in the owner's log.
     pub start: usize,
     /// The entries, without a gap.
-    pub entries: Vec<Arc<Entry>>,
+    pub entries: Vec<LogEntry>,
 }
 
 impl StagedEntries {
@@ -31,7 +29,7 @@
 
     /// Adds the entries that begin at `start`, which [`Self::can_precede`] has to allow. Under one term the
     /// owner's log only grows, so entries that are staged already are skipped.
-    pub fn add(&mut self, start: usize, entries: Vec<Arc<Entry>>) {
+    pub fn add(&mut self, start: usize, entries: Vec<LogEntry>) {
         let staged = self.end() - start;
         self.entries.extend(entries.into_iter().skip(staged));
     }
--- a/crates/batch/tests/cluster/checker.rs
+++ b/crates/batch/tests/cluster/checker.rs
@@ -2,9 +2,8 @@
 
 use std::collections::{BTreeMap, HashSet};
 use std::fmt;
-use std::sync::Arc;
 
-use batch::{Entry, Ownership, OwnershipTerm};
+use batch::{LogEntry, Ownership, OwnershipTerm};
 
 /// A violated invariant.
 #[derive(Debug)]
@@ -35,7 +34,7 @@
     /// The terms of all claims.
     terms: HashSet<OwnershipTerm>,
     /// Committed entries by position.
-    exposed: Vec<Arc<Entry>>,
+    exposed: Vec<LogEntry>,
     /// Number of entries that the owner of each term has exposed.
     exposed_by_term: BTreeMap<OwnershipTerm, usize>,
 }
--- a/crates/batch/tests/cluster/machine.rs
+++ b/crates/batch/tests/cluster/machine.rs
@@ -77,7 +77,8 @@
         for write in self.pending_writes.drain(..).take(written) {
             self.disk.extend(write.records);
         }
-        self.replicas = Replicas::recover(self.disk.clone());
+        self.replicas = Replicas::default();
+        self.disk.iter().cloned().for_each(|record| self.replicas.replay(record));
         self.owner = None;
         self.committed_epoch = 0;
         self.rejected = OwnershipTerm::default();
--- a/crates/batch/tests/cluster/mod.rs
+++ b/crates/batch/tests/cluster/mod.rs
@@ -2,12 +2,11 @@
 //! generator.
 
 use std::collections::HashSet;
-use std::sync::Arc;
 use std::time::Duration;
 
 use batch::{
-    Entry, JobId, Ownership, OwnershipPhase, OwnershipTerm, Record, ReplicaReply, ReplicaRequest, ReplicaSet,
-    StoreId, SubmittedJob,
+    Entry, JobId, LogEntry, Ownership, OwnershipPhase, OwnershipTerm, Record, ReplicaReply, ReplicaRequest,
+    ReplicaSet, StoreId, SubmittedJob,
 };
 use bytes::Bytes;
 use fastrand::Rng;
@@ -188,13 +187,18 @@
         let bytes = if self.random.u8(..LARGE_ENTRY_INTERVAL) == 0 { LARGE_BODY.len() } else { 0 };
         let body = Bytes::from_static(&LARGE_BODY[..bytes]);
         let path = format!("/path/{number}").into();
-        owner.append([Arc::new(Entry::Job(SubmittedJob { host: "host".into(), path, body, total: 1 }))]);
+        owner.append([LogEntry::from(Entry::Job(SubmittedJob {
+            host: "host".into(),
+            path,
+            body,
+            total: 1,
+        }))]);
     }
 
     fn send_requests(&mut self, index: usize) {
         let Some(owner) = self.machines[index].owner.as_mut() else { return };
         let term = owner.term();
-        for (to, request) in owner.next_requests(|_| true) {
+        for (to, request) in owner.next_requests(|_, _| true) {
             self.network.push(Message::Request { from: index, owner: term, to, request });
         }
     }
--- a/crates/batch/tests/golden.rs
+++ b/crates/batch/tests/golden.rs
@@ -3,10 +3,8 @@
 //! A run with `GOLDEN_WRITE=1` creates missing files. A difference from a golden file means that stores of
 //! different versions could not read each other's data.
 
-use std::sync::Arc;
-
 use batch::{
-    Entry, Item, ItemCondition, ItemResult, Job, JobError, OwnershipTerm, Record, ReplicaReply,
+    Entry, Item, ItemCondition, ItemResult, Job, JobError, LogEntry, OwnershipTerm, Record, ReplicaReply,
     ReplicaRequest, RewardRequest, SubmittedJob,
 };
 use bytes::Bytes;
@@ -64,14 +62,14 @@
     }
 }
 
-fn entries() -> Vec<Arc<Entry>> {
+fn entries() -> Vec<LogEntry> {
     let entries = [
         Entry::Job(submitted_job()),
         Entry::Result(delivered_result()),
         Entry::Result(undeliverable_result()),
         Entry::End,
     ];
-    entries.into_iter().map(Arc::new).collect()
+    entries.into_iter().map(LogEntry::from).collect()
 }
 
 fn record_epoch() -> Record {
--- a/crates/batch/tests/large_logs.rs
+++ b/crates/batch/tests/large_logs.rs
@@ -1,11 +1,10 @@
 //! Logs that are too large for one message between stores.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use batch::{
-    Entry, ItemCondition, ItemResult, JobId, Ownership, OwnershipPhase, OwnershipTerm, ReplicaReply,
-    ReplicaRequest, ReplicaSet, Replicas, StoreId, SubmittedJob,
+    Entry, ItemCondition, ItemResult, JobId, LogEntry, Ownership, OwnershipPhase, OwnershipTerm,
+    ReplicaReply, ReplicaRequest, ReplicaSet, Replicas, StoreId, SubmittedJob,
 };
 use bytes::Bytes;
 
@@ -53,7 +52,7 @@
     /// Lets the stores answer the owner until it has sent nothing more, or until `is_done`.
     fn run(&mut self, owner: &mut Ownership, is_done: impl Fn(&Ownership) -> bool) {
         for _ in 0..MAX_ROUNDS {
-            let requests = owner.next_requests(|_| true);
+            let requests = owner.next_requests(|_, _| true);
             if requests.is_empty() || is_done(owner) {
                 return;
             }
@@ -69,7 +68,8 @@
     fn restart(&mut self, store: StoreId) {
         let replicas = &mut self.replicas[store as usize - 1];
         let records = replicas.log("job").is_some().then(|| replicas.snapshot(&self.job));
-        *replicas = Replicas::recover(records);
+        *replicas = Replicas::default();
+        records.into_iter().for_each(|record| replicas.replay(record));
     }
 
     fn length(&self, store: StoreId) -> usize {
@@ -81,9 +81,9 @@
     OwnershipTerm { epoch: 1, number, owner, nonce: 7 }
 }
 
-fn entry(number: usize) -> Arc<Entry> {
+fn entry(number: usize) -> LogEntry {
     let body = Bytes::from(vec![number as u8; ENTRY_BYTES]);
-    Arc::new(Entry::Job(SubmittedJob { host: "h".into(), path: "/p".into(), body, total: 1 }))
+    LogEntry::from(Entry::Job(SubmittedJob { host: "h".into(), path: "/p".into(), body, total: 1 }))
 }
 
 /// Returns the number of entries in a request.
@@ -131,7 +131,7 @@
     };
     let mut source = None;
     for _ in 0..MAX_ROUNDS {
-        let requests = owner.next_requests(|_| true);
+        let requests = owner.next_requests(|_, _| true);
         source = source.or_else(|| requests.iter().find_map(is_fetched_from));
         for (store, request) in requests {
             if source == Some(store) {
@@ -157,7 +157,7 @@
         stores.requests.iter().filter(|(_, request)| matches!(request, ReplicaRequest::Stage { .. })).count()
     };
     while staged(&stores) < ENTRIES {
-        for (store, request) in owner.next_requests(|_| true) {
+        for (store, request) in owner.next_requests(|_, _| true) {
             let reply = stores.handle(store, request);
             owner.handle_reply(store, reply, Duration::ZERO);
         }
@@ -203,7 +203,7 @@
 #[test]
 fn given_many_small_entries_when_appended_then_no_request_is_much_longer_than_the_limit() {
     let result = |number: usize| {
-        Arc::new(Entry::Result(ItemResult {
+        LogEntry::from(Entry::Result(ItemResult {
             id: format!("item-{number}").into(),
             condition: ItemCondition::Undeliverable,
             text: String::new(),
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -57,7 +57,23 @@
         Request: Serialize,
         Reply: DeserializeOwned,
     {
-        let reply = self.transport.call(address, path, encode(request), timeout).await?;
+        self.call_encoded(address, path, encode(request), timeout).await
+    }
+
+    /// Does the same as [`call`](Self::call) with a request that is encoded already, so that a long one is in
+    /// memory only once.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`call`](Self::call).
+    pub async fn call_encoded<Reply: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        request: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<Reply, CallError> {
+        let reply = self.transport.call(address, path, request, timeout).await?;
         decode(&reply).map_err(|error| CallError::Unknown(error.to_string()))
     }
 }
--- a/crates/rpc/src/codec.rs
+++ b/crates/rpc/src/codec.rs
@@ -6,7 +6,7 @@
 use std::fmt;
 use std::io;
 
-use bincode::error::EncodeError;
+use bincode::error::{DecodeError as BincodeError, EncodeError};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
@@ -74,6 +74,35 @@
     }
 }
 
+/// Decodes a message of `length` bytes while it is read, so that its encoded form need not be in memory.
+///
+/// # Errors
+///
+/// Returns the errors of `reader`, or [`io::ErrorKind::InvalidData`] if the bytes do not encode exactly one
+/// message of type `T`.
+pub fn decode_from<T: DeserializeOwned>(reader: &mut dyn io::Read, length: usize) -> io::Result<T> {
+    let mut reader = CountingReader { reader, bytes: 0 };
+    match bincode::serde::decode_from_std_read(&mut reader, bincode::config::standard()) {
+        Ok(message) if reader.bytes == length => Ok(message),
+        Err(BincodeError::Io { inner, .. }) if inner.kind() != io::ErrorKind::UnexpectedEof => Err(inner),
+        _ => Err(io::Error::new(io::ErrorKind::InvalidData, DecodeError)),
+    }
+}
+
+/// Reader that counts the bytes.
+struct CountingReader<'a> {
+    reader: &'a mut dyn io::Read,
+    bytes: usize,
+}
+
+impl io::Read for CountingReader<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let count = self.reader.read(buffer)?;
+        self.bytes += count;
+        Ok(count)
+    }
+}
+
 /// Error of [`decode`]: the bytes do not encode exactly one message of the expected type.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DecodeError;
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -23,12 +23,14 @@
 mod codec;
 mod error;
 mod http;
+mod message_budget;
 mod server;
 mod transport;
 
 pub use client::Client;
-pub use codec::{decode, encode, encode_into, encoded_length, DecodeError};
+pub use codec::{decode, decode_from, encode, encode_into, encoded_length, DecodeError};
 pub use error::CallError;
 pub use http::http_client;
-pub use server::{handler, serve, MAX_MESSAGE_BYTES};
+pub use message_budget::{BudgetShare, MessageBudget};
+pub use server::{bounded_handler, handler, serve, MAX_MESSAGE_BYTES};
 pub use transport::{HttpTransport, Transport};
--- a/crates/rushrudder/src/control/mod.rs
+++ b/crates/rushrudder/src/control/mod.rs
@@ -26,7 +26,7 @@
 use crate::RoleError;
 
 pub use clients::OutboundClients;
-pub use disk::{open_or_set_aside, RecordCheck, RecoveredDisk};
+pub use disk::{first_unreadable, open_or_set_aside, RecordCheck, RecoveredDisk};
 
 /// The components of the control plane of a process, shared by its endpoints and its tasks.
 pub struct ControlPlane {
@@ -64,7 +64,7 @@
         let view = Arc::new(ViewCell::new());
         let proposer = Proposer::new(Arc::clone(&view), clients.rpc.clone());
         let quorum_service = disk.map(|disk| {
-            let acceptor = AcceptorService::new(disk.journal, disk.incarnation, &disk.records);
+            let acceptor = AcceptorService::new(disk.journal, disk.incarnation, &disk.content);
             QuorumService::new(acceptor, disk.incarnation, Arc::clone(&view))
         });
         Self {
--- a/crates/rushrudder/src/store.rs
+++ b/crates/rushrudder/src/store.rs
@@ -11,7 +11,7 @@
 use state::StoreMember;
 use store_plane::runner::owned_jobs::run_owned_jobs;
 use store_plane::runner::RunnerSettings;
-use store_plane::{JobStore, OwnedJob, StoreLimits};
+use store_plane::{JobStore, OwnedJob, StoreLimits, StoreRecovery};
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use crate::control::{local_member, ControlPlane, OutboundClients, RecoveredDisk};
@@ -39,7 +39,7 @@
 /// journal cannot be opened, or it cannot listen at its internal address.
 pub async fn run(settings: NodeSettings) -> Result<(), Report<RoleError>> {
     let mut signals = Signals::listen()?;
-    let disk = RecoveredDisk::open(&settings, journal_options(&settings), store_plane::check_store_record)?;
+    let disk = RecoveredDisk::open_store(&settings, journal_options(&settings))?;
     let disk = disk.ok_or_else(|| RoleError::MissingDataDir.into_report())?;
     let (store, owned_jobs) = BatchStore::new(&settings, disk, OutboundClients::http(&settings));
     let internal_listener = store.control.listen().await?;
@@ -72,7 +72,7 @@
     /// job that this store owns, so that the caller can run its items.
     pub fn new(
         settings: &NodeSettings,
-        disk: RecoveredDisk,
+        disk: RecoveredDisk<StoreRecovery>,
         clients: OutboundClients,
     ) -> (Self, UnboundedReceiver<OwnedJob>) {
         let member =
@@ -81,10 +81,10 @@
         let (jobs, owned_jobs) = JobStore::open(
             member.member.clone(),
             Arc::new(disk.journal),
-            disk.records.into_iter().map(|(position, bytes)| (position.0, bytes)),
+            disk.content,
             control.clients.rpc.clone(),
             control.view.subscribe(),
-            StoreLimits { result_retention: settings.timing_rules.result_retention() },
+            store_limits(settings),
         );
         (Self { control, jobs, member }, owned_jobs)
     }
@@ -112,6 +112,13 @@
     }
 }
 
+fn store_limits(settings: &NodeSettings) -> StoreLimits {
+    StoreLimits {
+        result_retention: settings.timing_rules.result_retention(),
+        memory_bytes: usize::try_from(settings.resource_limits.memory_bytes()).unwrap_or(usize::MAX),
+    }
+}
+
 fn journal_options(settings: &NodeSettings) -> storage::RingOptions {
     // A fifth of the disk is left free for records that are rewritten while their old segments are still in
     // use.
--- a/crates/rushrudder/tests/stored_data.rs
+++ b/crates/rushrudder/tests/stored_data.rs
@@ -8,7 +8,7 @@
 use std::io::Read;
 use std::path::{Path, PathBuf};
 
-use batch::{Entry, Record, Replicas};
+use batch::{EntryKind, Record, Replicas};
 use control_plane::AcceptorService;
 use golden_files::GoldenFiles;
 use register::Incarnation;
@@ -116,11 +116,13 @@
     let (_journal, recovered) = open(&directory, STORE_JOURNAL);
     let decode =
         |(_, bytes): (_, Vec<u8>)| rpc::decode::<Vec<Record>>(&bytes).expect("the record can be decoded");
-    let replicas = Replicas::recover(recovered.records.into_iter().flat_map(decode));
+    let mut replicas = Replicas::default();
+    recovered.records.into_iter().flat_map(decode).for_each(|record| replicas.replay(record));
     let mut text = format!("epoch {}\n", replicas.epoch());
     for (job, log) in replicas.logs() {
-        let results = log.entries.iter().filter(|entry| matches!(***entry, Entry::Result(_))).count();
-        let is_ended = log.entries.iter().any(|entry| matches!(**entry, Entry::End));
+        let results =
+            log.entries.iter().filter(|entry| matches!(entry.kind(), EntryKind::Result { .. })).count();
+        let is_ended = log.entries.iter().any(|entry| *entry.kind() == EntryKind::End);
         writeln!(
             text,
             "{job}: promised round {}, accepted round {}, {} entries, {results} results, ended {is_ended}",
--- a/crates/rushrudder/tests/unreadable_records.rs
+++ b/crates/rushrudder/tests/unreadable_records.rs
@@ -5,7 +5,7 @@
 
 use control_plane::check_acceptor_record;
 use error_stack::Report;
-use rushrudder::control::open_or_set_aside;
+use rushrudder::control::{first_unreadable, open_or_set_aside};
 use storage::simulated::{LoseUnsynced, SimulatedDisk};
 use storage::{Journal, Recovered, RingOptions, StorageError};
 use yare::parameterized;
@@ -17,9 +17,10 @@
 /// created.
 fn open(disk: &SimulatedDisk) -> (Journal, Recovered) {
     let file_system = disk.file_system();
+    let unreadable = |recovered: &Recovered| first_unreadable(recovered, check_acceptor_record);
     let open = || Journal::open_inline(disk.file_system(), Path::new(DIRECTORY), OPTIONS);
     let opened: Result<_, Report<StorageError>> =
-        open_or_set_aside(&*file_system, Path::new(DIRECTORY), check_acceptor_record, open);
+        open_or_set_aside(&*file_system, Path::new(DIRECTORY), unreadable, open);
     opened.expect("the journal can be opened")
 }
 
--- a/crates/simulator/src/bin/simulate.rs
+++ b/crates/simulator/src/bin/simulate.rs
@@ -36,7 +36,8 @@
     /// after the other, seeds change, all machines lose power in the end), large-turnover, absences (long suspensions and
     /// partitions while acceptors are replaced), disks (failed syncs, stalls, losses of power, undecodable records),
     /// server-links (partitions of model servers while the leader changes), proxied-server-links (proxies delay what is
-    /// sent to model servers while nodes shut down).
+    /// sent to model servers while nodes shut down), memory (large batch jobs, and little
+    /// memory at the stores).
     #[options(short = "S", default = "small")]
     setup: String,
     /// Play the faults of this seed in all runs; everything else is drawn from the seed of the run.
@@ -65,6 +66,7 @@
             "disks" => Some(Setup::disks()),
             "server-links" => Some(Setup::server_links()),
             "proxied-server-links" => Some(Setup::proxied_server_links()),
+            "memory" => Some(Setup::memory()),
             _ => None,
         }
     }
--- a/crates/simulator/src/fleet/delivery.rs
+++ b/crates/simulator/src/fleet/delivery.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use control_plane::ORDER_DELIVERY_TIMEOUT;
 use rpc::CallError;
 use state::ServerEntry;
@@ -18,6 +19,11 @@
 /// Number of times that a message stopped by a partition is sent again before it is dropped.
 const MAX_RESENDS: u32 = 8;
 
+/// Returns a copy of a message that is no memory of the process that sent it.
+fn detached(message: &Bytes) -> Bytes {
+    Bytes::copy_from_slice(message)
+}
+
 impl Fleet {
     /// Takes the messages that processes have sent, and schedules their arrival.
     pub(super) fn collect_sent(&mut self) {
@@ -26,7 +32,7 @@
             self.send_call(call);
         }
         for (call, outcome) in sent.replies {
-            self.send_reply(call, &outcome);
+            self.send_reply(call, &outcome.map(|(status, body)| (status, detached(&body))));
         }
         for (call, reply) in sent.external_replies {
             self.send_external_reply(call, &reply);
@@ -37,6 +43,7 @@
     fn send_call(&mut self, outgoing: OutgoingCall) {
         let OutgoingCall { caller, to, path, body, reply } = outgoing;
         self.transcript.record_call(self.now, caller, to, &path, &body);
+        let body = detached(&body);
         let call = self.events.next_number();
         let from = Endpoint::Machine(caller);
         let transmission = self.links.transmit(self.now, from, to, body.len());
--- a/crates/simulator/src/fleet/observe.rs
+++ b/crates/simulator/src/fleet/observe.rs
@@ -53,6 +53,13 @@
         self.machines[machine].kind
     }
 
+    /// Returns the largest memory that the present process of a machine has had, in bytes; `None` if it has no
+    /// process.
+    #[must_use]
+    pub fn peak_memory(&self, machine: usize) -> Option<usize> {
+        self.machines[machine].process().map(Process::peak_memory)
+    }
+
     /// Whether a machine is a store.
     #[must_use]
     pub fn is_store(&self, machine: usize) -> bool {
--- a/crates/simulator/src/fleet/settings.rs
+++ b/crates/simulator/src/fleet/settings.rs
@@ -25,7 +25,7 @@
             "station = \"{}\"\nip = \"{}\"\nzone = \"zone-{}\"\ninnerPorts = [{INTERNAL_PORT}, {INTERNAL_PORT}]\n\
              serves = [{serves}]\nseedStations = [{}]\nfirstStart = {}\n{data}\
              [withstand]\nmachines = {}\n[timetable]\nleaseMs = 3000\nthawMs = 300\nstatusS = 120\n\
-             catchUpS = {}\n",
+             catchUpS = {}\n{}",
             machine.name,
             ip_of(index),
             index % ZONES,
@@ -33,10 +33,17 @@
             machine.is_first_start,
             self.shape.tolerated_failures,
             self.shape.catch_up_time().as_secs_f64(),
+            self.limits_of(index),
         );
         NodeSettings::parse(&text).expect("the generated settings are valid")
     }
 
+    /// Returns the section of the settings with the resources of a machine; empty for the defaults.
+    fn limits_of(&self, index: usize) -> String {
+        let memory_mb = self.shape.store_memory_mb.filter(|_| self.is_store(index));
+        memory_mb.map_or_else(String::new, |memory_mb| format!("[limits]\nmemoryMb = {memory_mb}\n"))
+    }
+
     /// Returns the quoted addresses of the seeds of a machine: the configured ones, or the first nodes that
     /// are not removed.
     fn seed_addresses(&self, index: usize) -> Vec<String> {
--- a/crates/simulator/src/fleet/shape.rs
+++ b/crates/simulator/src/fleet/shape.rs
@@ -15,15 +15,27 @@
     pub servers: usize,
     /// Number of machines with a disk that may be failed at the same time.
     pub tolerated_failures: usize,
+    /// Memory that a store may use (setting `memoryMb`), in megabytes; `None` for the default.
+    pub store_memory_mb: Option<f64>,
 }
 
 impl Default for FleetShape {
     fn default() -> Self {
-        Self { nodes: 3, diskless_nodes: 0, stores: 3, servers: 4, tolerated_failures: 1 }
+        Self::DEFAULT
     }
 }
 
 impl FleetShape {
+    /// Three nodes and three stores, of which one may fail.
+    pub const DEFAULT: Self = Self {
+        nodes: 3,
+        diskless_nodes: 0,
+        stores: 3,
+        servers: 4,
+        tolerated_failures: 1,
+        store_memory_mb: None,
+    };
+
     /// Returns the time for which a machine still counts as failed after its start (setting `catchUpS`): the
     /// value that deployments of this size use.
     #[must_use]
--- a/crates/simulator/src/item_runner.rs
+++ b/crates/simulator/src/item_runner.rs
@@ -24,11 +24,7 @@
 /// batch job is no longer open or a result cannot be appended.
 async fn run_job(owned: OwnedJob) {
     let state = owned.state();
-    let pending = owned
-        .job
-        .items
-        .iter()
-        .filter(|item| owned.committed_results.iter().all(|result| result.id != item.id));
+    let pending = owned.job.items.iter().filter(|item| !owned.items_with_results.contains(&item.id));
     for item in pending {
         tokio::time::sleep(Duration::from_millis(fastrand::u64(ITEM_DURATION_MS))).await;
         if *state.borrow() != JobState::Open {
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -9,15 +9,20 @@
 //! runs the processes one after another and delivers the messages that they have sent. The clock of a frozen
 //! process advances, but the process does not run. Killing a process drops it with all its tasks.
 //!
+//! The memory of each process is counted: what its code has allocated, which includes messages on their way, until
+//! they arrive.
+//!
 //! The data plane is not simulated: a substitute for the item runner generates the results of batch jobs.
 //!
 //! [`simulation`] runs fleets with random faults and checks their invariants at short intervals.
 
 mod disk;
+mod disk_contents;
 mod external_requests;
 mod fleet;
 mod item_runner;
 mod logging;
+mod memory_meter;
 mod model_server;
 mod network;
 mod process;
--- a/crates/simulator/src/process.rs
+++ b/crates/simulator/src/process.rs
@@ -1,5 +1,6 @@
 //! One simulated process: the production assembly of its role, on a separate runtime with a simulated clock.
 
+use std::io;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -8,24 +9,29 @@
 use bytes::Bytes;
 use control_plane::AcceptorService;
 use poem::endpoint::BoxEndpoint;
+use poem::http::header::CONTENT_LENGTH;
 use poem::http::Method;
-use poem::{Endpoint, EndpointExt, Response};
+use poem::{Body, Endpoint, EndpointExt, Response};
 use register::{Incarnation, Versioned};
-use rushrudder::control::{open_or_set_aside, ControlPlane, OutboundClients, RecoveredDisk};
+use rushrudder::control::{
+    first_unreadable, open_or_set_aside, ControlPlane, OutboundClients, RecoveredDisk,
+};
 use rushrudder::job_api::JobApi;
 use rushrudder::node::TrafficNode;
 use rushrudder::store::BatchStore;
 use settings::NodeSettings;
 use state::ControlState;
 use storage::simulated::SimulatedDisk;
-use storage::{Journal, RingOptions};
-use store_plane::JobStore;
+use storage::{FileSystem, Journal, Recovered, RingLocation, RingOptions};
+use store_plane::{JobStore, StoreRecovery};
 use tokio::runtime::{Builder, Runtime};
 use tokio::time::Instant;
 
 use crate::disk::SyncDelay;
+use crate::disk_contents::UncountedFileSystem;
 use crate::external_requests::{self, ExternalRequest};
 use crate::item_runner::run_jobs;
+use crate::memory_meter::MemoryMeter;
 use crate::transport::{CallOutcome, Outbox, SimulatedTransport};
 
 /// Size of the journal of a traffic node, which contains the records of its acceptor. It is small, so that
@@ -69,6 +75,7 @@
 /// A running process. Dropping it kills the process with all its tasks.
 pub(crate) struct Process {
     runtime: Runtime,
+    memory: MemoryMeter,
     /// The reading of the runtime's clock when the process started.
     started: Instant,
     /// The time that has passed since the start by the clock of this process.
@@ -87,6 +94,16 @@
     /// Starts a process. Returns `None` if the journal on its disk cannot be opened: the program exits in
     /// this case.
     pub(crate) fn start(options: &ProcessOptions<'_>) -> Option<Self> {
+        let mut memory = MemoryMeter::start();
+        let (runtime, started, started_role) = memory.count(|| Self::start_role(options))?;
+        let StartedRole { internal, role, incarnation } = started_role;
+        let (clock, internal, has_shut_down) = (Duration::ZERO, Arc::new(internal), Arc::default());
+        let outbox = options.outbox.clone();
+        Some(Self { runtime, memory, started, clock, internal, role, outbox, incarnation, has_shut_down })
+    }
+
+    /// Starts the role of a process on a new runtime. Returns the reading of its clock as well.
+    fn start_role(options: &ProcessOptions<'_>) -> Option<(Runtime, Instant, StartedRole)> {
         let runtime = runtime(options.seed);
         let outbox = options.outbox.clone();
         let transport = Arc::new(SimulatedTransport { outbox: outbox.clone(), machine: options.machine });
@@ -96,32 +113,38 @@
             servers: transport,
         };
         let (started, started_role) = runtime.block_on(async {
-            let has_disk = options.settings.data_dir.is_some();
-            let disk = if has_disk { Some(open_disk(options)?) } else { None };
             let started = Instant::now();
-            let started_role = match disk {
-                Some(disk) if options.settings.serves_store() => start_store(options, disk, clients),
-                disk => start_node(options, disk, clients),
+            let started_role = if options.settings.serves_store() {
+                start_store(options, open_store_disk(options)?, clients)
+            } else if options.settings.data_dir.is_some() {
+                start_node(options, Some(open_disk(options)?), clients)
+            } else {
+                start_node(options, None, clients)
             };
             Some((started, started_role))
         })?;
-        let StartedRole { internal, role, incarnation } = started_role;
-        let (clock, internal, has_shut_down) = (Duration::ZERO, Arc::new(internal), Arc::default());
-        Some(Self { runtime, started, clock, internal, role, outbox, incarnation, has_shut_down })
+        Some((runtime, started, started_role))
+    }
+
+    /// Returns the largest memory that the process has had, in bytes.
+    pub(crate) fn peak_memory(&self) -> usize {
+        self.memory.peak_bytes()
     }
 
     /// Runs the process until its clock shows `clock` since the start.
     pub(crate) fn run_until(&mut self, clock: Duration) {
         self.clock = clock;
         let until = self.started + clock;
-        self.runtime.block_on(async move { tokio::time::sleep_until(until).await });
+        let runtime = &self.runtime;
+        self.memory.count(|| runtime.block_on(async move { tokio::time::sleep_until(until).await }));
     }
 
     /// Advances the clock to `clock` since the start in one jump, without running the process.
     pub(crate) fn jump_to(&mut self, clock: Duration) {
         let jump = clock.saturating_sub(self.clock);
         self.clock = clock;
-        self.runtime.block_on(tokio::time::advance(jump));
+        let runtime = &self.runtime;
+        self.memory.count(|| runtime.block_on(tokio::time::advance(jump)));
     }
 
     /// Returns the time since the start by the clock of this process.
@@ -242,7 +265,11 @@
     StartedRole { internal, role: Role::Node { node: Arc::new(node), operator, jobs }, incarnation }
 }
 
-fn start_store(options: &ProcessOptions<'_>, disk: RecoveredDisk, clients: OutboundClients) -> StartedRole {
+fn start_store(
+    options: &ProcessOptions<'_>,
+    disk: RecoveredDisk<StoreRecovery>,
+    clients: OutboundClients,
+) -> StartedRole {
     let incarnation = Some(disk.incarnation);
     let (store, owned) = BatchStore::new(options.settings, disk, clients);
     store.start(options.settings);
@@ -270,31 +297,64 @@
     }
 }
 
-/// Opens the journal of the machine and starts the task that writes to it. Returns `None` if it cannot be
+fn file_system(options: &ProcessOptions<'_>) -> Arc<dyn FileSystem> {
+    Arc::new(UncountedFileSystem(options.disk.file_system()))
+}
+
+/// Opens the journal of a traffic node and starts the task that writes to it. Returns `None` if it cannot be
 /// opened.
 fn open_disk(options: &ProcessOptions<'_>) -> Option<RecoveredDisk> {
-    let is_store = options.settings.serves_store();
-    let ring_options = journal_options(is_store);
-    let check = if is_store { store_plane::check_store_record } else { control_plane::check_acceptor_record };
-    let (file_system, directory) = (options.disk.file_system(), Path::new(JOURNAL_DIRECTORY));
+    let ring_options = journal_options(false);
+    let (file_system, directory) = (file_system(options), Path::new(JOURNAL_DIRECTORY));
     let open = || {
         let (file_system, sync_delay) = (Arc::clone(&file_system), options.sync_delay.clone());
         let opened =
             Journal::open_paced(file_system, directory, ring_options, move || sync_delay.wait_for_sync());
         opened.map(|(journal, recovered, writing)| ((journal, writing), recovered))
     };
-    let opened = open_or_set_aside(&*file_system, directory, check, open);
+    let unreadable =
+        |recovered: &Recovered| first_unreadable(recovered, control_plane::check_acceptor_record);
+    let opened = open_or_set_aside(&*file_system, directory, unreadable, open);
     let ((journal, writing), recovered) = opened.ok()?;
     tokio::spawn(writing);
     Some(RecoveredDisk::new(journal, recovered))
 }
 
+/// Opens the journal of a store and starts the task that writes to it. Returns `None` if it cannot be opened.
+fn open_store_disk(options: &ProcessOptions<'_>) -> Option<RecoveredDisk<StoreRecovery>> {
+    let directory = Path::new(JOURNAL_DIRECTORY);
+    let file_system = file_system(options);
+    let location = RingLocation {
+        file_system: Arc::clone(&file_system),
+        directory: directory.to_owned(),
+        options: journal_options(true),
+    };
+    let open = || {
+        let sync_delay = options.sync_delay.clone();
+        let mut recovery = StoreRecovery::new(Arc::new(location.reader()));
+        let opened = Journal::open_paced_with(
+            &location,
+            |record| recovery.add(record),
+            move || sync_delay.wait_for_sync(),
+        );
+        opened.map(|(journal, recovered, writing)| ((journal, writing, recovered), recovery))
+    };
+    let opened = open_or_set_aside(&*file_system, directory, StoreRecovery::first_unreadable, open);
+    let ((journal, writing, recovered), content) = opened.ok()?;
+    tokio::spawn(writing);
+    Some(RecoveredDisk { journal, content, incarnation: Incarnation(recovered.incarnation) })
+}
+
 /// Passes a call to the internal endpoint of a process and returns the response.
 async fn respond(internal: &BoxEndpoint<'static, Response>, path: &str, body: Bytes) -> CallOutcome {
+    let length = body.len();
+    // The process has no part of the body in memory before it reads it.
+    let read = futures_util::stream::once(async move { Ok::<_, io::Error>(Bytes::copy_from_slice(&body)) });
     let request = poem::Request::builder()
         .method(Method::POST)
         .uri(path.parse().expect("the path is a valid URI"))
-        .body(body);
+        .header(CONTENT_LENGTH, length)
+        .body(Body::from_bytes_stream(read));
     let response = internal.get_response(request).await;
     let status = response.status().as_u16();
     Ok((status, response.into_body().into_bytes().await.unwrap_or_default()))
--- a/crates/simulator/src/simulation/mod.rs
+++ b/crates/simulator/src/simulation/mod.rs
@@ -17,6 +17,7 @@
 pub use faults::{Fault, FaultKind, FaultMix};
 pub use run::{shrink, simulate, FailedRun, RunSummary};
 pub use setup::Setup;
+pub use trainers::JobLoad;
 pub use violation::{
     AcknowledgedChange, ConfigurationViolation, JobViolation, RegisterViolation, SimulationViolation,
 };
--- a/crates/simulator/src/simulation/run.rs
+++ b/crates/simulator/src/simulation/run.rs
@@ -14,6 +14,8 @@
 
 /// Time between two ticks, in which operators and trainers act and the invariants are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Bytes of a megabyte in the settings.
+const BYTES_PER_MB: f64 = 1_000_000.0;
 /// Time limit for the acknowledgement of the first configuration.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time limit for the recovery from the last fault.
@@ -98,7 +100,7 @@
             setup,
             fleet: Fleet::start(seed, setup.shape),
             operators: Operators::new(seed, setup.changes_per_second),
-            trainers: Trainers::new(seed),
+            trainers: Trainers::new(seed, setup.job_load),
             checker: Checker::default(),
             active_faults: Vec::new(),
         }
@@ -158,7 +160,24 @@
     fn tick(&mut self, starts_new_work: bool) -> Result<(), SimulationViolation> {
         self.operators.tick(&mut self.fleet, starts_new_work)?;
         self.trainers.tick(&mut self.fleet, starts_new_work)?;
-        Ok(self.checker.check(&self.fleet)?)
+        self.checker.check(&self.fleet)?;
+        self.check_memory()
+    }
+
+    /// Checks that no store has had more memory than its settings allow, unless they have the default. The platform
+    /// would have killed it.
+    fn check_memory(&self) -> Result<(), SimulationViolation> {
+        let Some(memory_mb) = self.setup.shape.store_memory_mb else { return Ok(()) };
+        let stores = self.fleet.machines().filter(|machine| self.fleet.is_store(*machine));
+        let limit = (memory_mb * BYTES_PER_MB) as usize;
+        let mut peaks = stores.filter_map(|store| Some((store, self.fleet.peak_memory(store)?)));
+        match peaks.find(|(_, bytes)| *bytes > limit) {
+            Some((store, bytes)) => {
+                let machine = self.fleet.name(store).to_owned();
+                Err(SimulationViolation::MemoryExceeded { machine, bytes, limit })
+            }
+            None => Ok(()),
+        }
     }
 
     /// Advances the fleet after the last fault until all started work has ended and the fleet has recovered.
--- a/crates/simulator/src/simulation/setup.rs
+++ b/crates/simulator/src/simulation/setup.rs
@@ -3,8 +3,12 @@
 use std::time::Duration;
 
 use super::faults::{self, Fault, FaultMix};
+use super::trainers::JobLoad;
 use crate::FleetShape;
 
+/// Memory of a store in [`Setup::memory`], in megabytes.
+const STORE_MEMORY_MB: f64 = 4.0;
+
 /// The fleet, the faults and the load of a simulation run.
 #[derive(Clone, Copy, Debug)]
 pub struct Setup {
@@ -18,6 +22,8 @@
     pub changes_per_second: f64,
     /// Kinds of faults that are drawn.
     pub mix: FaultMix,
+    /// The size of the batch jobs.
+    pub job_load: JobLoad,
     /// Whether all machines lose power simultaneously after the last fault, and some of them also lose their
     /// disks.
     pub ends_with_power_loss: bool,
@@ -40,6 +46,7 @@
             fault_interval: Duration::from_millis(1500),
             changes_per_second: 2.0,
             mix: FaultMix::All,
+            job_load: JobLoad::Mixed,
             ends_with_power_loss: false,
         }
     }
@@ -47,7 +54,14 @@
     /// Returns [`Setup::small`] with five nodes and five stores, of which two may fail.
     #[must_use]
     pub fn large() -> Self {
-        let shape = FleetShape { nodes: 5, diskless_nodes: 0, stores: 5, servers: 6, tolerated_failures: 2 };
+        let shape = FleetShape {
+            nodes: 5,
+            diskless_nodes: 0,
+            stores: 5,
+            servers: 6,
+            tolerated_failures: 2,
+            ..FleetShape::DEFAULT
+        };
         Self { shape, ..Self::small() }
     }
 
@@ -94,6 +108,14 @@
         Self { mix: FaultMix::ProxiedServerLinks, ..Self::small() }
     }
 
+    /// Returns [`Setup::small`] with large batch jobs, which together need about as much memory as a store may
+    /// use.
+    #[must_use]
+    pub fn memory() -> Self {
+        let shape = FleetShape { store_memory_mb: Some(STORE_MEMORY_MB), ..FleetShape::DEFAULT };
+        Self { shape, job_load: JobLoad::Large, ..Self::small() }
+    }
+
     /// Returns [`Setup::small`] with a longer run and ten times as many changes of the configuration per
     /// second.
     #[must_use]
--- a/crates/simulator/src/simulation/trainers.rs
+++ b/crates/simulator/src/simulation/trainers.rs
@@ -12,8 +12,6 @@
 
 /// XORed with the seed, so that the trainers' random numbers are independent of the others of a run.
 const SEED_SALT: u64 = 0x7472_6169_6e65_7273;
-/// Time between the starts of two batch jobs.
-const JOB_INTERVAL: Duration = Duration::from_secs(4);
 /// Time after which a call without a reply counts as failed.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(3000);
 /// Pause between the reply to a call about a batch job, or the timeout of the call, and the next call.
@@ -23,15 +21,63 @@
 const VISIBILITY_DELAY: Duration = Duration::from_millis(1000);
 /// Number of items of a batch job.
 const ITEMS: usize = 6;
-/// One of this number of batch jobs has a log that is longer than a segment of a store's journal.
-const LARGE_JOB_INTERVAL: u32 = 6;
-/// Length by which the ids of the items of such a batch job are longer. A text contains the id of its item.
-const LARGE_JOB_ID_PADDING: usize = 16_000;
+/// Length by which the ids of the items of a batch job with a long log are longer. A text contains the id of its
+/// item.
+const LONG_LOG_ID_PADDING: usize = 16_000;
+/// Length of the base64 of the request bodies of the items of a batch job with a long submission.
+const LONG_SUBMISSION_BODY_LENGTH: usize = 32_000;
 /// Number of reads after the end of a batch job.
 const READS_AFTER_END: u32 = 2;
 /// Name of the model of the batch jobs.
 const MODEL: &str = "m";
 
+/// The size of the batch jobs of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobLoad {
+    /// A batch job each 4 s. One of six has a log that is longer than a segment of a store's journal.
+    Mixed,
+    /// A batch job each 2 s, whose submission is nearly as long as a segment.
+    Large,
+}
+
+impl JobLoad {
+    /// Returns the time between the starts of two batch jobs.
+    fn interval(self) -> Duration {
+        match self {
+            Self::Mixed => Duration::from_secs(4),
+            Self::Large => Duration::from_secs(2),
+        }
+    }
+
+    /// Draws the size of a batch job.
+    fn draw_size(self, random: &mut Rng) -> JobSize {
+        match self {
+            Self::Mixed if random.u32(..6) == 0 => JobSize::LongLog,
+            Self::Mixed => JobSize::Small,
+            Self::Large => JobSize::LongSubmission,
+        }
+    }
+}
+
+/// The size of a batch job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum JobSize {
+    Small,
+    LongLog,
+    LongSubmission,
+}
+
+impl JobSize {
+    /// Returns the length by which the ids of the items are longer, and the length of their bodies in base64.
+    fn item_lengths(self) -> (usize, usize) {
+        match self {
+            Self::Small => (0, 0),
+            Self::LongLog => (LONG_LOG_ID_PADDING, 0),
+            Self::LongSubmission => (0, LONG_SUBMISSION_BODY_LENGTH),
+        }
+    }
+}
+
 /// The stage of a batch job from the view of its trainer. It determines the next call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum JobStage {
@@ -74,6 +120,7 @@
 /// All trainers of a run, with their batch jobs.
 pub(super) struct Trainers {
     random: Rng,
+    load: JobLoad,
     jobs: Vec<TrainerJob>,
     /// The time at which the next batch job is due.
     next_job: Duration,
@@ -81,9 +128,9 @@
 }
 
 impl Trainers {
-    pub(super) fn new(seed: u64) -> Self {
+    pub(super) fn new(seed: u64, load: JobLoad) -> Self {
         let random = Rng::with_seed(seed ^ SEED_SALT);
-        Self { random, jobs: Vec::new(), next_job: Duration::ZERO, accepted_jobs: 0 }
+        Self { random, load, jobs: Vec::new(), next_job: Duration::ZERO, accepted_jobs: 0 }
     }
 
     /// Returns the number of accepted batch jobs.
@@ -98,9 +145,9 @@
         starts_new_jobs: bool,
     ) -> Result<(), SimulationViolation> {
         if starts_new_jobs && fleet.now >= self.next_job {
-            self.next_job = fleet.now + JOB_INTERVAL;
-            let is_large = self.random.u32(..LARGE_JOB_INTERVAL) == 0;
-            self.jobs.push(TrainerJob::new(self.jobs.len(), is_large, fleet.now));
+            self.next_job = fleet.now + self.load.interval();
+            let size = self.load.draw_size(&mut self.random);
+            self.jobs.push(TrainerJob::new(self.jobs.len(), size, fleet.now));
         }
         for job in &mut self.jobs {
             let was_accepted = job.is_accepted();
@@ -125,10 +172,12 @@
 }
 
 impl TrainerJob {
-    fn new(number: usize, is_large: bool, now: Duration) -> Self {
+    fn new(number: usize, size: JobSize, now: Duration) -> Self {
         let id = format!("job-{number}");
-        let padding = "x".repeat(if is_large { LARGE_JOB_ID_PADDING } else { 0 });
-        let item = |index| format!(r#"{{"id":"{id}-{index}{padding}","lane":"/r/{index}"}}"#);
+        let (id_padding, body_length) = size.item_lengths();
+        let (padding, payload) = ("x".repeat(id_padding), "A".repeat(body_length));
+        let item =
+            |index| format!(r#"{{"id":"{id}-{index}{padding}","lane":"/r/{index}","payload":"{payload}"}}"#);
         let items: Vec<String> = (0..ITEMS).map(item).collect();
         let body = format!(r#"{{"model":"{MODEL}","oldestEdition":1,"parcels":[{}]}}"#, items.join(","));
         Self {
--- a/crates/simulator/src/simulation/violation.rs
+++ b/crates/simulator/src/simulation/violation.rs
@@ -223,6 +223,15 @@
         /// The reply of the node that received the request.
         reply: ExternalReply,
     },
+    /// A store used more memory than its settings allow.
+    MemoryExceeded {
+        /// The name of the machine.
+        machine: String,
+        /// The largest memory of its process, in bytes.
+        bytes: usize,
+        /// The memory that the settings allow, in bytes.
+        limit: usize,
+    },
     /// The fleet did not recover in time after the last fault.
     NotConverged {
         /// The time limit of the recovery.
@@ -243,6 +252,9 @@
             Self::UnexpectedReply { request, reply } => {
                 write!(f, "{request} received the unexpected reply {reply:?}")
             }
+            Self::MemoryExceeded { machine, bytes, limit } => {
+                write!(f, "{machine} used {bytes} bytes of memory, its limit is {limit}")
+            }
             Self::NotConverged { timeout, missing } => {
                 write!(f, "the fleet has not recovered {timeout:?} after the last fault: {missing}")
             }
--- a/crates/simulator/src/transport.rs
+++ b/crates/simulator/src/transport.rs
@@ -100,6 +100,8 @@
     /// Sends a call and waits until its outcome is known or its connection fails.
     async fn call_without_limit(&self, caller: usize, to: Endpoint, path: &str, body: Bytes) -> CallOutcome {
         let (reply, receiver) = oneshot::channel();
+        // The body is memory of the caller until it stops waiting.
+        let _body = body.clone();
         self.lock().calls.push(OutgoingCall { caller, to, path: path.to_owned(), body, reply });
         let failed = |_| Err(CallError::Unknown("the connection failed before a reply".into()));
         receiver.await.unwrap_or_else(failed)
@@ -144,7 +146,8 @@
             let called = self.outbox.call(self.machine, to, path, request.into(), timeout);
             let (status, body) = called.await?;
             CallError::check_status(status)?;
-            Ok(body)
+            // A copy, which is memory of this process and not of the one that replied.
+            Ok(Bytes::copy_from_slice(&body))
         })
     }
 }
--- a/crates/simulator/tests/scenarios/configuration.rs
+++ b/crates/simulator/tests/scenarios/configuration.rs
@@ -71,8 +71,8 @@
 const NARROW_LINK_BYTES_PER_SECOND: f64 = 60e6 / 8.0;
 
 #[parameterized(
-    one_may_fail = { FleetShape { nodes: 3, diskless_nodes: 20, stores: 3, servers: 4, tolerated_failures: 1 } },
-    two_may_fail = { FleetShape { nodes: 8, diskless_nodes: 40, stores: 8, servers: 4, tolerated_failures: 2 } },
+    one_may_fail = { FleetShape { nodes: 3, diskless_nodes: 20, stores: 3, servers: 4, tolerated_failures: 1, ..FleetShape::DEFAULT } },
+    two_may_fail = { FleetShape { nodes: 8, diskless_nodes: 40, stores: 8, servers: 4, tolerated_failures: 2, ..FleetShape::DEFAULT } },
 )]
 fn given_narrow_links_when_configurations_of_many_routes_are_put_then_the_next_changes_are_acknowledged_in_time(
     shape: FleetShape,
--- a/crates/simulator/tests/scenarios/main.rs
+++ b/crates/simulator/tests/scenarios/main.rs
@@ -8,6 +8,7 @@
 mod lease;
 mod losses;
 mod membership;
+mod memory;
 mod orders;
 mod partitions;
 mod scenario;
--- a/crates/simulator/tests/scenarios/seeds.rs
+++ b/crates/simulator/tests/scenarios/seeds.rs
@@ -11,11 +11,23 @@
 use crate::support::{seconds, SEEDS};
 
 /// Three nodes, three diskless nodes and three stores, of which one may fail.
-const THREE_NODES_WITH_DISKLESS: FleetShape =
-    FleetShape { nodes: 3, diskless_nodes: 3, stores: 3, servers: 4, tolerated_failures: 1 };
+const THREE_NODES_WITH_DISKLESS: FleetShape = FleetShape {
+    nodes: 3,
+    diskless_nodes: 3,
+    stores: 3,
+    servers: 4,
+    tolerated_failures: 1,
+    ..FleetShape::DEFAULT
+};
 /// Five nodes, four diskless nodes and five stores, of which two may fail.
-const FIVE_NODES_WITH_DISKLESS: FleetShape =
-    FleetShape { nodes: 5, diskless_nodes: 4, stores: 5, servers: 6, tolerated_failures: 2 };
+const FIVE_NODES_WITH_DISKLESS: FleetShape = FleetShape {
+    nodes: 5,
+    diskless_nodes: 4,
+    stores: 5,
+    servers: 6,
+    tolerated_failures: 2,
+    ..FleetShape::DEFAULT
+};
 /// Time limit for the recovery after all machines have restarted (setting `recoverS`).
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
--- a/crates/simulator/tests/scenarios/support.rs
+++ b/crates/simulator/tests/scenarios/support.rs
@@ -8,8 +8,14 @@
 /// Seeds of most scenarios.
 pub const SEEDS: Range<u64> = 0..12;
 /// Five nodes and five stores, of which two may fail at the same time.
-pub const FIVE_NODES: FleetShape =
-    FleetShape { nodes: 5, diskless_nodes: 0, stores: 5, servers: 6, tolerated_failures: 2 };
+pub const FIVE_NODES: FleetShape = FleetShape {
+    nodes: 5,
+    diskless_nodes: 0,
+    stores: 5,
+    servers: 6,
+    tolerated_failures: 2,
+    ..FleetShape::DEFAULT
+};
 
 /// Time for which a machine still counts as failed after its return (setting `catchUpS` if two may fail).
 pub const CATCH_UP_TIME: Duration = Duration::from_secs(6);
--- a/crates/simulator/tests/scenarios/suspended.rs
+++ b/crates/simulator/tests/scenarios/suspended.rs
@@ -8,8 +8,14 @@
 use crate::support::{seconds, SEEDS};
 
 /// Three nodes, two diskless nodes and three stores, of which one may fail.
-const SHAPE: FleetShape =
-    FleetShape { nodes: 3, diskless_nodes: 2, stores: 3, servers: 4, tolerated_failures: 1 };
+const SHAPE: FleetShape = FleetShape {
+    nodes: 3,
+    diskless_nodes: 2,
+    stores: 3,
+    servers: 4,
+    tolerated_failures: 1,
+    ..FleetShape::DEFAULT
+};
 /// Time limit for an absent process to learn the newest state after its return, if all its peers have been
 /// replaced.
 const CATCH_UP_TIMEOUT: std::time::Duration = seconds(15);
--- a/crates/simulator/tests/simulation.rs
+++ b/crates/simulator/tests/simulation.rs
@@ -24,6 +24,8 @@
     server_links_from_60 = { Setup::server_links(), 60..120 },
     proxied_server_links_from_0 = { Setup::proxied_server_links(), 0..60 },
     proxied_server_links_from_60 = { Setup::proxied_server_links(), 60..120 },
+    memory_from_0 = { Setup::memory(), 0..60 },
+    memory_from_60 = { Setup::memory(), 60..120 },
     many_changes_from_0 = { Setup::many_changes(), 0..20 },
     many_changes_from_120 = { Setup::many_changes(), 120..140 },
 )]
@@ -58,6 +60,7 @@
     disks = { Setup::disks() },
     server_links = { Setup::server_links() },
     proxied_server_links = { Setup::proxied_server_links() },
+    memory = { Setup::memory() },
 )]
 fn given_the_same_seed_when_simulated_again_then_the_run_is_identical(setup: Setup) {
     for seed in 0..5 {
--- a/crates/storage/src/layout.rs
+++ b/crates/storage/src/layout.rs
@@ -4,18 +4,23 @@
 //! are never reused. Segment `index` is stored in the file `ring-{index % segments}`, so each file is
 //! overwritten once its records are released.
 
+use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use crate::format::{ChainEnd, SegmentHeader, MAX_CONTENT_BYTES, RECORD_HEADER_BYTES, SEGMENT_HEADER_BYTES};
 use crate::{File, FileSystem, StorageError};
 
+/// Length above which a record is written in parts of this length, so that only a part of it has to be in memory
+/// at once when it is written or read.
+const MAX_PART_BYTES: usize = 1024 * 1024;
+
 /// Number and size of the files of a ring. An existing ring can only be opened with the options it was
 /// created with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RingOptions {
-    /// Size of each file in bytes, at most 1 GiB. A record that does not fit into one file is written in
-    /// parts.
+    /// Size of each file in bytes, at most 1 GiB. A record that is longer than 1 MiB, or does not fit into one
+    /// file, is written in parts.
     pub segment_bytes: u64,
     /// Number of files, at least two. Each is created when it is first needed.
     pub segments: usize,
@@ -25,11 +30,27 @@
     /// Returns the maximum length of a record in bytes. It may fill all segments but one, in which the oldest
     /// records that are still needed may be.
     pub fn max_record_bytes(&self) -> usize {
-        self.max_content_bytes() * self.segments.saturating_sub(1)
+        self.content_bytes_in_segment() * self.segments.saturating_sub(1)
+    }
+
+    /// Returns how many bytes of a record in parts fit into an empty segment.
+    pub(crate) fn content_bytes_in_segment(&self) -> usize {
+        self.content_bytes_in((self.segment_bytes as usize).saturating_sub(SEGMENT_HEADER_BYTES))
+    }
+
+    /// Returns how many bytes of a record in parts fit into `space` bytes of a segment. Each part has a header.
+    pub(crate) fn content_bytes_in(&self, space: usize) -> usize {
+        let part = RECORD_HEADER_BYTES + self.max_part_bytes();
+        space / part * self.max_part_bytes() + (space % part).saturating_sub(RECORD_HEADER_BYTES)
+    }
+
+    /// Returns the maximum length of a record, or of a part of one, that is written in one piece.
+    pub(crate) fn max_part_bytes(&self) -> usize {
+        self.max_content_bytes().clamp(1, MAX_PART_BYTES)
     }
 
     /// Returns how many bytes of a record fit into one segment: its size without the two headers.
-    pub(crate) fn max_content_bytes(&self) -> usize {
+    fn max_content_bytes(&self) -> usize {
         (self.segment_bytes as usize).saturating_sub(SEGMENT_HEADER_BYTES + RECORD_HEADER_BYTES)
     }
 
@@ -46,6 +67,7 @@
 pub struct Position(pub u64);
 
 /// Directory that contains the files of a ring.
+#[derive(Clone)]
 pub(crate) struct RingDirectory {
     file_system: Arc<dyn FileSystem>,
     path: PathBuf,
@@ -61,7 +83,12 @@
     ) -> Result<Self, StorageError> {
         options.validate()?;
         file_system.create_directory(path)?;
-        Ok(Self { file_system, path: path.to_owned(), options })
+        Ok(Self::new(file_system, path, options))
+    }
+
+    /// Creates a handle to a directory that exists, or is created later.
+    pub fn new(file_system: Arc<dyn FileSystem>, path: &Path, options: RingOptions) -> Self {
+        Self { file_system, path: path.to_owned(), options }
     }
 
     pub fn options(&self) -> RingOptions {
@@ -79,8 +106,13 @@
     }
 
     pub fn open_segment(&self, index: u64) -> Result<Box<dyn File>, StorageError> {
+        Ok(self.open_file(index)?)
+    }
+
+    /// Opens the file of a segment, with the error of the file system.
+    pub fn open_file(&self, index: u64) -> io::Result<Box<dyn File>> {
         let slot = (index % self.options.segments as u64) as usize;
-        Ok(self.file_system.open(&self.path.join(segment_name(slot)))?)
+        self.file_system.open(&self.path.join(segment_name(slot)))
     }
 
     /// Reads the header of each file; `None` for a file that does not exist or has no valid header.
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -16,8 +16,9 @@
 //! # Modules
 //!
 //! `format` defines the bytes of a segment and `layout` the files of a ring. `recovery` reads the files when
-//! a ring is opened, with the help of `read_ahead` and `record_assembly`. [`Ring`] appends to them, long records by `part_writer`, and `append_queue` passes
-//! records from the callers of a [`Journal`] to the ring. All modules access the disk through [`FileSystem`],
+//! a ring is opened, with the help of `read_ahead` and `record_assembly`. [`Ring`] appends to them, long records
+//! by `part_writer`, and `append_queue` passes records from the callers of a [`Journal`] to the ring. A
+//! [`RecordReader`] reads records again by their [`RecordLocation`], on the thread of `read_queue`. All modules access the disk through [`FileSystem`],
 //! implemented by [`NativeFileSystem`] and by the [`simulated`] disk. [`set_aside`] renames the files of a
 //! ring whose records its owner cannot read.
 
@@ -30,18 +31,27 @@
 mod native;
 mod part_writer;
 mod read_ahead;
+mod read_queue;
 mod record_assembly;
 mod record_content;
+mod record_location;
+mod record_reader;
+mod recovered_record;
 mod recovery;
 mod ring;
 mod set_aside;
 pub mod simulated;
+mod tail;
 
 pub use error::StorageError;
 pub use file_system::{File, FileSystem};
-pub use journal::{Journal, Recovered};
+pub use journal::{Journal, Recovered, RingLocation};
 pub use layout::{Position, RingOptions};
 pub use native::NativeFileSystem;
+pub use read_queue::ReadTask;
 pub use record_content::RecordContent;
+pub use record_location::{Extent, RecordLocation};
+pub use record_reader::{RecordReader, RecordSource};
+pub use recovered_record::RecoveredRecord;
 pub use ring::{Ring, RingIdentity, RingUsage};
 pub use set_aside::{is_set_aside_interrupted, set_aside};
--- a/crates/storage/src/recovery.rs
+++ b/crates/storage/src/recovery.rs
@@ -3,7 +3,9 @@
 use crate::format::{ChainEnd, SegmentHeader, RECORD_HEADER_BYTES, SEGMENT_HEADER_BYTES};
 use crate::layout::{RingDirectory, RingOptions};
 use crate::read_ahead::ReadAheadBuffer;
-use crate::record_assembly::{RecordAssembly, RecordVisitor};
+use crate::record_assembly::RecordAssembly;
+use crate::record_location::Extent;
+use crate::recovered_record::RecordVisitor;
 use crate::{File, StorageError};
 
 /// A segment whose file cannot be reused, because it may contain records that were not released.
@@ -43,11 +45,11 @@
     };
     check_options(&newest, options)?;
     let live = live_segments(&headers, &newest, options)?;
-    let mut assembly = RecordAssembly::new(visitor);
+    let mut assembly = RecordAssembly::new(directory, visitor);
     let mut chain = live[0].chain;
     for pair in live.windows(2) {
         let mut file = directory.open_segment(pair[0].index)?;
-        let mut scan = SegmentScan::new(file.as_mut(), chain, options);
+        let mut scan = SegmentScan::new(file.as_mut(), pair[0].index, chain, options);
         scan.run(Some(pair[1].chain.next_sequence), &mut assembly)?;
         chain = scan.chain;
         if chain != pair[1].chain {
@@ -55,7 +57,7 @@
         }
     }
     let mut file = directory.open_segment(newest.index)?;
-    let mut scan = SegmentScan::new(file.as_mut(), chain, options);
+    let mut scan = SegmentScan::new(file.as_mut(), newest.index, chain, options);
     scan.run(None, &mut assembly)?;
     let (chain, offset) = (scan.chain, scan.offset);
     // The process that wrote these records may have been killed before it synced them. The older segments
@@ -108,6 +110,8 @@
 /// Sequential scan of the records of one segment.
 struct SegmentScan<'a> {
     buffer: ReadAheadBuffer<'a>,
+    /// Number of the segment.
+    segment: u64,
     /// End of the chain after the records read so far.
     chain: ChainEnd,
     /// Offset of the next record to read.
@@ -116,9 +120,9 @@
 
 impl<'a> SegmentScan<'a> {
     /// Creates a scan from the first record. `chain` is the end of the chain before this segment.
-    fn new(file: &'a mut dyn File, chain: ChainEnd, options: RingOptions) -> Self {
+    fn new(file: &'a mut dyn File, segment: u64, chain: ChainEnd, options: RingOptions) -> Self {
         let buffer = ReadAheadBuffer::new(file, options.segment_bytes);
-        Self { buffer, chain, offset: SEGMENT_HEADER_BYTES as u64 }
+        Self { buffer, segment, chain, offset: SEGMENT_HEADER_BYTES as u64 }
     }
 
     /// Reads records until the sequence number of the next one is `until`, or until the chain ends.
@@ -142,8 +146,10 @@
             log::warn!(sequence, bytes = header.length; "dropped a torn record");
             return Ok(false);
         };
-        assembly.add(sequence, header.part, content);
-        self.offset = content_offset + u64::from(header.length);
+        let length = u64::from(header.length);
+        let extent = Extent { segment: self.segment, offset: content_offset, length };
+        assembly.add(sequence, header.part, extent, content)?;
+        self.offset = content_offset + length;
         self.chain = ChainEnd { next_sequence: sequence + 1, generation: header.generation };
         Ok(true)
     }
--- a/crates/storage/src/ring.rs
+++ b/crates/storage/src/ring.rs
@@ -4,24 +4,26 @@
 use std::path::Path;
 use std::sync::Arc;
 
-use crate::format::{
-    begin_record, finish_record, ChainEnd, RecordPart, RECORD_HEADER_BYTES, SEGMENT_HEADER_BYTES,
-};
+use crate::format::{ChainEnd, RecordPart, RECORD_HEADER_BYTES, SEGMENT_HEADER_BYTES};
 use crate::layout::{Position, RingDirectory, RingOptions};
 use crate::part_writer::{OpenPart, PartSink, PartWriter};
-use crate::record_assembly::RecordVisitor;
 use crate::record_content::RecordContent;
+use crate::record_location::{Extent, RecordLocation};
+use crate::recovered_record::RecordVisitor;
 use crate::recovery::{recover, LiveSegment, RingState};
-use crate::{File, FileSystem, StorageError};
-
-/// Capacity in bytes to which the buffer of staged records is shrunk after each write, so that the
-/// memory of a large batch is freed.
-const MAX_RETAINED_BUFFER_BYTES: usize = 256 * 1024;
+use crate::tail::{StagedRecords, Tail};
+use crate::{FileSystem, StorageError};
+
+/// Length of a record from which on it is written in parts if it does not fit behind the last one, so that no
+/// large part of a segment stays empty.
+const MIN_SPLIT_BYTES: usize = 4096;
+/// Size of the staged parts of a long record above which they are written, before all of it is staged.
+const MAX_STAGED_PART_BYTES: usize = 1024 * 1024;
 /// Sequence number of the first record of a new ring. No record has number 0.
 const FIRST_SEQUENCE: u64 = 1;
 
-/// Result of an append: the position of the record, which is then durable, or the reason why it is not.
-pub(crate) type AppendOutcome = Result<Position, StorageError>;
+/// Result of an append: the location of the record, which is then durable, or the reason why it is not.
+pub(crate) type AppendOutcome = Result<RecordLocation, StorageError>;
 
 /// Fill level of a ring.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -60,64 +62,6 @@
     staged: StagedRecords,
 }
 
-/// The newest segment, to which records are added.
-struct Tail {
-    file: Box<dyn File>,
-    /// Offset of the next record in the file.
-    offset: u64,
-    /// Whether the header of the next segment may be on the disk. This segment must then not be extended.
-    is_sealed: bool,
-}
-
-impl Tail {
-    /// Creates the state of a segment that contains only its header.
-    fn empty(file: Box<dyn File>) -> Self {
-        Self { file, offset: SEGMENT_HEADER_BYTES as u64, is_sealed: false }
-    }
-
-    fn write(&mut self, bytes: &[u8]) -> Result<(), StorageError> {
-        self.file.write_at(self.offset, bytes)?;
-        self.file.sync()?;
-        self.offset += bytes.len() as u64;
-        Ok(())
-    }
-}
-
-/// Records and parts of records that are about to be written together.
-struct StagedRecords {
-    bytes: Vec<u8>,
-    /// Number of records that end in `bytes`.
-    count: usize,
-    /// End of the chain after the staged records.
-    chain: ChainEnd,
-}
-
-impl StagedRecords {
-    fn new(chain: ChainEnd) -> Self {
-        Self { bytes: Vec::new(), count: 0, chain }
-    }
-
-    /// Begins a record or part, whose content is then appended to `bytes`. Returns its start.
-    fn begin(&mut self) -> usize {
-        let start = self.bytes.len();
-        begin_record(&mut self.bytes);
-        start
-    }
-
-    /// Completes the record or part that begins at `start`.
-    fn finish(&mut self, start: usize, generation: u64, part: RecordPart) {
-        self.chain = finish_record(&mut self.bytes, start, self.chain, generation, part);
-        self.count += usize::from(part.is_last());
-    }
-
-    fn clear(&mut self, chain: ChainEnd) {
-        self.chain = chain;
-        self.count = 0;
-        self.bytes.clear();
-        self.bytes.shrink_to(MAX_RETAINED_BUFFER_BYTES);
-    }
-}
-
 /// Progress of one call of [`Ring::append`].
 struct AppendBatch {
     /// Outcomes of the records processed so far, in the order of the records.
@@ -141,13 +85,31 @@
 }
 
 impl Ring {
-    /// Opens or creates the ring in a directory and passes its records to `visitor`, oldest first.
+    /// Opens or creates the ring in a directory and passes the contents of its records to `visitor`, oldest
+    /// first.
     ///
     /// # Errors
     ///
-    /// Fails if the options are invalid or differ from those of the existing ring, if durable records are
-    /// missing, or if the disk fails.
+    /// Returns the errors of [`Ring::open_with`].
     pub fn open(
+        file_system: Arc<dyn FileSystem>,
+        directory: &Path,
+        options: RingOptions,
+        visitor: &mut dyn FnMut(Position, Vec<u8>),
+    ) -> Result<(Self, RingIdentity), StorageError> {
+        Self::open_with(file_system, directory, options, &mut |mut record| {
+            visitor(record.location().position, record.read_content()?);
+            Ok(())
+        })
+    }
+
+    /// Does the same as [`Ring::open`], but passes records that the visitor reads itself.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the options are invalid or differ from those of the existing ring, if durable records are
+    /// missing, if the disk fails, or with the errors of `visitor`.
+    pub fn open_with(
         file_system: Arc<dyn FileSystem>,
         directory: &Path,
         options: RingOptions,
@@ -171,7 +133,7 @@
             directory,
             incarnation: state.incarnation,
             segments: state.segments.into(),
-            tail: Tail { file: state.file, offset: state.offset, is_sealed: false },
+            tail: Tail::new(state.file, state.offset),
             chain: state.chain,
             released: Position(0),
             staged: StagedRecords::new(state.chain),
@@ -186,7 +148,8 @@
         let contents: Vec<&[u8]> = records.iter().map(AsRef::as_ref).collect();
         let contents: Vec<&dyn RecordContent> =
             contents.iter().map(|content| content as &dyn RecordContent).collect();
-        self.append_contents(&contents)
+        let outcomes = self.append_contents(&contents).into_iter();
+        outcomes.map(|outcome| outcome.map(|location| location.position)).collect()
     }
 
     /// Does the same as [`append`](Self::append) for records that are encoded while they are written.
@@ -224,14 +187,15 @@
     }
 
     /// Stages a record. If it does not fit into the newest segment, first writes the staged records and
-    /// begins the next segment. A record that does not fit into any segment is staged in parts.
+    /// begins the next segment. A long record is staged in parts.
     fn stage(&mut self, record: &dyn RecordContent, batch: &mut AppendBatch) -> AppendOutcome {
         let options = self.directory.options();
         let (length, limit) = (record.length(), options.max_record_bytes());
         if length > limit {
             return Err(StorageError::RecordTooLarge { length, limit });
         }
-        let staged = if length > options.max_content_bytes() {
+        let is_split = length >= MIN_SPLIT_BYTES && self.content_space().is_some_and(|space| length > space);
+        let staged = if is_split || length > options.max_part_bytes() {
             self.stage_parts(record, batch)
         } else {
             self.stage_complete(record, batch)
@@ -244,29 +208,56 @@
         if self.content_space().is_none_or(|space| record.length() > space) {
             self.flush_and_begin_segment(batch)?;
         }
+        let part = self.begin_part(record.length());
+        let written = record.write_to(&mut self.staged.bytes);
+        let length = (self.staged.bytes.len() - part.start - RECORD_HEADER_BYTES) as u64;
+        if let Err(error) = written {
+            self.staged.bytes.truncate(part.start);
+            return Err(error.into());
+        }
+        self.staged.finish(part.start, self.generation, RecordPart::Complete);
+        let extent = Extent { segment: part.segment, offset: part.offset, length };
+        Ok(RecordLocation::new(part.position, vec![extent]))
+    }
+
+    /// Begins a record or part in the newest segment, which has `space` bytes for its content.
+    fn begin_part(&mut self, space: usize) -> OpenPart {
         let position = Position(self.staged.chain.next_sequence);
+        let segment = self.segments.back().map_or(0, |newest| newest.index);
         let start = self.staged.begin();
-        record.write_to(&mut self.staged.bytes)?;
-        self.staged.finish(start, self.generation, RecordPart::Complete);
-        Ok(position)
+        let offset = self.tail.end() + (start + RECORD_HEADER_BYTES) as u64;
+        OpenPart { position, segment, offset, start, space }
     }
 
-    /// Stages a record that is longer than a segment: fills the newest segment, and further ones, with its
-    /// parts. The position is that of the first part. Nothing is staged if the ring has too little space for
-    /// all parts, so that a record that fails takes no space from those that free some.
+    /// Stages a long record: fills the newest segment, and further ones, with its parts, and writes them as
+    /// they become complete. The position is that of the first part. Nothing is staged if the ring has too
+    /// little space for all parts, so that a record that fails takes no space from those that free some.
     fn stage_parts(&mut self, record: &dyn RecordContent, batch: &mut AppendBatch) -> AppendOutcome {
         if record.length() > self.free_content_bytes() {
             return Err(StorageError::RingFull);
         }
         let mut writer = PartWriter::new(SegmentParts { ring: self, batch }, record.length());
         let written = record.write_to(&mut writer);
-        writer.finish(written)
+        let outcome = writer.finish(written);
+        if let Err(error) = &outcome {
+            self.drop_incomplete_record(batch, error);
+        }
+        outcome
+    }
+
+    /// Drops what was staged or written since the last sync after a record of which only some parts were. The
+    /// records of the batch that were staged before it fail as well, with the same error.
+    fn drop_incomplete_record(&mut self, batch: &mut AppendBatch, error: &StorageError) {
+        self.tail.unsynced = 0;
+        self.generation = self.directory.random();
+        batch.fail_staged(self.staged.count, error);
+        self.staged.clear(self.chain);
     }
 
     /// Returns how many bytes of a record fit into the newest segment after the staged records; `None` if no
     /// record can be added to it.
     fn content_space(&self) -> Option<usize> {
-        let end = self.tail.offset + (self.staged.bytes.len() + RECORD_HEADER_BYTES) as u64;
+        let end = self.tail.end() + (self.staged.bytes.len() + RECORD_HEADER_BYTES) as u64;
         let space = self.directory.options().segment_bytes.checked_sub(end)?;
         (!self.tail.is_sealed).then_some(space as usize)
     }
@@ -275,7 +266,8 @@
     fn free_content_bytes(&self) -> usize {
         let options = self.directory.options();
         let free_segments = options.segments.saturating_sub(self.segments.len());
-        self.content_space().unwrap_or(0) + free_segments * options.max_content_bytes()
+        let space = self.content_space().map_or(0, |space| space + RECORD_HEADER_BYTES);
+        options.content_bytes_in(space) + free_segments * options.content_bytes_in_segment()
     }
 
     fn flush_and_begin_segment(&mut self, batch: &mut AppendBatch) -> Result<(), StorageError> {
@@ -285,13 +277,14 @@
 
     /// Writes and syncs the staged records. On failure, replaces their outcomes by the error.
     fn flush(&mut self, batch: &mut AppendBatch) -> Result<(), StorageError> {
-        if self.staged.bytes.is_empty() {
+        if self.staged.bytes.is_empty() && self.tail.unsynced == 0 {
             return Ok(());
         }
-        let written = self.tail.write(&self.staged.bytes);
+        let written = self.write_staged().and_then(|()| self.tail.sync());
         match &written {
             Ok(()) => self.chain = self.staged.chain,
             Err(error) => {
+                self.tail.unsynced = 0;
                 self.generation = self.directory.random();
                 batch.fail_staged(self.staged.count, error);
             }
@@ -300,6 +293,15 @@
         written
     }
 
+    /// Writes the staged bytes without a sync.
+    fn write_staged(&mut self) -> Result<(), StorageError> {
+        if !self.staged.bytes.is_empty() {
+            self.tail.write(&self.staged.bytes)?;
+            self.staged.clear_bytes();
+        }
+        Ok(())
+    }
+
     /// Begins the next segment. Its header and all records of the earlier segments are durable before the
     /// first record is written to it.
     fn begin_segment(&mut self) -> Result<(), StorageError> {
@@ -325,23 +327,27 @@
 
 impl PartSink for SegmentParts<'_> {
     fn begin(&mut self) -> Result<OpenPart, StorageError> {
+        let max_part_bytes = self.ring.directory.options().max_part_bytes();
         let space = match self.ring.content_space().filter(|space| *space > 0) {
-            Some(space) => space,
+            Some(space) => space.min(max_part_bytes),
             None => {
                 self.ring.flush_and_begin_segment(self.batch)?;
-                self.ring.directory.options().max_content_bytes()
+                max_part_bytes
             }
         };
-        let position = Position(self.ring.staged.chain.next_sequence);
-        Ok(OpenPart { position, start: self.ring.staged.begin(), space })
+        Ok(self.ring.begin_part(space))
     }
 
     fn extend(&mut self, content: &[u8]) {
         self.ring.staged.bytes.extend_from_slice(content);
     }
 
-    fn finish(&mut self, part: &OpenPart, kind: RecordPart) {
+    fn finish(&mut self, part: &OpenPart, kind: RecordPart) -> Result<(), StorageError> {
         self.ring.staged.finish(part.start, self.ring.generation, kind);
+        if self.ring.staged.bytes.len() < MAX_STAGED_PART_BYTES {
+            return Ok(());
+        }
+        self.ring.write_staged()
     }
 }
 
--- a/crates/storage/tests/journal.rs
+++ b/crates/storage/tests/journal.rs
@@ -9,7 +9,7 @@
 
 use common::{contents, DIRECTORY, OPTIONS};
 use storage::simulated::{LoseUnsynced, SimulatedDisk};
-use storage::{Journal, Position, RingOptions, StorageError};
+use storage::{Journal, Position, RingLocation, RingOptions, StorageError};
 use tokio::runtime::{Builder, Runtime};
 
 fn runtime() -> Runtime {
@@ -117,7 +117,10 @@
     });
     let (_, second) = Journal::open(&directory, OPTIONS).expect("the journal opens");
     let mut visited = Vec::new();
-    let opened = Journal::open_with(&directory, OPTIONS, |position, record| visited.push((position, record)));
+    let opened = Journal::open_with(&RingLocation::native(&directory, OPTIONS), |mut record| {
+        visited.push((record.location().position, record.read_content()?));
+        Ok(())
+    });
     let (_, third) = opened.expect("the journal opens");
     assert!(first.is_new && !second.is_new);
     assert_eq!(first.incarnation, second.incarnation);
--- a/crates/store-plane/src/lib.rs
+++ b/crates/store-plane/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod runner;
 
 pub use replication::{
-    check_store_record, replicas_of, Appended, BodyOutcome, EndOutcome, JobClient, JobState, JobStore,
-    JournalFailed, MigrationStatus, OwnedJob, OwnershipLost, ReadOutcome, RecordJournal, ReplicatedLog,
-    ResultPage, StoreLimits, SubmitOutcome, MIGRATION_STATUS_PATH,
+    replicas_of, Appended, BodyOutcome, EndOutcome, JobClient, JobState, JobStore, JournalFailed,
+    MigrationStatus, OwnedJob, OwnershipLost, ReadOutcome, RecordJournal, ReplicatedLog, ResultPage,
+    StoreLimits, StoreRecovery, SubmitOutcome, MIGRATION_STATUS_PATH,
 };
--- a/crates/store-plane/src/replication/journal.rs
+++ b/crates/store-plane/src/replication/journal.rs
@@ -3,8 +3,9 @@
 use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
+use std::sync::Arc;
 
-use storage::RecordContent;
+use storage::{ReadTask, RecordContent, RecordLocation, RecordSource, RingUsage};
 
 /// Error of an append: the record could not be made durable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,8 +19,8 @@
 
 impl std::error::Error for JournalFailed {}
 
-/// The future of an append; returns the position of the record once it is durable.
-pub type Appended = Pin<Box<dyn Future<Output = Result<u64, JournalFailed>> + Send>>;
+/// The future of an append; returns the location of the record once it is durable.
+pub type Appended = Pin<Box<dyn Future<Output = Result<RecordLocation, JournalFailed>> + Send>>;
 
 /// A ring of records on a disk. The positions of appended records increase.
 pub trait RecordJournal: Send + Sync + 'static {
@@ -27,31 +28,43 @@
     /// durable.
     fn append(&self, record: Box<dyn RecordContent>) -> Appended;
 
+    /// Returns the source from which records are read again. Its reads block.
+    fn source(&self) -> Arc<dyn RecordSource>;
+
+    /// Runs a task that reads from the source, where it does not block the caller.
+    fn run_read(&self, task: ReadTask);
+
     /// Frees the space of all records before a position.
     fn release(&self, before: u64);
 
-    /// Returns the fraction of the ring that is in use, from 0 to 1.
-    fn fill(&self) -> f64;
+    /// Returns how full the ring is.
+    fn usage(&self) -> RingUsage;
 }
 
 impl RecordJournal for storage::Journal {
     fn append(&self, record: Box<dyn RecordContent>) -> Appended {
         let appended = self.append_content(record);
         Box::pin(async move {
-            appended.await.map(|position| position.0).map_err(|error| {
+            appended.await.map_err(|error| {
                 log::error!("failed to append to the journal of batch jobs: {error}");
                 JournalFailed
             })
         })
     }
 
+    fn source(&self) -> Arc<dyn RecordSource> {
+        Arc::new(self.reader())
+    }
+
+    fn run_read(&self, task: ReadTask) {
+        Self::run_read(self, task);
+    }
+
     fn release(&self, before: u64) {
         Self::release(self, storage::Position(before));
     }
 
-    #[allow(clippy::cast_precision_loss, reason = "a ratio of sizes far below 2^52 bytes")]
-    fn fill(&self) -> f64 {
-        let usage = self.usage();
-        usage.used_bytes as f64 / usage.capacity_bytes.max(1) as f64
+    fn usage(&self) -> RingUsage {
+        Self::usage(self)
     }
 }
--- a/crates/store-plane/src/replication/maintenance/mod.rs
+++ b/crates/store-plane/src/replication/maintenance/mod.rs
@@ -48,6 +48,7 @@
         let view = self.current_view();
         self.adopt_store_set(&view);
         self.release_stale_ownerships();
+        self.end_stale_transfers();
         self.send_heartbeats();
         self.send_all_due_requests();
         self.take_over_expired(&view);
--- a/crates/store-plane/src/replication/mod.rs
+++ b/crates/store-plane/src/replication/mod.rs
@@ -9,8 +9,11 @@
 //! - [`state`] is the state of a store in memory, behind one mutex; [`node`] holds it together with the
 //!   store's I/O.
 //! - [`ownership`] claims batch jobs and replicates their logs; [`replicate`] executes the requests of
-//!   owners.
+//!   owners. [`runner_start`] passes owned batch jobs to the runner.
 //! - [`writer`] makes records durable in the [`journal`]; no reply is sent before its records are durable.
+//!   [`recovery`] reads them at the start. The contents of durable entries are on the disk, where
+//!   [`record_layout`] finds them and [`loading`] reads them, and in a bounded cache.
+//! - [`memory_budgets`] bounds what is in memory at once and grows with the batch jobs.
 //! - [`heartbeat`], [`maintenance`] and [`handover`] detect failed owners and move batch jobs between stores.
 //! - [`server`] answers the calls of other processes, [`client`] makes the calls of traffic nodes; both use
 //!   [`messages`].
@@ -20,14 +23,19 @@
 mod handover;
 mod heartbeat;
 mod journal;
+mod loading;
 mod log_entries;
 mod maintenance;
+mod memory_budgets;
 mod messages;
 mod node;
 mod owned_job;
 mod ownership;
 mod placement;
+mod record_layout;
+mod recovery;
 mod replicate;
+mod runner_start;
 mod server;
 mod state;
 mod store;
@@ -39,7 +47,7 @@
 pub use messages::{MigrationStatus, ResultPage, MIGRATION_STATUS_PATH};
 pub use owned_job::{JobState, OwnedJob, OwnershipLost, ReplicatedLog};
 pub use placement::replicas_of;
-pub use state::check_store_record;
+pub use recovery::StoreRecovery;
 pub use store::JobStore;
 pub use store_limits::StoreLimits;
 
--- a/crates/store-plane/src/replication/node.rs
+++ b/crates/store-plane/src/replication/node.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use super::journal::RecordJournal;
+use super::memory_budgets::MemoryBudgets;
 use super::owned_job::OwnedJob;
 use super::placement::{replica_ids, store_sets};
 use super::state::ReplicationState;
@@ -24,6 +25,7 @@
     /// The newest view of the control plane, which contains the store sets and the addresses of stores.
     pub view: watch::Receiver<Arc<View>>,
     pub limits: StoreLimits,
+    pub budgets: MemoryBudgets,
     /// Time at which this store was opened; [`Self::lease_time`] is counted from it.
     pub started: Instant,
     pub journal: Arc<dyn RecordJournal>,
--- a/crates/store-plane/src/replication/owned_job.rs
+++ b/crates/store-plane/src/replication/owned_job.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use batch::{ItemResult, Job, JobId, StoreId};
+use batch::{ItemId, ItemResult, Job, JobId, StoreId};
 use futures_util::future::BoxFuture;
 use tokio::sync::watch;
 
@@ -36,8 +36,8 @@
     pub path: Arc<str>,
     /// A lower bound of the time from the submission to the moment when this store became the owner.
     pub age: Duration,
-    /// Results that are committed already, by earlier owners; their items need not be run.
-    pub committed_results: Vec<ItemResult>,
+    /// The items whose results are committed already, by earlier owners; they need not be run.
+    pub items_with_results: Vec<ItemId>,
     /// The log that results are appended to.
     pub log: Log,
 }
--- a/crates/store-plane/src/replication/ownership.rs
+++ b/crates/store-plane/src/replication/ownership.rs
@@ -1,21 +1,22 @@
 //! The ownerships of a store: claims batch jobs, sends the requests of [`batch::Ownership`] and handles the
 //! replies, starts the runner of an established ownership, and appends its results.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use batch::{
-    Entry, ItemResult, Job, JobId, Ownership, OwnershipPhase, OwnershipTerm, ReplicaReply, ReplicaRequest,
-    ReplicaSet, StoreId,
+    Entry, ItemResult, JobId, LogEntry, Ownership, OwnershipPhase, OwnershipTerm, ReplicaReply,
+    ReplicaRequest, ReplicaSet, StoreId,
 };
 use futures_util::future::BoxFuture;
 use state::View;
 use tokio::time::Instant;
 
-use super::log_entries::{belongs_to, contains, is_ended, results, submitted_job};
+use super::log_entries::{belongs_to, contains, is_ended};
 use super::messages::ReplicateReply;
 use super::node::StoreNode;
-use super::owned_job::{JobOwner, JobState, OwnedJob, OwnershipLost, ReplicatedLog};
+use super::owned_job::{JobOwner, JobState, OwnershipLost};
 use super::state::{OwnedEntry, ReplicationState, NO_OWNER};
 
 impl StoreNode {
@@ -63,7 +64,10 @@
         let state = &mut *guard;
         let Some(owned) = state.ownerships.get_mut(job) else { return };
         let term = owned.ownership.term();
-        let requests = owned.ownership.next_requests(|store| state.peers.is_reachable(store));
+        let (peers, transfers) = (&state.peers, &mut state.transfers);
+        let requests = owned.ownership.next_requests(|store, request| {
+            peers.is_reachable(store) && transfers.may_send(job, term, store, request)
+        });
         drop(guard);
         for (store, request) in requests {
             let (node, job) = (Arc::clone(self), Arc::clone(job));
@@ -71,7 +75,8 @@
         }
     }
 
-    /// Sends one request, handles its reply, and sends the requests that are due after it.
+    /// Sends one request, handles its reply, and sends the requests that are due after it, among them those of
+    /// other batch jobs that have waited for the end of a transfer.
     async fn send_and_handle_reply(
         self: Arc<Self>,
         job: JobId,
@@ -79,13 +84,46 @@
         store: StoreId,
         request: ReplicaRequest,
     ) {
-        let sent = Instant::now();
-        let Some(reply) = self.send_request(store, &job, request).await else {
-            self.on_no_reply(&job, term, store);
-            return;
+        match self.send_request(store, &job, request).await {
+            Some((reply, sent)) => {
+                self.on_reply(&job, term, store, reply, sent);
+                self.send_due_requests(&job);
+            }
+            None => self.on_no_reply(&job, term, store),
+        }
+        self.end_transfers(&job, term, store);
+    }
+
+    /// Ends the transfers of a log to `store` and from another store, unless further messages of them are in
+    /// flight. Then sends the requests of the batch jobs that have waited for it.
+    fn end_transfers(self: &Arc<Self>, job: &JobId, term: OwnershipTerm, store: StoreId) {
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        let owned = state.ownerships.get(job).filter(|owned| owned.ownership.term() == term);
+        let ownership = owned.map(|owned| &owned.ownership);
+        let mut waiting = BTreeSet::new();
+        if !ownership.is_some_and(|ownership| ownership.is_sending_adopted_log(store)) {
+            waiting.append(&mut state.transfers.end_sending(job, term, store));
+        }
+        // What is fetched is in memory until this store has written it as a replica.
+        if !ownership.is_some_and(|ownership| ownership.lacks_adopted_log(self.id())) {
+            waiting.append(&mut state.transfers.end_fetch(job, term));
+        }
+        drop(guard);
+        waiting.iter().for_each(|job| self.send_due_requests(job));
+    }
+
+    /// Ends the transfers of ownerships that this store has released.
+    pub fn end_stale_transfers(self: &Arc<Self>) {
+        let stale = {
+            let state = self.lock();
+            state.transfers.stale(|job, term| {
+                state.ownerships.get(job).is_none_or(|owned| owned.ownership.term() != term)
+            })
         };
-        self.on_reply(&job, term, store, reply, sent);
-        self.send_due_requests(&job);
+        for (job, term, store) in stale {
+            self.end_transfers(&job, term, store.unwrap_or_else(|| self.id()));
+        }
     }
 
     /// Passes the reply of a replica to the ownership. `sent` is the time at which the request was sent, from
@@ -150,46 +188,13 @@
             // Items no longer run, and the parsed form takes more memory than the log.
             owned.job = None;
             owned.state.send_replace(JobState::Ended);
+        } else if owned.has_all_results() {
+            owned.job = None;
         } else if owned.job.is_none() && owned.ownership.is_established() {
             self.start_runner(state, job);
         }
     }
 
-    /// Passes a batch job whose adopted log is committed under the present ownership to the runner, unless
-    /// all items have results.
-    fn start_runner(self: &Arc<Self>, state: &mut ReplicationState, id: &JobId) {
-        let Some(owned) = state.ownerships.get_mut(id) else { return };
-        let committed = owned.ownership.committed();
-        let Some(submitted) = submitted_job(committed) else { return };
-        let Ok(job) = Job::parse(&submitted.body) else { return };
-        let job = Arc::new(job);
-        owned.job = Some(Arc::clone(&job));
-        if is_ended(owned.ownership.log()) {
-            owned.state.send_replace(JobState::Ended);
-        }
-        if results(committed).count() >= job.items.len() {
-            return;
-        }
-        let committed_results: Vec<ItemResult> = results(committed).cloned().collect();
-        let log = ReplicatedLog {
-            job: Arc::clone(id),
-            token: owned.token,
-            state: owned.state.subscribe(),
-            owner: Arc::clone(self) as Arc<dyn JobOwner>,
-        };
-        let owned_job = OwnedJob {
-            id: Arc::clone(id),
-            job,
-            host: Arc::clone(&submitted.host),
-            path: Arc::clone(&submitted.path),
-            age: state.job_status.age(id, Instant::now()),
-            committed_results,
-            log,
-        };
-        // Sending fails if the runner was dropped, which happens only when the process is about to exit.
-        let _ = self.owned_jobs.send(owned_job);
-    }
-
     /// Appends results and waits until each is committed, or another result of its item is. Results that
     /// don't belong to the batch job are dropped.
     async fn append_until_committed(
@@ -198,8 +203,8 @@
         token: u64,
         results: Vec<ItemResult>,
     ) -> Result<(), OwnershipLost> {
-        let mut entries: Vec<Arc<Entry>> =
-            results.into_iter().map(|result| Arc::new(Entry::Result(result))).collect();
+        let mut entries: Vec<LogEntry> =
+            results.into_iter().map(|result| LogEntry::from(Entry::Result(result))).collect();
         loop {
             let mut progress = {
                 let mut state = self.lock();
@@ -251,7 +256,7 @@
 /// # Errors
 ///
 /// Fails if some are left and the trainer has ended the batch job, which then accepts no more results.
-fn append_uncommitted(owned: &mut OwnedEntry, entries: &mut Vec<Arc<Entry>>) -> Result<bool, OwnershipLost> {
+fn append_uncommitted(owned: &mut OwnedEntry, entries: &mut Vec<LogEntry>) -> Result<bool, OwnershipLost> {
     let committed = owned.ownership.committed();
     entries.retain(|entry| !contains(committed, entry));
     entries.retain(|entry| owned.job.as_ref().is_none_or(|job| belongs_to(job, entry)));
--- a/crates/store-plane/src/replication/replicate.rs
+++ b/crates/store-plane/src/replication/replicate.rs
@@ -22,25 +22,43 @@
 const REPLICATE_TIMEOUT_PER_BYTE: Duration = Duration::from_nanos(500);
 
 impl StoreNode {
-    /// Sends a request to a store, which may be this one. Returns `None` if there is no reply: the store is
-    /// not a member, could not be reached, or could not make the request durable.
+    /// Sends a request to a store, which may be this one. Returns the reply and the time at which the request
+    /// was sent; `None` if there is no reply: the store is not a member, could not be reached, or could not make
+    /// the request durable.
     pub async fn send_request(
         &self,
         store: StoreId,
         job: &JobId,
         request: ReplicaRequest,
-    ) -> Option<ReplicateReply> {
+    ) -> Option<(ReplicateReply, Instant)> {
         if store == self.id() {
-            return self.replicate(job, request).await;
+            let sent = Instant::now();
+            return Some((self.replicate(job, request).await?, sent));
         }
         let address = self.address_of(store)?;
         let timeout = timeout_of(&request);
+        let _share = self.budgets.acquire_for_sending(store, request.size_bytes()).await?;
+        let request = self.load_request(request).await?;
         let request = AddressedRequest { to: store, job: Arc::clone(job), request };
-        let reply = self.rpc.call(&address, REPLICATE_PATH, &request, timeout).await;
+        let encoded = rpc::encode(&request);
+        // A long request is in memory once while it is sent.
+        drop(request);
+        let sent = Instant::now();
+        let reply = self.rpc.call_encoded(&address, REPLICATE_PATH, encoded, timeout).await;
         if reply.is_err() {
             self.lock().peers.set_reachable(store, false);
         }
-        reply.ok()
+        Some((reply.ok()?, sent))
+    }
+
+    /// Executes the request of another store. Returns `None`, which means no reply, as [`Self::replicate`] does,
+    /// or if this store has no memory for it or cannot read the entries of the reply.
+    pub async fn replicate_for_other(&self, job: &JobId, request: ReplicaRequest) -> Option<ReplicateReply> {
+        if !self.lock().may_stage(job, &request, self.budgets.staged_bytes) {
+            return None;
+        }
+        let ReplicateReply { reply, age_ms } = self.replicate(job, request).await?;
+        Some(ReplicateReply { reply: self.load_reply(reply).await?, age_ms })
     }
 
     /// Executes a request of an owner or claimant; returns `None`, which means no reply, if it could not be
@@ -114,9 +132,9 @@
 /// Returns the timeout of a request to another store, which depends on the entries in the request or its reply.
 fn timeout_of(request: &ReplicaRequest) -> Duration {
     match request {
-        ReplicaRequest::Append { entries, .. } | ReplicaRequest::Stage { entries, .. } => {
-            let bytes: usize = entries.iter().map(|entry| entry.size_bytes()).sum();
-            REPLICATE_TIMEOUT + REPLICATE_TIMEOUT_PER_BYTE * u32::try_from(bytes).unwrap_or(u32::MAX)
+        ReplicaRequest::Append { .. } | ReplicaRequest::Stage { .. } => {
+            let bytes = u32::try_from(request.size_bytes()).unwrap_or(u32::MAX);
+            REPLICATE_TIMEOUT + REPLICATE_TIMEOUT_PER_BYTE * bytes
         }
         ReplicaRequest::Fetch { .. } => FETCH_TIMEOUT,
         ReplicaRequest::Prepare { .. } | ReplicaRequest::Query | ReplicaRequest::Delete { .. } => {
--- a/crates/store-plane/src/replication/server/mod.rs
+++ b/crates/store-plane/src/replication/server/mod.rs
@@ -25,8 +25,9 @@
 
 /// Returns the endpoints for other processes; they call the methods of `node`.
 pub(super) fn endpoint(node: &Arc<StoreNode>) -> Route {
-    let replicate =
-        addressed_handler(node, |node, job, request| async move { node.replicate(&job, request).await });
+    let replicate = bounded_handler(node, &node.budgets.replication, |node, job, request| async move {
+        node.replicate_for_other(&job, request).await
+    });
     let heartbeat = handler(node, |node, heartbeat: Heartbeat| async move {
         (heartbeat.to == node.id()).then(|| node.answer_heartbeat(&heartbeat))
     });
@@ -38,11 +39,9 @@
         node.on_released(&job, notice.from);
         Some(())
     });
-    let submit =
-        addressed_handler(
-            node,
-            |node, job, submission| async move { Some(node.submit(job, submission).await) },
-        );
+    let submit = bounded_handler(node, &node.budgets.submissions, |node, job, submission| async move {
+        Some(node.submit(job, submission).await)
+    });
     let read =
         addressed_handler(node, |node, job, request| async move { Some(node.read(&job, request).await) });
     let body =
@@ -92,14 +91,42 @@
     Method: Fn(Arc<StoreNode>, JobId, Request) -> ReplyFuture + Send + Sync + 'static,
     ReplyFuture: Future<Output = Option<Reply>> + Send + 'static,
 {
-    handler(node, move |node, request: AddressedRequest<Request>| {
-        let is_addressee = request.to == node.id();
-        let reply = is_addressee.then(|| method(node, request.job, request.request));
-        async move {
-            match reply {
-                Some(reply) => reply.await,
-                None => None,
-            }
+    let node = Arc::clone(node);
+    rpc::handler(move |request| call_addressee(&node, &method, request))
+}
+
+/// Returns an endpoint as [`addressed_handler`] does, for requests that may be long and share `budget`.
+fn bounded_handler<Request, Reply, Method, ReplyFuture>(
+    node: &Arc<StoreNode>,
+    budget: &rpc::MessageBudget,
+    method: Method,
+) -> impl poem::Endpoint<Output = poem::Response>
+where
+    Request: serde::de::DeserializeOwned + Send + 'static,
+    Reply: serde::Serialize + Send + 'static,
+    Method: Fn(Arc<StoreNode>, JobId, Request) -> ReplyFuture + Send + Sync + 'static,
+    ReplyFuture: Future<Output = Option<Reply>> + Send + 'static,
+{
+    let node = Arc::clone(node);
+    rpc::bounded_handler(Some(budget.clone()), move |request| call_addressee(&node, &method, request))
+}
+
+/// Calls `method` if the request is addressed to this incarnation of the store; otherwise returns `None`.
+fn call_addressee<Request, Reply, Method, ReplyFuture>(
+    node: &Arc<StoreNode>,
+    method: &Method,
+    request: AddressedRequest<Request>,
+) -> impl Future<Output = Option<Reply>> + use<Request, Reply, Method, ReplyFuture>
+where
+    Method: Fn(Arc<StoreNode>, JobId, Request) -> ReplyFuture,
+    ReplyFuture: Future<Output = Option<Reply>>,
+{
+    let is_addressee = request.to == node.id();
+    let reply = is_addressee.then(|| method(Arc::clone(node), request.job, request.request));
+    async move {
+        match reply {
+            Some(reply) => reply.await,
+            None => None,
         }
-    })
+    }
 }
--- a/crates/store-plane/src/replication/server/ownership_status.rs
+++ b/crates/store-plane/src/replication/server/ownership_status.rs
@@ -109,7 +109,7 @@
         let deadline = Instant::now() + QUERY_TIMEOUT;
         let mut without_job = Vec::new();
         while let Ok(Some((store, reply))) = timeout_at(deadline, replies.next()).await {
-            let Some(ReplicaReply::Status { promised, length }) = reply.map(|reply| reply.reply) else {
+            let Some(ReplicaReply::Status { promised, length }) = reply.map(|(reply, _)| reply.reply) else {
                 continue;
             };
             if promised.epoch > view.control.stores.epoch {
--- a/crates/store-plane/src/replication/server/results.rs
+++ b/crates/store-plane/src/replication/server/results.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use batch::{Entry, Job, JobId};
+use batch::{find_item_body, Entry, JobId, LogEntry};
 use bytes::Bytes;
 use tokio::time::Instant;
 
-use super::super::log_entries::{results, submitted_job};
+use super::super::log_entries::{item_count, results};
 use super::super::messages::{OwnerReply, ReadRequest, ResultPage};
 use super::super::node::StoreNode;
 use super::super::owned_job::JobState;
@@ -36,10 +36,24 @@
         };
         // If this times out without a result, the page is empty.
         self.wait_for_ownership(id, wait_deadline, has_more).await;
+        let entries = {
+            let state = self.lock();
+            let owned = state.ownerships.get(id).ok_or(NotOwner::Unknown)?;
+            page_entries(owned.ownership.committed(), after).ok_or(NotOwner::Unknown)?
+        };
+        let page = self.load_page(entries, after).await;
         // The wait may have outlasted the lease, which must be valid when the answer is made.
         self.confirm_ownership(id).await?;
-        let committed = self.lock().ownerships.get(id).map(|owned| owned.ownership.committed().to_vec());
-        committed.and_then(|committed| page(&committed, after)).ok_or(NotOwner::Unknown)
+        page.ok_or(NotOwner::Unknown)
+    }
+
+    /// Loads the results of a page; `None` if they cannot be read or the disk takes too long.
+    async fn load_page(&self, entries: PageEntries, after: usize) -> Option<ResultPage> {
+        let bytes = entries.results.iter().map(LogEntry::size_bytes).sum();
+        let _share = self.budgets.loads.acquire(bytes).await?;
+        let loaded = self.load_entries(entries.results).await;
+        let results = loaded.inspect_err(|error| log::error!("{error}")).ok()?;
+        page(entries.total, &results, after)
     }
 
     /// Returns the decoded body of an item; `None` if the batch job has no such item.
@@ -49,22 +63,22 @@
 
     async fn find_item_body(self: &Arc<Self>, id: &JobId, item: &str) -> Result<Option<Bytes>, NotOwner> {
         self.confirm_ownership(id).await?;
-        let job = self.parsed_job(id).ok_or(NotOwner::Unknown)?;
-        let found = job.items.iter().find(|candidate| *candidate.id == *item);
-        Ok(found.map(|item| Bytes::from(item.decoded_body())))
-    }
-
-    /// Returns the parsed batch job; parses it again from its log if the parsed form is no longer kept.
-    fn parsed_job(&self, id: &JobId) -> Option<Arc<Job>> {
-        let body = {
+        let submission = {
             let state = self.lock();
-            let owned = state.ownerships.get(id)?;
-            if owned.job.is_some() {
-                return owned.job.clone();
+            let owned = state.ownerships.get(id).ok_or(NotOwner::Unknown)?;
+            if let Some(job) = &owned.job {
+                let found = job.items.iter().find(|candidate| *candidate.id == *item);
+                return Ok(found.map(|item| Bytes::from(item.decoded_body())));
             }
-            submitted_job(owned.ownership.committed())?.body.clone()
+            owned.ownership.committed().first().cloned().ok_or(NotOwner::Unknown)?
         };
-        Job::parse(&body).ok().map(Arc::new)
+        let share = self.budgets.loads.acquire(submission.size_bytes()).await;
+        let _share = share.ok_or(NotOwner::Unknown)?;
+        let loaded = self.load_entry(submission).await.inspect_err(|error| log::error!("{error}"));
+        match &*loaded.map_err(|_| NotOwner::Unknown)? {
+            Entry::Job(submitted) => Ok(find_item_body(&submitted.body, item).map(Bytes::from)),
+            Entry::Result(_) | Entry::End => Err(NotOwner::Unknown),
+        }
     }
 
     /// Ends a batch job for its trainer; succeeds once the end is committed. Ending it again succeeds as
@@ -76,7 +90,7 @@
     async fn end_job(self: &Arc<Self>, id: &JobId) -> Result<(), NotOwner> {
         self.confirm_ownership(id).await?;
         if let Some(owned) = self.lock().ownerships.get_mut(id) {
-            owned.append_missing(&[Arc::new(Entry::End)]);
+            owned.append_missing(&[LogEntry::from(Entry::End)]);
             owned.state.send_replace(JobState::Ended);
         }
         self.send_due_requests(id);
@@ -86,13 +100,36 @@
     }
 }
 
-/// Returns the results from position `after` on, as many as fit into a page; `None` if the log lacks the
+/// What a page of results is made of.
+struct PageEntries {
+    /// Number of items of the batch job.
+    total: u32,
+    /// The results that may fit into the page.
+    results: Vec<LogEntry>,
+}
+
+/// Returns the results from position `after` on, as many as may fit into a page; `None` if the log lacks the
 /// batch job.
-fn page(committed: &[Arc<Entry>], after: usize) -> Option<ResultPage> {
-    let submitted = submitted_job(committed)?;
+fn page_entries(committed: &[LogEntry], after: usize) -> Option<PageEntries> {
+    let total = item_count(committed)?;
+    let mut bytes = 0;
+    let fits = |entry: &&LogEntry| {
+        let is_first = bytes == 0;
+        bytes += entry.size_bytes();
+        is_first || bytes <= MAX_PAGE_BYTES
+    };
+    let results = results(committed).map(|(_, entry)| entry).skip(after).take_while(fits).cloned().collect();
+    Some(PageEntries { total, results })
+}
+
+/// Returns a page of `results`, of which the first has the position `after`, as many as fit; `None` if one is not
+/// in memory.
+fn page(total: u32, results: &[LogEntry], after: usize) -> Option<ResultPage> {
     let mut deliveries = Vec::from(b"[");
     let mut next = after;
-    for result in results(committed).skip(after) {
+    for entry in results {
+        let entry = entry.resident()?;
+        let Entry::Result(result) = &*entry else { return None };
         let encoded = serde_json::to_vec(result).ok()?;
         if next > after && deliveries.len() + encoded.len() + 2 > MAX_PAGE_BYTES {
             break;
@@ -105,5 +142,5 @@
     }
     deliveries.push(b']');
     let next = u64::try_from(next).ok()?;
-    Some(ResultPage { total: submitted.total, next, deliveries: deliveries.into() })
+    Some(ResultPage { total, next, deliveries: deliveries.into() })
 }
--- a/crates/store-plane/src/replication/server/submit.rs
+++ b/crates/store-plane/src/replication/server/submit.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use batch::{Entry, Job, JobError, JobId, OwnershipPhase, SubmittedJob};
+use batch::{Entry, Job, JobError, JobId, LogEntry, OwnershipPhase, SubmittedJob};
 use tokio::time::Instant;
 
 use super::super::messages::{Submission, SubmitReply};
@@ -23,9 +23,13 @@
         // The append must happen in the first half of the time, so that the rest remains for the commit.
         let append_deadline = Instant::now() + (timeout / 2).min(OWNERSHIP_TIMEOUT);
         let entry = match validate(submission) {
-            Ok(submitted) => Arc::new(Entry::Job(submitted)),
+            Ok(submitted) => LogEntry::from(Entry::Job(submitted)),
             Err(error) => return SubmitReply::Invalid(error),
         };
+        if self.lock().durability.pending_append_bytes() > self.budgets.undurable_bytes {
+            // The disk is slower than the submissions, and those before this one are still in memory.
+            return SubmitReply::NotAccepted;
+        }
         if let Err(owner) = self.acquire_unless_owned_elsewhere(&id) {
             return owner.map_or(SubmitReply::NotAccepted, SubmitReply::Redirect);
         }
@@ -55,9 +59,9 @@
 
 /// Appends the batch job to its log unless the log has it already. Returns `None` while this store doesn't
 /// lead.
-fn append_first(owned: &mut OwnedEntry, entry: &Arc<Entry>) -> Option<()> {
+fn append_first(owned: &mut OwnedEntry, entry: &LogEntry) -> Option<()> {
     if owned.is_leading_empty_log() {
-        owned.ownership.append([Arc::clone(entry)]);
+        owned.ownership.append([entry.clone()]);
     }
     (owned.ownership.phase() == OwnershipPhase::Leading).then_some(())
 }
--- a/crates/store-plane/src/replication/state/description.rs
+++ b/crates/store-plane/src/replication/state/description.rs
@@ -2,18 +2,30 @@
 
 use std::fmt::Write;
 
-use batch::{JobId, OwnershipPhase, OwnershipTerm, ReplicaLog};
+use batch::{JobId, LogEntry, OwnershipPhase, OwnershipTerm, ReplicaLog};
 
 use super::{OwnedEntry, ReplicationState};
 
 impl ReplicationState {
-    /// Describes each batch job in one line: its log, and the ownership or claim of this store if there is
-    /// one.
+    /// Describes what is in memory, then each batch job in one line: its log, and the ownership or claim of this
+    /// store if there is one.
     pub fn describe(&self) -> String {
-        let lines: Vec<String> = self.replicas.logs().map(|(job, log)| self.describe_job(job, log)).collect();
+        let jobs = self.replicas.logs().map(|(job, log)| self.describe_job(job, log));
+        let lines: Vec<String> = std::iter::once(self.describe_memory()).chain(jobs).collect();
         lines.join("\n")
     }
 
+    fn describe_memory(&self) -> String {
+        let entries = self.replicas.logs().flat_map(|(_, log)| &log.entries);
+        let resident = entries.filter(|entry| entry.resident().is_some()).map(LogEntry::size_bytes);
+        let parsed = self.ownerships.iter().filter(|(_, owned)| owned.job.is_some()).count();
+        format!(
+            "in memory: {} bytes of entries, {} bytes sent ahead, {parsed} parsed batch jobs",
+            resident.sum::<usize>(),
+            self.replicas.staged_bytes_of_others(""),
+        )
+    }
+
     fn describe_job(&self, job: &JobId, log: &ReplicaLog) -> String {
         let (promised, accepted) = (describe_term(log.promised), describe_term(log.accepted));
         let mut line =
--- a/crates/store-plane/src/replication/state/mod.rs
+++ b/crates/store-plane/src/replication/state/mod.rs
@@ -5,20 +5,25 @@
 //! - [`Durability`]: the records that are queued or durable, or that could not be written; updated by
 //!   `writer` and where records are queued.
 //! - [`PeerLiveness`]: the stores that do not answer; written by `heartbeat` and where calls fail.
+//! - [`LogTransfers`]: the logs that are sent or fetched in several messages; written by `ownership`.
 
 mod description;
 mod durability;
+mod entry_cache;
 mod job_status;
+mod log_transfers;
 mod ownership_table;
 mod peer_liveness;
 
 use batch::{JobId, Record, ReplicaReply, ReplicaRequest, Replicas, StoreId};
-use rpc::DecodeError;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-pub(super) use durability::{Durability, WriteRequest};
+use super::recovery::StoreRecovery;
+
+pub(super) use durability::{Durability, DurablePositions, WriteRequest};
 pub(super) use job_status::{JobStatusTable, OWNER_TIMEOUT, READ_LEASE};
+pub(super) use log_transfers::LogTransfers;
 pub(super) use ownership_table::{OwnedEntry, OwnershipTable};
 pub(super) use peer_liveness::PeerLiveness;
 
@@ -34,43 +39,44 @@
     pub job_status: JobStatusTable,
     pub durability: Durability,
     pub peers: PeerLiveness,
-}
-
-/// Checks that a record of a store's journal can be decoded.
-///
-/// # Errors
-///
-/// Fails if it cannot be decoded: a different build may have written it, or the disk may have corrupted it.
-pub fn check_store_record(bytes: &[u8]) -> Result<(), DecodeError> {
-    rpc::decode::<Vec<Record>>(bytes).map(drop)
+    pub transfers: LogTransfers,
 }
 
 impl ReplicationState {
-    /// Recovers the state from the records of the journal, which `recovered` contains with their positions,
-    /// oldest first. New records are sent to `write_queue`. Records that cannot be decoded are logged and
-    /// skipped; the process is expected to have set a journal with such records aside before, see
-    /// [`check_store_record`].
+    /// Creates the state after a recovery. New records are sent to `write_queue`. `cache_bytes` bounds the memory
+    /// of entries that are on the disk as well.
     pub fn recover(
-        recovered: impl IntoIterator<Item = (u64, Vec<u8>)>,
+        recovery: StoreRecovery,
+        cache_bytes: usize,
         write_queue: mpsc::UnboundedSender<WriteRequest>,
     ) -> Self {
-        let mut durability = Durability::new(write_queue);
-        let mut all_records = Vec::new();
-        for (position, bytes) in recovered {
-            let Ok(records) = rpc::decode::<Vec<Record>>(&bytes) else {
-                log::error!(position; "failed to decode a journal record of batch jobs");
-                continue;
-            };
-            durability.record_positions(&records, position);
-            all_records.extend(records);
-        }
+        let (replicas, positions, source) = recovery.into_parts();
         Self {
-            replicas: Replicas::recover(all_records),
+            replicas,
             ownerships: OwnershipTable::default(),
             job_status: JobStatusTable::default(),
-            durability,
+            durability: Durability::new(positions, source, cache_bytes, write_queue),
             peers: PeerLiveness::default(),
+            transfers: LogTransfers::default(),
+        }
+    }
+
+    /// Whether the store may keep the entries of a request in memory that are sent ahead of an append:
+    /// `max_bytes` bounds those of all batch jobs, but one log is always kept. Entries whose owner makes no
+    /// contact any more are dropped for it.
+    pub fn may_stage(&mut self, job: &JobId, request: &ReplicaRequest, max_bytes: usize) -> bool {
+        if !matches!(request, ReplicaRequest::Stage { .. }) {
+            return true;
+        }
+        let fits = |replicas: &Replicas| {
+            let others = replicas.staged_bytes_of_others(job);
+            others == 0 || others + request.size_bytes() <= max_bytes
+        };
+        if !fits(&self.replicas) {
+            let job_status = &self.job_status;
+            self.replicas.drop_staged(|other| other != job && !job_status.has_live_owner(other));
         }
+        fits(&self.replicas)
     }
 
     /// Executes the request of an owner or claimant. If a receiver is returned, the reply may only be sent
--- a/crates/store-plane/src/replication/state/ownership_table.rs
+++ b/crates/store-plane/src/replication/state/ownership_table.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use batch::{Entry, Job, JobId, Ownership, OwnershipPhase};
+use batch::{Job, JobId, LogEntry, Ownership, OwnershipPhase};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use super::super::log_entries::{contains, is_ended, results};
+use super::super::log_entries::{contains, has_all_results, is_ended};
 use super::super::owned_job::JobState;
 
 /// A batch job that this store owns or claims.
@@ -19,8 +19,11 @@
     pub ownership: Ownership,
     /// Time at which this store last claimed the batch job or received a part of a log that the claim adopts.
     pub last_claim_progress: Instant,
-    /// The parsed batch job; `None` until the ownership is established, and after the batch job has ended.
+    /// The parsed batch job; `None` until the ownership is established, and once the batch job has ended or has
+    /// all results.
     pub job: Option<Arc<Job>>,
+    /// Whether the batch job is being loaded and parsed.
+    pub is_parsing: bool,
     /// State that determines whether the runner runs items of the batch job.
     pub state: watch::Sender<JobState>,
     /// Sender that is notified of each change of the ownership; tasks that wait for commits subscribe to it.
@@ -34,6 +37,7 @@
             ownership,
             last_claim_progress: Instant::now(),
             job: None,
+            is_parsing: false,
             state: watch::Sender::new(JobState::Open),
             progress: watch::Sender::new(()),
         }
@@ -47,13 +51,13 @@
     }
 
     /// Appends the entries that the log lacks. Does nothing unless the ownership is established.
-    pub fn append_missing(&mut self, entries: &[Arc<Entry>]) {
+    pub fn append_missing(&mut self, entries: &[LogEntry]) {
         if !self.ownership.is_established() {
             return;
         }
         for entry in entries {
             if !contains(self.ownership.log(), entry) {
-                self.ownership.append([Arc::clone(entry)]);
+                self.ownership.append([entry.clone()]);
             }
         }
     }
@@ -69,11 +73,9 @@
         is_ended(self.ownership.committed())
     }
 
-    /// Returns whether each item of the batch job has a committed result; `false` while the batch job isn't
-    /// parsed.
+    /// Returns whether each item of the batch job has a committed result.
     pub fn has_all_results(&self) -> bool {
-        let committed = results(self.ownership.committed()).count();
-        self.job.as_ref().is_some_and(|job| committed >= job.items.len())
+        has_all_results(self.ownership.committed())
     }
 }
 
--- a/crates/store-plane/src/replication/store.rs
+++ b/crates/store-plane/src/replication/store.rs
@@ -8,9 +8,11 @@
 use tokio::time::Instant;
 
 use super::journal::RecordJournal;
+use super::memory_budgets::MemoryBudgets;
 use super::messages::MigrationStatus;
 use super::node::StoreNode;
 use super::owned_job::OwnedJob;
+use super::recovery::StoreRecovery;
 use super::server;
 use super::state::{ReplicationState, WriteRequest};
 use super::store_limits::StoreLimits;
@@ -25,22 +27,23 @@
 }
 
 impl JobStore {
-    /// Creates a store from the records of its journal, which `recovered` contains with their positions,
-    /// oldest first. The receiver yields each batch job whose items this store is to run. The store writes no
+    /// Creates a store with the batch jobs that were recovered from its journal. The receiver yields each batch job whose items this store is to run. The store writes no
     /// records and runs no maintenance before [`Self::run`].
     pub fn open(
         member: Member,
         journal: Arc<dyn RecordJournal>,
-        recovered: impl IntoIterator<Item = (u64, Vec<u8>)>,
+        recovery: StoreRecovery,
         rpc: rpc::Client,
         view: watch::Receiver<Arc<View>>,
         limits: StoreLimits,
     ) -> (Self, mpsc::UnboundedReceiver<OwnedJob>) {
         let (owned_jobs, owned_jobs_receiver) = mpsc::unbounded_channel();
         let (write_queue_sender, write_queue) = mpsc::unbounded_channel();
-        let state = Mutex::new(ReplicationState::recover(recovered, write_queue_sender));
+        let budgets = MemoryBudgets::new(limits.memory_bytes);
+        let state = ReplicationState::recover(recovery, budgets.cache_bytes, write_queue_sender);
+        let state = Mutex::new(state);
         let started = Instant::now();
-        let node = StoreNode { member, rpc, view, limits, started, journal, owned_jobs, state };
+        let node = StoreNode { member, rpc, view, limits, budgets, started, journal, owned_jobs, state };
         let write_queue = Arc::new(Mutex::new(Some(write_queue)));
         (Self { node: Arc::new(node), write_queue }, owned_jobs_receiver)
     }
--- a/crates/store-plane/src/replication/store_limits.rs
+++ b/crates/store-plane/src/replication/store_limits.rs
@@ -7,4 +7,6 @@
 pub struct StoreLimits {
     /// Minimum time after the submission of a batch job during which its results can be read.
     pub result_retention: Duration,
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: usize,
 }
--- a/crates/store-plane/src/runner/active_job.rs
+++ b/crates/store-plane/src/runner/active_job.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use batch::{
-    Item, ItemCandidate, ItemCondition, ItemIndex, ItemPhase, ItemResult, Job, JobForecast, JobId,
+    Item, ItemCandidate, ItemCondition, ItemId, ItemIndex, ItemPhase, ItemResult, Job, JobForecast, JobId,
     JobSchedule, Precedence,
 };
 use tokio::sync::mpsc;
@@ -70,8 +70,8 @@
     }
 
     /// Marks the items whose results are committed already as recorded, so that they are not run again.
-    pub fn skip_committed(&mut self, committed_results: &[ItemResult]) {
-        let ids: HashSet<&str> = committed_results.iter().map(|result| &*result.id).collect();
+    pub fn skip_committed(&mut self, items_with_results: &[ItemId]) {
+        let ids: HashSet<&str> = items_with_results.iter().map(|id| &**id).collect();
         for (index, item) in self.job.items.iter().enumerate() {
             if ids.contains(&*item.id) {
                 self.schedule.set_phase(index, ItemPhase::Recorded);
--- a/crates/store-plane/src/runner/mod.rs
+++ b/crates/store-plane/src/runner/mod.rs
@@ -173,7 +173,7 @@
         };
         let submission = SubmissionTime { age: owned.age, acquired_at: self.now() };
         let mut job = ActiveJob::new(owned.id, owned.job, address, submission, results, watcher);
-        job.skip_committed(&owned.committed_results);
+        job.skip_committed(&owned.items_with_results);
         job.rules = self.executor.route_rules(&job.address.host, &job.address.path);
         self.jobs.insert(key, job);
         self.use_cached_outputs(key);
--- a/crates/store-plane/tests/golden/messages.rs
+++ b/crates/store-plane/tests/golden/messages.rs
@@ -5,11 +5,10 @@
 //! `GOLDEN_WRITE=1` writes missing files.
 
 use std::fmt::Debug;
-use std::sync::Arc;
 
 use batch::{
-    Entry, ItemCondition, ItemResult, JobError, JobId, OwnershipTerm, ReplicaReply, ReplicaRequest, StoreId,
-    SubmittedJob,
+    Entry, ItemCondition, ItemResult, JobError, JobId, LogEntry, OwnershipTerm, ReplicaReply, ReplicaRequest,
+    StoreId, SubmittedJob,
 };
 use bytes::Bytes;
 use golden_files::GoldenFiles;
@@ -41,7 +40,7 @@
     OwnershipTerm { epoch: 300, number, owner: STORE, nonce: 0x1112_1314_1516_1718 }
 }
 
-fn entries() -> Vec<Arc<Entry>> {
+fn entries() -> Vec<LogEntry> {
     let submitted = SubmittedJob {
         host: "texts.example".into(),
         path: "/jobs/1".into(),
@@ -63,7 +62,7 @@
         grade: None,
     };
     let entries = [Entry::Job(submitted), Entry::Result(delivered), Entry::Result(undeliverable), Entry::End];
-    entries.into_iter().map(Arc::new).collect()
+    entries.into_iter().map(LogEntry::from).collect()
 }
 
 fn addressed<T>(request: T) -> AddressedRequest<T> {
--- a/crates/store-plane/tests/replication/calls.rs
+++ b/crates/store-plane/tests/replication/calls.rs
@@ -4,7 +4,7 @@
 
 use store_plane::{BodyOutcome, EndOutcome, JobState, OwnershipLost, ReadOutcome, SubmitOutcome};
 
-use crate::cluster::{result, Cluster};
+use crate::cluster::{item_ids, result, Cluster};
 
 #[tokio::test]
 async fn given_a_batch_job_when_results_are_appended_then_they_are_read_once_each_in_order() {
@@ -12,7 +12,7 @@
     cluster.submit_until_accepted("job").await;
     assert_eq!(cluster.submit("job").await, SubmitOutcome::Accepted);
     let owned = cluster.next_owned().await;
-    assert_eq!(owned.committed_results, []);
+    assert_eq!(owned.items_with_results, item_ids(&[]));
 
     let long_poll = cluster.client.read("job".into(), 0, Duration::from_secs(1));
     let (page, appended) = tokio::join!(long_poll, owned.append(vec![result(3), result(1)]));
--- a/crates/store-plane/tests/replication/cluster.rs
+++ b/crates/store-plane/tests/replication/cluster.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use batch::{ItemCondition, ItemResult};
+use batch::{ItemCondition, ItemId, ItemResult};
 use bytes::Bytes;
 use register::{Incarnation, Member};
 use state::{ControlState, StoreMember, StoreSet, View};
@@ -20,6 +20,8 @@
 
 /// Maximum time that a test waits for an event or a call.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+/// Memory that a store may use.
+const MEMORY_BYTES: usize = 256_000_000;
 /// Retention of results, unless a test sets its own.
 const RESULT_RETENTION: Duration = Duration::from_secs(120);
 
@@ -53,6 +55,11 @@
 
     /// Starts stores as [`Cluster::start`] does, with results kept for `result_retention`.
     pub fn start_with_retention(count: u64, result_retention: Duration) -> Self {
+        Self::start_with_limits(count, StoreLimits { result_retention, memory_bytes: MEMORY_BYTES })
+    }
+
+    /// Starts stores as [`Cluster::start`] does, with these limits.
+    pub fn start_with_limits(count: u64, limits: StoreLimits) -> Self {
         let stores: Vec<Store> = (1..=count).map(Store::new).collect();
         let members = stores.iter().map(Store::as_member).collect();
         let control = ControlState {
@@ -63,16 +70,8 @@
         let (owned_sender, owned) = mpsc::unbounded_channel();
         let rpc = rpc::Client::new();
         let client = JobClient::new(rpc.clone(), view.subscribe());
-        let mut cluster = Self {
-            stores,
-            view,
-            owned_sender,
-            owned,
-            client,
-            rpc,
-            last_incarnation: 100,
-            limits: StoreLimits { result_retention },
-        };
+        let mut cluster =
+            Self { stores, view, owned_sender, owned, client, rpc, last_incarnation: 100, limits };
         (0..cluster.stores.len()).for_each(|index| cluster.restart(index));
         cluster
     }
@@ -203,6 +202,12 @@
             .expect("the channel is open")
     }
 
+    /// Reads the first page of results, until the outcome is definite.
+    pub async fn results(&self, id: &str) -> Vec<ItemResult> {
+        let page = self.read(id, 0).await;
+        serde_json::from_slice(&page.deliveries).expect("a page of results")
+    }
+
     /// Reads results from a position on, until the outcome is definite.
     pub async fn read(&self, id: &str, after: u64) -> ResultPage {
         eventually("the results can be read", || async {
@@ -271,6 +276,11 @@
     Bytes::from(format!(r#"{{"parcels":[{}]}}"#, items.join(",")))
 }
 
+/// Returns the ids of the items `item-NUMBER`.
+pub fn item_ids(numbers: &[usize]) -> Vec<ItemId> {
+    numbers.iter().map(|number| result(*number).id).collect()
+}
+
 /// Returns a result of the item `item-NUMBER`.
 pub fn result(number: usize) -> ItemResult {
     ItemResult {
--- a/crates/store-plane/tests/replication/disks.rs
+++ b/crates/store-plane/tests/replication/disks.rs
@@ -5,7 +5,7 @@
 use store_plane::{ReadOutcome, SubmitOutcome};
 use yare::parameterized;
 
-use crate::cluster::{eventually, result, Cluster};
+use crate::cluster::{eventually, item_ids, result, Cluster};
 use crate::disk::{DiskMode, MemoryDisk};
 
 /// Runs an async test. Parameterized tests need it, since their macro does not support async functions.
@@ -25,7 +25,8 @@
     cluster.power_cycle();
 
     assert_eq!(cluster.read("job", 0).await, before);
-    assert_eq!(cluster.next_owned().await.committed_results.len(), 2);
+    assert_eq!(cluster.next_owned().await.items_with_results, item_ids(&[0, 1]));
+    assert_eq!(cluster.results("job").await, [result(0), result(1)]);
 }
 
 #[tokio::test]
@@ -81,9 +82,14 @@
     assert_ne!(cluster.submit("job").await, SubmitOutcome::Accepted);
 }
 
+/// Capacity of a disk that the records of [`given_a_journal_that_fills_up_when_it_is_compacted_then_all_batch_jobs_survive_a_loss_of_power`]
+/// fill.
+const SMALL_DISK_BYTES: u64 = 30_000;
+
 #[tokio::test]
 async fn given_a_journal_that_fills_up_when_it_is_compacted_then_all_batch_jobs_survive_a_loss_of_power() {
     let mut cluster = Cluster::start(3);
+    cluster.stores.iter().for_each(|store| store.disk.set_capacity(SMALL_DISK_BYTES));
     let mut owned = Vec::new();
     for number in 0..20 {
         cluster.submit_until_accepted(&format!("job-{number}")).await;
--- a/crates/store-plane/tests/replication/failover.rs
+++ b/crates/store-plane/tests/replication/failover.rs
@@ -4,7 +4,7 @@
 
 use store_plane::{BodyOutcome, JobState, OwnedJob, OwnershipLost};
 
-use crate::cluster::{result, Cluster};
+use crate::cluster::{item_ids, result, Cluster};
 
 #[tokio::test]
 async fn given_a_killed_owner_when_results_are_read_then_another_store_has_all_results_and_continues() {
@@ -15,7 +15,8 @@
 
     assert_eq!(cluster.read("job", 0).await, before);
     let second = cluster.next_owned().await;
-    assert_eq!(second.committed_results, [result(0), result(1)]);
+    assert_eq!(second.items_with_results, item_ids(&[0, 1]));
+    assert_eq!(cluster.results("job").await, [result(0), result(1)]);
     second.append(vec![result(1), result(2)]).await.expect("the store owns the batch job");
     assert_eq!(cluster.read("job", 0).await.next, 3);
     let body = cluster.client.body("job".into(), "item-5").await;
@@ -36,7 +37,8 @@
         "the handover takes less time than the timeout of an owner"
     );
     assert_ne!(cluster.index_of_owner(&second), draining);
-    assert_eq!(second.committed_results, [result(0), result(1)]);
+    assert_eq!(second.items_with_results, item_ids(&[0, 1]));
+    assert_eq!(cluster.results("job").await, [result(0), result(1)]);
     assert_eq!(*first.state().borrow(), JobState::OwnershipLost);
     cluster.submit_until_accepted("another").await;
     let another = cluster.next_owned().await;
@@ -55,7 +57,8 @@
 
     assert_eq!(first.append(vec![result(2)]).await, Err(OwnershipLost));
     assert_eq!(*first.state().borrow(), JobState::OwnershipLost);
-    assert_eq!(second.committed_results, [result(0)]);
+    assert_eq!(second.items_with_results, item_ids(&[0]));
+    assert_eq!(cluster.results("job").await, [result(0), result(1)]);
     assert_eq!(cluster.read("job", 0).await, before);
 }
 
--- a/crates/store-plane/tests/runner/harness.rs
+++ b/crates/store-plane/tests/runner/harness.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use batch::{Item, ItemResult, Job, RewardRequest};
+use batch::{Item, ItemId, ItemResult, Job, RewardRequest};
 use bytes::Bytes;
 use store_plane::runner::ports::{
     ItemAttempt, ItemExecutor, ItemOutcome, ItemProgress, JobAddress, JobLog, JobState, OwnedJob,
@@ -297,13 +297,13 @@
         self.acquire(id, job, Duration::ZERO, Vec::new(), FakeLog::new())
     }
 
-    /// Passes a batch job to the runner, with its age and the results of earlier owners.
+    /// Passes a batch job to the runner, with its age and the items that have results of earlier owners.
     pub fn acquire(
         &self,
         id: &str,
         job: Job,
         age: Duration,
-        committed_results: Vec<ItemResult>,
+        items_with_results: Vec<ItemId>,
         log: FakeLog,
     ) -> FakeLog {
         self.handle.run_job(OwnedJob {
@@ -312,7 +312,7 @@
             host: "texts.example".into(),
             path: "/generate/job".into(),
             age,
-            committed_results,
+            items_with_results,
             log: log.clone(),
         });
         log
--- a/crates/store-plane/tests/runner/runs.rs
+++ b/crates/store-plane/tests/runner/runs.rs
@@ -63,7 +63,8 @@
     advance(AMPLE_TIME).await;
 
     let fresh = RunnerHarness::start(FakeExecutor::reliable());
-    let log = fresh.acquire("job", job_with_items("a", 3), Duration::ZERO, first.results(), FakeLog::new());
+    let with_results = first.results().into_iter().map(|result| result.id).collect();
+    let log = fresh.acquire("job", job_with_items("a", 3), Duration::ZERO, with_results, FakeLog::new());
     advance(AMPLE_TIME).await;
 
     assert_eq!(fresh.executor.run_ids(), vec!["a-1", "a-2"]);
--- a/crates/store-plane/tests/unit/owner_lease.rs
+++ b/crates/store-plane/tests/unit/owner_lease.rs
@@ -1,37 +1,57 @@
 //! Read leases: a replica promises nothing to another claimant while the owner in contact with it may answer
 //! reads.
 
+use std::io;
+use std::ops::Range;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use batch::{JobId, OwnershipTerm, ReplicaReply, ReplicaRequest, StoreId};
 use register::{Incarnation, Member};
 use state::View;
+use storage::{Position, ReadTask, RecordLocation, RecordSource, RingUsage};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{advance, Instant};
 
 use super::super::journal::{Appended, RecordJournal};
+use super::super::memory_budgets::MemoryBudgets;
 use super::super::messages::{Heartbeat, JobHeartbeat};
 use super::super::node::StoreNode;
+use super::super::recovery::StoreRecovery;
 use super::super::state::{ReplicationState, WriteRequest, OWNER_TIMEOUT, READ_LEASE};
 use super::super::store_limits::StoreLimits;
 
 const OWNER: StoreId = 1;
 const REPLICA: u64 = 2;
 const CLAIMANT: StoreId = 3;
+const MEMORY_BYTES: usize = 1_000_000;
 
 /// A journal whose records are durable at once.
 struct InstantJournal;
 
+impl RecordSource for InstantJournal {
+    fn read(&self, _: &RecordLocation, _: Range<u64>) -> io::Result<Vec<u8>> {
+        Err(io::ErrorKind::NotFound.into())
+    }
+}
+
 impl RecordJournal for InstantJournal {
     fn append(&self, _: Box<dyn storage::RecordContent>) -> Appended {
-        Box::pin(async { Ok(1) })
+        Box::pin(async { Ok(RecordLocation::new(Position(1), Vec::new())) })
+    }
+
+    fn source(&self) -> Arc<dyn RecordSource> {
+        Arc::new(Self)
+    }
+
+    fn run_read(&self, task: ReadTask) {
+        task();
     }
 
     fn release(&self, _: u64) {}
 
-    fn fill(&self) -> f64 {
-        0.0
+    fn usage(&self) -> RingUsage {
+        RingUsage::default()
     }
 }
 
@@ -46,16 +66,18 @@
     });
     let member =
         Member { name: "replica".into(), incarnation: Incarnation(REPLICA), address: "127.0.0.1:1".into() };
+    let recovery = StoreRecovery::new(Arc::new(InstantJournal));
     let started = Instant::now();
     let node = StoreNode {
         member,
         rpc: rpc::Client::new(),
         view: watch::Sender::new(Arc::new(View::default())).subscribe(),
-        limits: StoreLimits { result_retention: Duration::from_secs(60) },
+        limits: StoreLimits { result_retention: Duration::from_secs(60), memory_bytes: MEMORY_BYTES },
+        budgets: MemoryBudgets::new(MEMORY_BYTES),
         started,
         journal: Arc::new(InstantJournal),
         owned_jobs: mpsc::unbounded_channel().0,
-        state: Mutex::new(ReplicationState::recover([], write_queue)),
+        state: Mutex::new(ReplicationState::recover(recovery, MEMORY_BYTES, write_queue)),
     };
     advance(OWNER_TIMEOUT).await;
     Arc::new(node)
