--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -1,8 +1,9 @@
 //! The JSON documents that trainers exchange with the system: batch jobs and the results of their items.
 
 use std::borrow::Cow;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::fmt;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 use base64::engine::general_purpose::STANDARD;
@@ -32,54 +33,41 @@
     pub items: Vec<Item>,
 }
 
-impl Job {
-    /// Parses and validates the body of a submission.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if `body` is not the JSON of a batch job, if the job has no items or two items with
-    /// the same id, or if the body of an item or of a reward request is not base64.
-    pub fn parse(body: &[u8]) -> Result<Self, JobError> {
-        let job: Self = serde_json::from_slice(body).map_err(|e| JobError::Malformed(e.to_string()))?;
-        job.validate()?;
-        Ok(job)
-    }
-
-    fn validate(&self) -> Result<(), JobError> {
-        if self.items.is_empty() {
-            return Err(JobError::NoItems);
-        }
-        let mut ids = HashSet::with_capacity(self.items.len());
-        for item in &self.items {
-            if !ids.insert(&item.id) {
-                return Err(JobError::DuplicateItem(Arc::clone(&item.id)));
-            }
-            let reward = item.reward.as_ref().map_or("", |reward| &reward.body);
-            if decode_base64(&item.body).is_none() || decode_base64(reward).is_none() {
-                return Err(JobError::InvalidBody(Arc::clone(&item.id)));
-            }
-        }
-        Ok(())
-    }
-}
-
 impl Item {
-    /// Decodes the body. The result is empty if the body is not base64; [`Job::parse`] rejects such items.
+    /// Decodes the body. The result is empty if the body is not base64;
+    /// [`JobOutline::parse`](crate::JobOutline::parse) rejects such items.
     #[must_use]
     pub fn decoded_body(&self) -> Vec<u8> {
         decode_base64(&self.body).unwrap_or_default()
     }
+
+    /// Returns a hash of what determines the generated text and its grade: the requests without the id of the item.
+    #[must_use]
+    pub fn request_hash(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (&self.path, &self.headers, &self.body).hash(&mut hasher);
+        let reward = self.reward.as_ref().map(|call| (&call.id, &call.host, &call.path, &call.body));
+        reward.hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// Whether the bodies of the item and of its reward request are base64.
+    pub(crate) fn has_valid_bodies(&self) -> bool {
+        let reward = self.reward.as_ref().map_or("", |reward| &reward.body);
+        decode_base64(&self.body).is_some() && decode_base64(reward).is_some()
+    }
 }
 
 impl RewardRequest {
-    /// Decodes the body. The result is empty if the body is not base64; [`Job::parse`] rejects such items.
+    /// Decodes the body. The result is empty if the body is not base64;
+    /// [`JobOutline::parse`](crate::JobOutline::parse) rejects such items.
     #[must_use]
     pub fn decoded_body(&self) -> Vec<u8> {
         decode_base64(&self.body).unwrap_or_default()
     }
 }
 
-/// Returns the decoded body of an item of a submission that [`Job::parse`] accepts; `None` if it has no such item.
+/// Returns the decoded body of an item of a submission that [`JobOutline::parse`](crate::JobOutline::parse) accepts; `None` if it has no such item.
 /// Does not build the other items in memory.
 #[must_use]
 pub fn find_item_body(submission: &[u8], item: &str) -> Option<Vec<u8>> {
--- a/crates/batch/src/replication/log_entry.rs
+++ b/crates/batch/src/replication/log_entry.rs
@@ -1,6 +1,7 @@
 //! [`LogEntry`]: an entry of a log, whose content may be on the disk only.
 
 use std::fmt;
+use std::ops::Range;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
@@ -29,6 +30,13 @@
     /// Fails if the disk fails, or if what is stored is not the entry any more.
     fn load(&self) -> Result<Entry, LoadError>;
 
+    /// Reads the bytes of `range` of the encoded form of the entry, which are not verified. Blocks on the disk.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the disk fails, or if the encoded form is shorter.
+    fn read(&self, range: Range<u64>) -> Result<Vec<u8>, LoadError>;
+
     /// Returns the length of the encoded form of the entry in bytes, and its CRC-32.
     fn encoded_form(&self) -> (u64, u32);
 }
--- a/crates/batch/src/schedule/groups.rs
+++ b/crates/batch/src/schedule/groups.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::{ItemIndex, ItemPhase};
-use crate::Job;
+use crate::JobOutline;
 
 /// Index of a group. Groups are numbered in the order in which their first items occur in the batch job.
 pub(super) type GroupIndex = usize;
@@ -62,7 +62,7 @@
 
 /// Returns the groups of a job, and the group of each item. An item without a group name forms a group by
 /// itself.
-pub(super) fn group_items(job: &Job) -> (Vec<Group>, Vec<GroupIndex>) {
+pub(super) fn group_items(job: &JobOutline) -> (Vec<Group>, Vec<GroupIndex>) {
     let mut by_name: HashMap<Arc<str>, GroupIndex> = HashMap::new();
     let mut groups: Vec<Group> = Vec::new();
     let mut group_of_item = Vec::with_capacity(job.items.len());
--- a/crates/batch/src/schedule/job_schedule.rs
+++ b/crates/batch/src/schedule/job_schedule.rs
@@ -4,7 +4,7 @@
 
 use super::groups::{group_items, Group, GroupIndex};
 use super::{ItemIndex, ItemPhase};
-use crate::Job;
+use crate::JobOutline;
 
 /// Trainers put groups that they carry over from an earlier batch job first. At most the number of required
 /// groups divided by this may be carried over.
@@ -47,7 +47,7 @@
 impl JobSchedule {
     /// Creates the schedule of a batch job of which no item was started.
     #[must_use]
-    pub fn new(job: &Job) -> Self {
+    pub fn new(job: &JobOutline) -> Self {
         let (groups, group_of_item) = group_items(job);
         let required_groups = job.required_groups.map_or(groups.len(), |required| required as usize);
         Self {
--- a/crates/batch/tests/golden.rs
+++ b/crates/batch/tests/golden.rs
@@ -4,8 +4,8 @@
 //! different versions could not read each other's data.
 
 use batch::{
-    Entry, Item, ItemCondition, ItemResult, Job, JobError, LogEntry, OwnershipTerm, Record, ReplicaReply,
-    ReplicaRequest, RewardRequest, SubmittedJob,
+    Entry, Item, ItemChanged, ItemCondition, ItemResult, Job, JobError, JobOutline, LogEntry, OwnershipTerm,
+    Record, ReplicaReply, ReplicaRequest, RewardRequest, SubmittedJob,
 };
 use bytes::Bytes;
 use golden_files::GoldenFiles;
@@ -236,7 +236,11 @@
 fn given_a_job_when_written_as_json_then_it_matches_the_golden_file_and_parses_back(name: &str, job: Job) {
     let json = serde_json::to_string(&job).expect("a job can be written");
     check_golden(name, &json);
-    assert_eq!(Job::parse(json.as_bytes()), Ok(job));
+    let outline = JobOutline::parse(json.as_bytes()).expect("the job is valid");
+    let items: Result<Vec<Item>, ItemChanged> =
+        outline.items.iter().map(|item| item.parse(&json.as_bytes()[item.json.clone()])).collect();
+    assert_eq!(items.as_ref(), Ok(&job.items));
+    assert_eq!(serde_json::from_str::<Job>(&json).expect("the job parses"), job);
 }
 
 #[parameterized(
--- a/crates/batch/tests/schedule.rs
+++ b/crates/batch/tests/schedule.rs
@@ -3,11 +3,18 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use batch::{Item, ItemCandidate, ItemIndex, ItemPhase, Job, JobForecast, JobSchedule, Precedence, Urgency};
+use batch::{
+    Item, ItemCandidate, ItemIndex, ItemPhase, Job, JobForecast, JobOutline, JobSchedule, Precedence, Urgency,
+};
 use yare::parameterized;
 
 const START: Duration = Duration::ZERO;
 
+fn outline(job: &Job) -> JobOutline {
+    let json = serde_json::to_vec(job).expect("a job can be written");
+    JobOutline::parse(&json).expect("the job is valid")
+}
+
 fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
 }
@@ -52,7 +59,7 @@
 
 #[test]
 fn given_a_new_job_when_items_start_then_groups_start_in_order_and_the_required_ones_are_needed() {
-    let mut schedule = JobSchedule::new(&job(4, 2, Some(3)));
+    let mut schedule = JobSchedule::new(&outline(&job(4, 2, Some(3))));
 
     let started = start_all(&mut schedule, START);
 
@@ -63,7 +70,7 @@
 
 #[test]
 fn given_no_number_of_required_groups_when_items_start_then_all_groups_are_needed() {
-    let mut schedule = JobSchedule::new(&job(3, 2, None));
+    let mut schedule = JobSchedule::new(&outline(&job(3, 2, None)));
 
     assert!(start_all(&mut schedule, START).iter().all(|candidate| candidate.needed));
 }
@@ -72,7 +79,7 @@
 fn given_groups_with_interleaved_items_when_items_start_then_one_group_starts_after_the_other() {
     let mut job = job(2, 2, None);
     job.items = vec![item(0, Some(0), 1), item(1, Some(1), 1), item(2, Some(0), 1), item(3, Some(1), 1)];
-    let mut schedule = JobSchedule::new(&job);
+    let mut schedule = JobSchedule::new(&outline(&job));
 
     assert_eq!(indices(&start_all(&mut schedule, START)), vec![0, 2, 1, 3]);
 }
@@ -81,7 +88,7 @@
 fn given_items_without_a_group_when_one_is_recorded_then_it_counts_as_a_complete_group() {
     let mut job = job(0, 0, Some(1));
     job.items = vec![item(0, None, 1), item(1, None, 1)];
-    let mut schedule = JobSchedule::new(&job);
+    let mut schedule = JobSchedule::new(&outline(&job));
 
     record(&mut schedule, [1]);
 
@@ -93,14 +100,14 @@
 fn given_a_group_with_items_of_different_length_when_it_starts_then_longer_items_start_first() {
     let mut job = job(1, 3, None);
     job.items = vec![item(0, Some(0), 5), item(1, Some(0), 9), item(2, Some(0), 7)];
-    let mut schedule = JobSchedule::new(&job);
+    let mut schedule = JobSchedule::new(&outline(&job));
 
     assert_eq!(indices(&start_all(&mut schedule, START)), vec![1, 2, 0]);
 }
 
 #[test]
 fn given_a_failed_item_of_a_started_group_when_the_next_item_starts_then_it_precedes_groups_not_started() {
-    let mut schedule = JobSchedule::new(&job(6, 2, None));
+    let mut schedule = JobSchedule::new(&outline(&job(6, 2, None)));
     for index in 0..8 {
         schedule.set_phase(index, ItemPhase::Streaming);
     }
@@ -112,7 +119,7 @@
 
 #[test]
 fn given_two_started_groups_when_the_next_item_starts_then_it_is_of_the_group_with_fewer_unfinished_items() {
-    let mut schedule = JobSchedule::new(&job(4, 3, None));
+    let mut schedule = JobSchedule::new(&outline(&job(4, 3, None)));
     record(&mut schedule, [6, 9, 10]);
 
     record(&mut schedule, 0..6);
@@ -122,7 +129,7 @@
 
 #[test]
 fn given_groups_that_may_be_carried_over_when_others_are_nearer_to_completion_then_the_former_start_first() {
-    let mut schedule = JobSchedule::new(&job(6, 2, Some(4)));
+    let mut schedule = JobSchedule::new(&outline(&job(6, 2, Some(4))));
     record(&mut schedule, [4, 6, 8]);
 
     let started = start_all(&mut schedule, START);
@@ -132,7 +139,7 @@
 
 #[test]
 fn given_enough_complete_groups_when_one_that_may_be_carried_over_is_incomplete_then_it_is_still_needed() {
-    let mut schedule = JobSchedule::new(&job(6, 1, Some(2)));
+    let mut schedule = JobSchedule::new(&outline(&job(6, 1, Some(2))));
     record(&mut schedule, [2, 3]);
 
     let started = start_all(&mut schedule, START);
@@ -143,7 +150,7 @@
 
 #[test]
 fn given_an_item_in_backoff_when_the_backoff_ends_then_the_item_may_start() {
-    let mut schedule = JobSchedule::new(&job(1, 1, None));
+    let mut schedule = JobSchedule::new(&outline(&job(1, 1, None)));
     schedule.set_phase(0, ItemPhase::Pending(seconds(2)));
 
     assert_eq!(schedule.next_item(seconds(1)), None);
@@ -154,7 +161,7 @@
 
 #[test]
 fn given_a_recorded_item_when_its_phase_is_set_again_then_it_stays_recorded() {
-    let mut schedule = JobSchedule::new(&job(1, 2, None));
+    let mut schedule = JobSchedule::new(&outline(&job(1, 2, None)));
     record(&mut schedule, [0]);
 
     schedule.set_phase(0, ItemPhase::Pending(START));
@@ -167,7 +174,7 @@
 
 #[test]
 fn given_streaming_items_when_some_leave_the_phase_then_the_number_of_streams_decreases() {
-    let mut schedule = JobSchedule::new(&job(1, 3, None));
+    let mut schedule = JobSchedule::new(&outline(&job(1, 3, None)));
     start_all(&mut schedule, START);
 
     schedule.set_phase(0, ItemPhase::Grading);
@@ -237,7 +244,7 @@
 
 #[test]
 fn given_required_groups_when_they_become_complete_then_the_number_of_needed_items_decreases() {
-    let mut schedule = JobSchedule::new(&job(4, 3, Some(2)));
+    let mut schedule = JobSchedule::new(&outline(&job(4, 3, Some(2))));
     assert_eq!(schedule.needed_remaining(), 6);
 
     (0..3).for_each(|item| schedule.set_phase(item, ItemPhase::Recorded));
--- a/crates/rushrudder/src/store.rs
+++ b/crates/rushrudder/src/store.rs
@@ -46,7 +46,8 @@
     tokio::spawn(rpc::serve(internal_listener, store.internal_routes()));
     store.start(&settings);
     let forwarder = Forwarder::new(store.control.view.subscribe(), settings.zone.as_str().into());
-    tokio::spawn(run_owned_jobs(owned_jobs, forwarder, RunnerSettings::default()));
+    let runner_settings = RunnerSettings::for_memory(memory_bytes(&settings));
+    tokio::spawn(run_owned_jobs(owned_jobs, forwarder, runner_settings));
     log::info!("{} serves", settings.machine_name);
     while signals.next().await == SignalEvent::Reload {
         store.control.reload_settings();
@@ -115,10 +116,14 @@
 fn store_limits(settings: &NodeSettings) -> StoreLimits {
     StoreLimits {
         result_retention: settings.timing_rules.result_retention(),
-        memory_bytes: usize::try_from(settings.resource_limits.memory_bytes()).unwrap_or(usize::MAX),
+        memory_bytes: memory_bytes(settings),
     }
 }
 
+fn memory_bytes(settings: &NodeSettings) -> usize {
+    usize::try_from(settings.resource_limits.memory_bytes()).unwrap_or(usize::MAX)
+}
+
 fn journal_options(settings: &NodeSettings) -> storage::RingOptions {
     // A fifth of the disk is left free for records that are rewritten while their old segments are still in
     // use.
--- a/crates/simulator/src/fleet/machine.rs
+++ b/crates/simulator/src/fleet/machine.rs
@@ -137,6 +137,7 @@
         settings: &NodeSettings,
         outbox: &Outbox,
         seed: u64,
+        max_item_duration: Duration,
     ) -> bool {
         let options = ProcessOptions {
             machine: index,
@@ -145,6 +146,7 @@
             sync_delay: &self.sync_delay,
             outbox,
             seed,
+            max_item_duration,
         };
         set_log_context(now, &self.name);
         self.process = Process::start(&options);
--- a/crates/simulator/src/fleet/mod.rs
+++ b/crates/simulator/src/fleet/mod.rs
@@ -190,7 +190,7 @@
         if machine.process().is_some() {
             return;
         }
-        if !machine.start(index, self.now, &settings, &self.outbox, seed) {
+        if !machine.start(index, self.now, &settings, &self.outbox, seed, self.shape.max_item_duration) {
             self.schedule_start(index, MAX_RESTART_DELAY);
         }
     }
--- a/crates/simulator/src/fleet/shape.rs
+++ b/crates/simulator/src/fleet/shape.rs
@@ -17,6 +17,8 @@
     pub tolerated_failures: usize,
     /// Memory that a store may use (setting `memoryMb`), in megabytes; `None` for the default.
     pub store_memory_mb: Option<f64>,
+    /// The longest time that a run of an item of a batch job takes; the shortest is a tenth of it.
+    pub max_item_duration: Duration,
 }
 
 impl Default for FleetShape {
@@ -34,6 +36,7 @@
         servers: 4,
         tolerated_failures: 1,
         store_memory_mb: None,
+        max_item_duration: Duration::from_millis(200),
     };
 
     /// Returns the time for which a machine still counts as failed after its start (setting `catchUpS`): the
--- a/crates/simulator/src/process.rs
+++ b/crates/simulator/src/process.rs
@@ -53,6 +53,8 @@
     pub(crate) outbox: &'a Outbox,
     /// The seed of the runtime's random choices.
     pub(crate) seed: u64,
+    /// The longest time that a run of an item takes.
+    pub(crate) max_item_duration: Duration,
 }
 
 /// The role of a process, with the interfaces that the simulator calls.
@@ -273,7 +275,7 @@
     let incarnation = Some(disk.incarnation);
     let (store, owned) = BatchStore::new(options.settings, disk, clients);
     store.start(options.settings);
-    tokio::spawn(run_jobs(owned));
+    tokio::spawn(run_jobs(owned, options.max_item_duration));
     let internal = store.internal_routes().map_to_response().boxed();
     StartedRole { internal, role: Role::Store(Arc::new(store)), incarnation }
 }
--- a/crates/simulator/src/simulation/setup.rs
+++ b/crates/simulator/src/simulation/setup.rs
@@ -109,10 +109,14 @@
     }
 
     /// Returns [`Setup::small`] with large batch jobs, which together need about as much memory as a store may
-    /// use.
+    /// use, and of which several are open at the same time.
     #[must_use]
     pub fn memory() -> Self {
-        let shape = FleetShape { store_memory_mb: Some(STORE_MEMORY_MB), ..FleetShape::DEFAULT };
+        let shape = FleetShape {
+            store_memory_mb: Some(STORE_MEMORY_MB),
+            max_item_duration: Duration::from_secs(5),
+            ..FleetShape::DEFAULT
+        };
         Self { shape, job_load: JobLoad::Large, ..Self::small() }
     }
 
--- a/crates/simulator/tests/scenarios/memory.rs
+++ b/crates/simulator/tests/scenarios/memory.rs
@@ -12,10 +12,12 @@
 /// Memory that a store may use, in megabytes.
 const STORE_MEMORY_MB: f64 = 4.0;
 
-/// Starts a fleet whose stores have little memory, and completes and ends batch jobs one after the other.
+/// The shape of a fleet whose stores have little memory.
+const SHAPE: FleetShape = FleetShape { store_memory_mb: Some(STORE_MEMORY_MB), ..FleetShape::DEFAULT };
+
+/// Starts a fleet and completes and ends batch jobs one after the other.
 fn scenario_with_many_jobs(seed: u64) -> Scenario {
-    let shape = FleetShape { store_memory_mb: Some(STORE_MEMORY_MB), ..FleetShape::DEFAULT };
-    let mut scenario = Scenario::start(seed, shape);
+    let mut scenario = Scenario::start(seed, SHAPE);
     for number in 0..JOBS {
         scenario.submit_job_of_size(&format!("job-{seed}-{number}"), LARGE_ITEMS);
         scenario.read_all_results();
@@ -65,3 +67,23 @@
         assert_stores_are_within_their_memory(&scenario.fleet, seed);
     }
 }
+
+/// Guards against owners whose open batch jobs take more than their memory (docs/incidents/store-memory.md): an owner
+/// had all open batch jobs in memory in their parsed form, and the next owner as well.
+#[test]
+fn given_more_open_batch_jobs_than_memory_when_a_store_fails_then_all_stores_stay_within_their_memory() {
+    for seed in 0..3 {
+        let shape = FleetShape { max_item_duration: seconds(10), ..SHAPE };
+        let mut scenario = Scenario::start(seed, shape);
+        for number in 0..JOBS {
+            scenario.submit_job_of_size(&format!("job-{seed}-{number}"), LARGE_ITEMS);
+        }
+        assert_stores_are_within_their_memory(&scenario.fleet, seed);
+        scenario.fleet.lose_disk(4);
+        scenario.fleet.run_for(seconds(12));
+        assert_stores_are_within_their_memory(&scenario.fleet, seed);
+        scenario.read_all_results();
+        scenario.assert_acknowledged_work();
+        assert_stores_are_within_their_memory(&scenario.fleet, seed);
+    }
+}
--- a/crates/store-plane/src/replication/log_entries.rs
+++ b/crates/store-plane/src/replication/log_entries.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use batch::{EntryKind, ItemId, Job, LogEntry};
+use batch::{EntryKind, ItemId, JobOutline, LogEntry};
 
 /// Returns the results among `entries`, in the order in which they were appended, with the ids of their items.
 pub(super) fn results(entries: &[LogEntry]) -> impl Iterator<Item = (&ItemId, &LogEntry)> {
@@ -49,9 +49,9 @@
 }
 
 /// Returns whether the log of `job` may contain an entry: a result must belong to one of the job's items.
-pub(super) fn belongs_to(job: &Job, entry: &LogEntry) -> bool {
+pub(super) fn belongs_to(job: &JobOutline, entry: &LogEntry) -> bool {
     match entry.kind() {
-        EntryKind::Result { id } => job.items.iter().any(|item| item.id == *id),
+        EntryKind::Result { id } => job.item(id).is_some(),
         EntryKind::Job { .. } | EntryKind::End => true,
     }
 }
--- a/crates/store-plane/src/replication/mod.rs
+++ b/crates/store-plane/src/replication/mod.rs
@@ -9,7 +9,8 @@
 //! - [`state`] is the state of a store in memory, behind one mutex; [`node`] holds it together with the
 //!   store's I/O.
 //! - [`ownership`] claims batch jobs and replicates their logs; [`replicate`] executes the requests of
-//!   owners. [`runner_start`] passes owned batch jobs to the runner.
+//!   owners. [`runner_start`] passes owned batch jobs to the runner, which reads their items through
+//!   [`submitted_items`].
 //! - [`writer`] makes records durable in the [`journal`]; no reply is sent before its records are durable.
 //!   [`recovery`] reads them at the start. The contents of durable entries are on the disk, where
 //!   [`record_layout`] finds them and [`loading`] reads them, and in a bounded cache.
@@ -40,6 +41,7 @@
 mod state;
 mod store;
 mod store_limits;
+mod submitted_items;
 mod writer;
 
 pub use client::{BodyOutcome, EndOutcome, JobClient, ReadOutcome, SubmitOutcome};
--- a/crates/store-plane/src/replication/owned_job.rs
+++ b/crates/store-plane/src/replication/owned_job.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use batch::{ItemId, ItemResult, Job, JobId, StoreId};
+use batch::{Item, ItemId, ItemOutline, ItemResult, JobId, JobOutline, LoadError, LogEntry, StoreId};
 use futures_util::future::BoxFuture;
 use tokio::sync::watch;
 
@@ -28,8 +28,8 @@
 pub struct OwnedJob<Log = ReplicatedLog> {
     /// Id of the batch job.
     pub id: JobId,
-    /// The parsed batch job.
-    pub job: Arc<Job>,
+    /// The batch job without the requests of its items; see [`OwnedJob::load_item`].
+    pub job: Arc<JobOutline>,
     /// The `Host` header of the submission.
     pub host: Arc<str>,
     /// The path of the submission.
@@ -52,6 +52,15 @@
         self.log.append(results).await
     }
 
+    /// Returns an item; see [`ReplicatedLog::load_item`].
+    ///
+    /// # Errors
+    ///
+    /// Fails if the item cannot be read.
+    pub async fn load_item(&self, item: &ItemOutline) -> Result<Item, LoadError> {
+        self.log.load_item(item).await
+    }
+
     /// Returns the id of the store that owns the batch job, which is the store that passed it to the runner.
     #[must_use]
     pub fn owner(&self) -> StoreId {
@@ -65,7 +74,7 @@
     }
 }
 
-/// The part of a store that appends results to the logs of batch jobs that the store owns.
+/// The part of a store that accesses the logs of batch jobs that the store owns.
 pub(super) trait JobOwner: Send + Sync {
     /// Returns the id of the store.
     fn id(&self) -> StoreId;
@@ -77,6 +86,14 @@
         token: u64,
         results: Vec<ItemResult>,
     ) -> BoxFuture<'static, Result<(), OwnershipLost>>;
+
+    /// Returns an item of a batch job that was submitted with the entry `submission`.
+    fn load_item(
+        self: Arc<Self>,
+        job: JobId,
+        submission: LogEntry,
+        item: ItemOutline,
+    ) -> BoxFuture<'static, Result<Item, LoadError>>;
 }
 
 /// The replicated log of a batch job, for as long as this store owns it.
@@ -84,6 +101,8 @@
     pub(super) job: JobId,
     /// Identity of the ownership; see [`super::state::OwnedEntry::token`].
     pub(super) token: u64,
+    /// The first entry of the log.
+    pub(super) submission: LogEntry,
     pub(super) state: watch::Receiver<JobState>,
     /// The store that owns the batch job.
     pub(super) owner: Arc<dyn JobOwner>,
@@ -101,6 +120,16 @@
         owner.append_results(Arc::clone(&self.job), self.token, results).await
     }
 
+    /// Returns an item, which is read from the disk if what was submitted is not in memory.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the item cannot be read.
+    pub async fn load_item(&self, item: &ItemOutline) -> Result<Item, LoadError> {
+        let owner = Arc::clone(&self.owner);
+        owner.load_item(Arc::clone(&self.job), self.submission.clone(), item.clone()).await
+    }
+
     /// Returns a receiver of the state, which shows whether this store still runs items of the batch job.
     #[must_use]
     pub fn state(&self) -> watch::Receiver<JobState> {
--- a/crates/store-plane/src/replication/ownership.rs
+++ b/crates/store-plane/src/replication/ownership.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use batch::{
-    Entry, ItemResult, JobId, LogEntry, Ownership, OwnershipPhase, OwnershipTerm, ReplicaReply,
-    ReplicaRequest, ReplicaSet, StoreId,
+    Entry, Item, ItemOutline, ItemResult, JobId, LoadError, LogEntry, Ownership, OwnershipPhase,
+    OwnershipTerm, ReplicaReply, ReplicaRequest, ReplicaSet, StoreId,
 };
 use futures_util::future::BoxFuture;
 use state::View;
@@ -235,6 +235,15 @@
     ) -> BoxFuture<'static, Result<(), OwnershipLost>> {
         Box::pin(self.append_until_committed(job, token, results))
     }
+
+    fn load_item(
+        self: Arc<Self>,
+        job: JobId,
+        submission: LogEntry,
+        item: ItemOutline,
+    ) -> BoxFuture<'static, Result<Item, LoadError>> {
+        Box::pin(async move { Self::load_item(&self, &job, submission, &item).await })
+    }
 }
 
 /// Handles the promise of a higher term by a replica: releases the ownership if another store claims the
--- a/crates/store-plane/src/replication/record_layout.rs
+++ b/crates/store-plane/src/replication/record_layout.rs
@@ -98,6 +98,14 @@
         rpc::decode(&bytes).map_err(|error| LoadError(error.to_string()))
     }
 
+    fn read(&self, range: Range<u64>) -> Result<Vec<u8>, LoadError> {
+        let (start, end) = (self.range.start + range.start, self.range.start + range.end);
+        if end > self.range.end {
+            return Err(LoadError("it is shorter than expected".to_owned()));
+        }
+        self.source.read(&self.location, start..end).map_err(|error| LoadError(error.to_string()))
+    }
+
     fn encoded_form(&self) -> (u64, u32) {
         (self.range.end - self.range.start, self.checksum)
     }
--- a/crates/store-plane/src/replication/runner_start.rs
+++ b/crates/store-plane/src/replication/runner_start.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use batch::{Entry, Job, JobId, LogEntry, SubmittedJob};
+use batch::{Entry, JobId, JobOutline, LogEntry, SubmittedJob};
 use tokio::time::Instant;
 
 use super::log_entries::{is_ended, items_with_results};
@@ -17,7 +17,7 @@
         let Some(owned) = state.ownerships.get_mut(id).filter(|owned| !owned.is_parsing) else { return };
         let Some(first) = owned.ownership.committed().first().cloned() else { return };
         match first.resident() {
-            Some(entry) => self.parse_and_run(state, id, &entry),
+            Some(entry) => self.parse_and_run(state, id, &first, &entry),
             None => {
                 owned.is_parsing = true;
                 let token = owned.token;
@@ -31,21 +31,30 @@
     /// ownership.
     async fn load_and_run(self: Arc<Self>, id: JobId, token: u64, first: LogEntry) {
         let _share = self.budgets.loads.acquire(first.size_bytes()).await;
-        let loaded = self.load_entry(first).await;
+        let loaded = self.load_entry(first.clone()).await;
         let mut state = self.lock();
         let Some(owned) = state.ownerships.get_mut(&id).filter(|owned| owned.token == token) else { return };
         owned.is_parsing = false;
         let can_start = owned.job.is_none() && owned.ownership.is_established();
         match loaded {
-            Ok(entry) if can_start && !owned.has_all_results() => self.parse_and_run(&mut state, &id, &entry),
+            Ok(entry) if can_start && !owned.has_all_results() => {
+                self.parse_and_run(&mut state, &id, &first, &entry);
+            }
             Ok(_) => {}
             Err(error) => log::error!("the items of batch job {id} are not run yet: {error}"),
         }
     }
 
-    fn parse_and_run(self: &Arc<Self>, state: &mut ReplicationState, id: &JobId, first: &Entry) {
-        let Entry::Job(submitted) = first else { return };
-        let Ok(job) = Job::parse(&submitted.body) else { return };
+    /// Parses the batch job, whose first entry has the content `content`, and passes it to the runner.
+    fn parse_and_run(
+        self: &Arc<Self>,
+        state: &mut ReplicationState,
+        id: &JobId,
+        first: &LogEntry,
+        content: &Entry,
+    ) {
+        let Entry::Job(submitted) = content else { return };
+        let Ok(job) = JobOutline::parse(&submitted.body) else { return };
         let job = Arc::new(job);
         let age = state.job_status.age(id, Instant::now());
         let Some(owned) = state.ownerships.get_mut(id) else { return };
@@ -53,7 +62,7 @@
         if is_ended(owned.ownership.log()) {
             owned.state.send_replace(JobState::Ended);
         }
-        let log = self.replicated_log(id, owned);
+        let log = self.replicated_log(id, owned, first);
         let SubmittedJob { host, path, .. } = submitted;
         let owned_job = OwnedJob {
             id: Arc::clone(id),
@@ -68,10 +77,11 @@
         let _ = self.owned_jobs.send(owned_job);
     }
 
-    fn replicated_log(self: &Arc<Self>, id: &JobId, owned: &OwnedEntry) -> ReplicatedLog {
+    fn replicated_log(self: &Arc<Self>, id: &JobId, owned: &OwnedEntry, first: &LogEntry) -> ReplicatedLog {
         ReplicatedLog {
             job: Arc::clone(id),
             token: owned.token,
+            submission: first.clone(),
             state: owned.state.subscribe(),
             owner: Arc::clone(self) as Arc<dyn JobOwner>,
         }
--- a/crates/store-plane/src/replication/server/results.rs
+++ b/crates/store-plane/src/replication/server/results.rs
@@ -63,15 +63,18 @@
 
     async fn find_item_body(self: &Arc<Self>, id: &JobId, item: &str) -> Result<Option<Bytes>, NotOwner> {
         self.confirm_ownership(id).await?;
-        let submission = {
+        let (submission, job) = {
             let state = self.lock();
             let owned = state.ownerships.get(id).ok_or(NotOwner::Unknown)?;
-            if let Some(job) = &owned.job {
-                let found = job.items.iter().find(|candidate| *candidate.id == *item);
-                return Ok(found.map(|item| Bytes::from(item.decoded_body())));
-            }
-            owned.ownership.committed().first().cloned().ok_or(NotOwner::Unknown)?
+            let submission = owned.ownership.committed().first().cloned().ok_or(NotOwner::Unknown)?;
+            (submission, owned.job.clone())
         };
+        if let Some(job) = job {
+            let Some(outline) = job.item(item) else { return Ok(None) };
+            let loaded = self.load_item(id, submission, outline).await;
+            let item = loaded.inspect_err(|error| log::error!("{error}")).map_err(|_| NotOwner::Unknown)?;
+            return Ok(Some(Bytes::from(item.decoded_body())));
+        }
         let share = self.budgets.loads.acquire(submission.size_bytes()).await;
         let _share = share.ok_or(NotOwner::Unknown)?;
         let loaded = self.load_entry(submission).await.inspect_err(|error| log::error!("{error}"));
--- a/crates/store-plane/src/replication/server/submit.rs
+++ b/crates/store-plane/src/replication/server/submit.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use batch::{Entry, Job, JobError, JobId, LogEntry, OwnershipPhase, SubmittedJob};
+use batch::{Entry, JobError, JobId, JobOutline, LogEntry, OwnershipPhase, SubmittedJob};
 use tokio::time::Instant;
 
 use super::super::messages::{Submission, SubmitReply};
@@ -51,7 +51,7 @@
 
 /// Checks that the body is a valid batch job. The log stores the body unchanged.
 fn validate(submission: Submission) -> Result<SubmittedJob, JobError> {
-    let job = Job::parse(&submission.body)?;
+    let job = JobOutline::parse(&submission.body)?;
     let total = u32::try_from(job.items.len()).unwrap_or(u32::MAX);
     let Submission { host, path, body, .. } = submission;
     Ok(SubmittedJob { host, path, body, total })
--- a/crates/store-plane/src/replication/state/ownership_table.rs
+++ b/crates/store-plane/src/replication/state/ownership_table.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use batch::{Job, JobId, LogEntry, Ownership, OwnershipPhase};
+use batch::{JobId, JobOutline, LogEntry, Ownership, OwnershipPhase};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -19,9 +19,9 @@
     pub ownership: Ownership,
     /// Time at which this store last claimed the batch job or received a part of a log that the claim adopts.
     pub last_claim_progress: Instant,
-    /// The parsed batch job; `None` until the ownership is established, and once the batch job has ended or has
+    /// The batch job without the requests of its items; `None` until the ownership is established, and once the batch job has ended or has
     /// all results.
-    pub job: Option<Arc<Job>>,
+    pub job: Option<Arc<JobOutline>>,
     /// Whether the batch job is being loaded and parsed.
     pub is_parsing: bool,
     /// State that determines whether the runner runs items of the batch job.
--- a/crates/store-plane/src/runner/active_job.rs
+++ b/crates/store-plane/src/runner/active_job.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use batch::{
-    Item, ItemCandidate, ItemCondition, ItemId, ItemIndex, ItemPhase, ItemResult, Job, JobForecast, JobId,
-    JobSchedule, Precedence,
+    ItemCandidate, ItemCondition, ItemId, ItemIndex, ItemOutline, ItemPhase, ItemResult, JobForecast, JobId,
+    JobOutline, JobSchedule, Precedence,
 };
 use tokio::sync::mpsc;
 
 use super::item_work::ItemWork;
+use super::memory::{MemoryShare, RunnerMemory};
 use super::output_cache::satisfies_version_rules;
 use super::ports::{ItemProgress, JobAddress, JobLog, JobState, OwnershipLost, RouteRules};
 use super::task_guard::TaskGuard;
@@ -37,10 +38,27 @@
     }
 }
 
+/// A result on its way to the log.
+pub(super) struct PendingResult {
+    result: ItemResult,
+    /// The memory of the result, until it is committed.
+    share: MemoryShare,
+}
+
+/// What a new [`ActiveJob`] is connected to.
+pub(super) struct JobConnections<Log> {
+    pub log: Arc<Log>,
+    /// Channel to the task that appends results to the log.
+    pub results: mpsc::UnboundedSender<PendingResult>,
+    /// The task that closes the batch job when its log is no longer open.
+    pub _watcher: TaskGuard,
+    pub memory: Arc<RunnerMemory>,
+}
+
 /// A batch job that this store runs.
-pub(super) struct ActiveJob {
+pub(super) struct ActiveJob<Log> {
     pub id: JobId,
-    pub job: Arc<Job>,
+    pub job: Arc<JobOutline>,
     pub address: JobAddress,
     /// The phases of the items, and the order in which they start.
     pub schedule: JobSchedule,
@@ -49,24 +67,20 @@
     /// The rules of the route when they were last read; `None` while no route matches.
     pub rules: Option<RouteRules>,
     submission: SubmissionTime,
-    /// Channel to the task that appends results to the log.
-    results: mpsc::UnboundedSender<ItemResult>,
-    /// The task that closes the batch job when its log is no longer open.
-    _watcher: TaskGuard,
+    connections: JobConnections<Log>,
 }
 
-impl ActiveJob {
+impl<Log> ActiveJob<Log> {
     pub fn new(
         id: JobId,
-        job: Arc<Job>,
+        job: Arc<JobOutline>,
         address: JobAddress,
         submission: SubmissionTime,
-        results: mpsc::UnboundedSender<ItemResult>,
-        watcher: TaskGuard,
+        connections: JobConnections<Log>,
     ) -> Self {
         let work = job.items.iter().map(|_| ItemWork::default()).collect();
         let schedule = JobSchedule::new(&job);
-        Self { id, job, address, schedule, work, rules: None, submission, results, _watcher: watcher }
+        Self { id, job, address, schedule, work, rules: None, submission, connections }
     }
 
     /// Marks the items whose results are committed already as recorded, so that they are not run again.
@@ -79,10 +93,15 @@
         }
     }
 
-    pub fn item(&self, index: ItemIndex) -> &Item {
+    pub fn item(&self, index: ItemIndex) -> &ItemOutline {
         &self.job.items[index]
     }
 
+    /// Returns the log, from which items are loaded.
+    pub fn log(&self) -> Arc<Log> {
+        Arc::clone(&self.connections.log)
+    }
+
     /// Returns the number of responses with status 500 after which an item is given up; unlimited while no
     /// route matches.
     pub fn max_attempts(&self) -> u32 {
@@ -179,8 +198,9 @@
     fn record(&mut self, index: ItemIndex, result: ItemResult) {
         self.work[index] = ItemWork::default();
         self.schedule.set_phase(index, ItemPhase::Recorded);
+        let share = self.connections.memory.take(result.text.len());
         // Sending fails only once the batch job is no longer open; then no result may be recorded.
-        let _ = self.results.send(result);
+        let _ = self.connections.results.send(PendingResult { result, share });
     }
 }
 
@@ -194,7 +214,7 @@
 /// are appended together by the next one.
 pub(super) async fn append_results<Log: JobLog>(
     log: Arc<Log>,
-    mut results: mpsc::UnboundedReceiver<ItemResult>,
+    mut results: mpsc::UnboundedReceiver<PendingResult>,
 ) -> Result<(), OwnershipLost> {
     let state = log.state();
     while let Some(first) = results.recv().await {
@@ -205,6 +225,8 @@
         if *state.borrow() != JobState::Open {
             break;
         }
+        let (batch, _shares): (Vec<ItemResult>, Vec<MemoryShare>) =
+            batch.into_iter().map(|pending| (pending.result, pending.share)).unzip();
         log.append(batch).await?;
     }
     Ok(())
--- a/crates/store-plane/src/runner/completion.rs
+++ b/crates/store-plane/src/runner/completion.rs
@@ -3,10 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use batch::{ItemIndex, ItemPhase};
+use batch::{Item, ItemIndex, ItemPhase, RewardRequest};
 use bytes::Bytes;
 
-use super::active_job::ActiveJob;
 use super::output_cache::CachedOutput;
 use super::ports::{ItemExecutor, ItemOutcome, ItemProgress, JobLog, RewardOutcome};
 use super::task_guard::TaskGuard;
@@ -71,33 +70,51 @@
     pub(super) fn on_output_complete(&mut self, key: JobKey, index: ItemIndex) {
         let Some(job) = self.jobs.get_mut(&key) else { return };
         job.work[index].attempts_without_progress = 0;
-        if job.item(index).reward.is_none() {
+        if !job.item(index).has_reward {
             return job.deliver(index, None);
         }
         job.schedule.set_phase(index, ItemPhase::Grading);
+        let output_bytes = job.work[index].progress.events.iter().map(Bytes::len).sum();
+        job.work[index].output_share = Some(self.memory.take(output_bytes));
         self.call_reward(key, index, Duration::ZERO);
     }
 
     /// Spawns the reward call of an item, which starts after `pause`.
-    fn call_reward(&mut self, key: JobKey, index: ItemIndex, pause: Duration) {
+    pub(super) fn call_reward(&mut self, key: JobKey, index: ItemIndex, pause: Duration) {
         let timeout = self.settings.reward_timeout;
         let Some(job) = self.jobs.get_mut(&key) else { return };
-        let Some(request) = job.item(index).reward.clone() else { return };
-        let body = Bytes::from(request.decoded_body());
-        let executor = Arc::clone(&self.executor);
+        let (log, item) = (job.log(), job.item(index).clone());
+        let (executor, memory) = (Arc::clone(&self.executor), Arc::clone(&self.memory));
         let events = self.event_sender.clone();
         let call = tokio::spawn(async move {
             if !pause.is_zero() {
                 tokio::time::sleep(pause).await;
             }
-            let outcome = executor.call_reward(request, body, timeout).await;
-            let _ = events.send(RunnerEvent::RewardFinished { key, index, outcome });
+            let _share = memory.take(item.json.len());
+            let event = match log.load_item(&item).await {
+                Ok(Item { reward: Some(request), .. }) => {
+                    let max_attempts = max_reward_attempts(&*executor, &request);
+                    let body = Bytes::from(request.decoded_body());
+                    let outcome = executor.call_reward(request, body, timeout).await;
+                    RunnerEvent::RewardFinished { key, index, outcome, max_attempts }
+                }
+                Ok(_) => return,
+                Err(error) => RunnerEvent::LoadFailed { key, index, error },
+            };
+            let _ = events.send(event);
         });
         job.work[index].task = Some(TaskGuard(call.abort_handle()));
     }
 
     /// Handles the outcome of a reward call: delivers the item, gives it up, or repeats the call.
-    pub(super) fn on_reward_finished(&mut self, key: JobKey, index: ItemIndex, outcome: RewardOutcome) {
+    /// `max_attempts` is the limit of the reward call's route.
+    pub(super) fn on_reward_finished(
+        &mut self,
+        key: JobKey,
+        index: ItemIndex,
+        outcome: RewardOutcome,
+        max_attempts: u32,
+    ) {
         let Some(job) = self.jobs.get_mut(&key) else { return };
         if job.schedule.phase(index) != ItemPhase::Grading {
             return;
@@ -106,8 +123,8 @@
             RewardOutcome::Graded(grade) => return self.deliver_graded(key, index, grade),
             RewardOutcome::Failed { internal_errors } => {
                 job.work[index].reward_internal_errors += internal_errors;
-                let max_attempts = max_reward_attempts(&*self.executor, job, index);
-                if job.work[index].reward_internal_errors >= max_attempts {
+                // The larger of the limits of the batch job's route and the reward call's route.
+                if job.work[index].reward_internal_errors >= job.max_attempts().max(max_attempts) {
                     return job.give_up(index);
                 }
             }
@@ -128,14 +145,8 @@
     }
 }
 
-/// Returns the number of responses with status 500 to the reward call after which an item is given up: the
-/// larger of the limits of the batch job's route and the reward call's route.
-fn max_reward_attempts<Executor: ItemExecutor>(
-    executor: &Executor,
-    job: &ActiveJob,
-    index: ItemIndex,
-) -> u32 {
-    let reward = job.item(index).reward.as_ref();
-    let rules = reward.and_then(|reward| executor.route_rules(&reward.host, &reward.path));
-    job.max_attempts().max(rules.map_or(0, |rules| rules.max_attempts))
+/// Returns the number of responses with status 500 after which the route of a reward call allows to give it up; 0 if
+/// no route matches.
+fn max_reward_attempts<Executor: ItemExecutor>(executor: &Executor, request: &RewardRequest) -> u32 {
+    executor.route_rules(&request.host, &request.path).map_or(0, |rules| rules.max_attempts)
 }
--- a/crates/store-plane/src/runner/forwarder_executor.rs
+++ b/crates/store-plane/src/runner/forwarder_executor.rs
@@ -82,16 +82,16 @@
 }
 
 fn item_request(route: Arc<Route>, attempt: ItemAttempt) -> ItemRequest {
-    let item = attempt.item();
+    let ItemAttempt { address, item, .. } = attempt;
     ItemRequest {
         route,
-        host: Arc::clone(&attempt.address.host),
-        path: item.path.clone(),
-        headers: item.headers.iter().map(|(name, value)| (name.clone(), value.clone())).collect(),
-        id: Arc::clone(&item.id),
-        model: attempt.address.model.clone(),
-        oldest_version: attempt.address.oldest_version,
-        group: item.group.clone(),
+        host: address.host,
+        path: item.path,
+        headers: item.headers.into_iter().collect(),
+        id: item.id,
+        model: address.model,
+        oldest_version: address.oldest_version,
+        group: item.group,
         body: attempt.body,
         progress: attempt.progress,
         deadline: attempt.deadline,
--- a/crates/store-plane/src/runner/item_work.rs
+++ b/crates/store-plane/src/runner/item_work.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::memory::MemoryShare;
 use super::ports::ItemProgress;
 use super::task_guard::TaskGuard;
 
@@ -34,6 +35,8 @@
     /// Number of consecutive runs or reward calls without progress. It is 1 after an interrupted run that
     /// made progress, so that the next run waits for the shortest backoff.
     pub attempts_without_progress: u32,
+    /// The memory of the complete output, while it is graded.
+    pub output_share: Option<MemoryShare>,
     /// The task of the run or reward call in flight; replacing or dropping it cancels the request.
     pub task: Option<TaskGuard>,
 }
--- a/crates/store-plane/src/runner/mod.rs
+++ b/crates/store-plane/src/runner/mod.rs
@@ -10,6 +10,7 @@
 mod completion;
 pub mod forwarder_executor;
 mod item_work;
+mod memory;
 pub mod output_cache;
 pub mod owned_jobs;
 pub mod ports;
@@ -21,11 +22,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use batch::{ItemIndex, ItemPhase, ItemResult, JobId};
+use batch::{ItemIndex, ItemPhase, JobId, LoadError};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use active_job::{append_results, ActiveJob, SubmissionTime};
+use active_job::{append_results, ActiveJob, JobConnections, PendingResult, SubmissionTime};
+use memory::RunnerMemory;
 use output_cache::{CachedOutput, OutputCache};
 use ports::{ItemExecutor, ItemOutcome, JobAddress, JobLog, JobState, OwnedJob, RewardOutcome};
 use scheduling::PendingStarts;
@@ -47,7 +49,8 @@
 enum RunnerEvent<Log> {
     JobAcquired(OwnedJob<Log>),
     RunFinished { key: JobKey, index: ItemIndex, outcome: ItemOutcome, duration: Duration },
-    RewardFinished { key: JobKey, index: ItemIndex, outcome: RewardOutcome },
+    RewardFinished { key: JobKey, index: ItemIndex, outcome: RewardOutcome, max_attempts: u32 },
+    LoadFailed { key: JobKey, index: ItemIndex, error: LoadError },
     JobClosed { key: JobKey },
 }
 
@@ -78,12 +81,13 @@
     /// Time at which the runner was created; its clock then shows [`CLOCK_AT_START`].
     started: Instant,
     /// The batch jobs in the order in which they were acquired.
-    jobs: BTreeMap<JobKey, ActiveJob>,
+    jobs: BTreeMap<JobKey, ActiveJob<Log>>,
     next_key: JobKey,
     output_cache: OutputCache,
     /// Moving average of the durations of complete runs; `None` before the first one.
     average_run: Option<Duration>,
     pending_starts: PendingStarts,
+    memory: Arc<RunnerMemory>,
     events: mpsc::UnboundedReceiver<RunnerEvent<Log>>,
     event_sender: mpsc::UnboundedSender<RunnerEvent<Log>>,
 }
@@ -103,6 +107,7 @@
             output_cache: OutputCache::new(settings.output_cache_bytes),
             average_run: None,
             pending_starts: PendingStarts::default(),
+            memory: Arc::new(RunnerMemory::new(settings.max_bytes_in_flight)),
             events,
             event_sender,
         };
@@ -146,9 +151,10 @@
             RunnerEvent::RunFinished { key, index, outcome, duration } => {
                 self.on_run_finished(key, index, outcome, duration);
             }
-            RunnerEvent::RewardFinished { key, index, outcome } => {
-                self.on_reward_finished(key, index, outcome);
+            RunnerEvent::RewardFinished { key, index, outcome, max_attempts } => {
+                self.on_reward_finished(key, index, outcome, max_attempts);
             }
+            RunnerEvent::LoadFailed { key, index, error } => self.on_load_failed(key, index, &error),
             RunnerEvent::JobClosed { key } => self.close(key),
         }
     }
@@ -164,7 +170,9 @@
         self.next_key += 1;
         let (results, results_receiver) = mpsc::unbounded_channel();
         let watcher = self.spawn_watcher(key, &*log);
-        self.spawn_appender(key, log, results_receiver);
+        self.spawn_appender(key, Arc::clone(&log), results_receiver);
+        let connections =
+            JobConnections { log, results, _watcher: watcher, memory: Arc::clone(&self.memory) };
         let address = JobAddress {
             host: owned.host,
             path: owned.path,
@@ -172,7 +180,7 @@
             oldest_version: owned.job.oldest_version.unwrap_or(0),
         };
         let submission = SubmissionTime { age: owned.age, acquired_at: self.now() };
-        let mut job = ActiveJob::new(owned.id, owned.job, address, submission, results, watcher);
+        let mut job = ActiveJob::new(owned.id, owned.job, address, submission, connections);
         job.skip_committed(&owned.items_with_results);
         job.rules = self.executor.route_rules(&job.address.host, &job.address.path);
         self.jobs.insert(key, job);
@@ -201,7 +209,7 @@
 
     /// Spawns the task that appends results. It is not aborted with the batch job, since an append in flight
     /// must not be cancelled.
-    fn spawn_appender(&self, key: JobKey, log: Arc<Log>, results: mpsc::UnboundedReceiver<ItemResult>) {
+    fn spawn_appender(&self, key: JobKey, log: Arc<Log>, results: mpsc::UnboundedReceiver<PendingResult>) {
         let events = self.event_sender.clone();
         tokio::spawn(async move {
             if append_results(log, results).await.is_err() {
--- a/crates/store-plane/src/runner/output_cache.rs
+++ b/crates/store-plane/src/runner/output_cache.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use batch::{Item, ItemId};
+use batch::{ItemId, ItemOutline};
 
 use super::ports::{ItemProgress, JobAddress};
 
@@ -45,11 +45,9 @@
 
 /// Hashes everything in a request that determines its output and grade, to distinguish requests with the same
 /// id.
-fn fingerprint(address: &JobAddress, item: &Item) -> u64 {
+fn fingerprint(address: &JobAddress, item: &ItemOutline) -> u64 {
     let mut hasher = DefaultHasher::new();
-    (&address.host, &address.model, &item.path, &item.headers, &item.body).hash(&mut hasher);
-    let reward = item.reward.as_ref().map(|call| (&call.id, &call.host, &call.path, &call.body));
-    reward.hash(&mut hasher);
+    (&address.host, &address.model, item.request_hash).hash(&mut hasher);
     hasher.finish()
 }
 
@@ -85,7 +83,7 @@
 
     /// Inserts an output, which replaces an earlier one of the item. Evicts the oldest outputs beyond the
     /// limit.
-    pub fn insert(&mut self, address: &JobAddress, item: &Item, output: CachedOutput) {
+    pub fn insert(&mut self, address: &JobAddress, item: &ItemOutline, output: CachedOutput) {
         self.bytes += output.bytes();
         self.insertions += 1;
         let entry =
@@ -100,7 +98,7 @@
 
     /// Returns the cached output of an item, if it was generated for the same request.
     #[must_use]
-    pub fn get(&self, address: &JobAddress, item: &Item) -> Option<&CachedOutput> {
+    pub fn get(&self, address: &JobAddress, item: &ItemOutline) -> Option<&CachedOutput> {
         let entry = self.entries.get(&item.id)?;
         (entry.fingerprint == fingerprint(address, item)).then_some(&entry.output)
     }
--- a/crates/store-plane/src/runner/owned_jobs.rs
+++ b/crates/store-plane/src/runner/owned_jobs.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use batch::ItemResult;
+use batch::{Item, ItemOutline, ItemResult, LoadError};
 use data_plane::Forwarder;
 use tokio::sync::{mpsc, watch};
 
@@ -16,6 +16,10 @@
         Self::append(self, results).await
     }
 
+    async fn load_item(&self, item: &ItemOutline) -> Result<Item, LoadError> {
+        Self::load_item(self, item).await
+    }
+
     fn state(&self) -> watch::Receiver<JobState> {
         Self::state(self)
     }
--- a/crates/store-plane/src/runner/ports.rs
+++ b/crates/store-plane/src/runner/ports.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use batch::{Item, ItemResult, Job, RewardRequest};
+use batch::{Item, ItemOutline, ItemResult, LoadError, RewardRequest};
 use bytes::Bytes;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -46,10 +46,8 @@
 pub struct ItemAttempt {
     /// The address of the batch job that contains the item.
     pub address: JobAddress,
-    /// The batch job that contains the item.
-    pub job: Arc<Job>,
-    /// The item's index in [`Job::items`].
-    pub index: usize,
+    /// The item, without its body.
+    pub item: Item,
     /// The decoded request body of the item.
     pub body: Bytes,
     /// The events to continue from; empty to start from the beginning.
@@ -58,14 +56,6 @@
     pub deadline: Instant,
 }
 
-impl ItemAttempt {
-    /// Returns the item that is run.
-    #[must_use]
-    pub fn item(&self) -> &Item {
-        &self.job.items[self.index]
-    }
-}
-
 /// Executor that sends items and reward calls to servers.
 pub trait ItemExecutor: Send + Sync + 'static {
     /// Returns the rules of the matching route of the configuration in force; `None` if no route matches.
@@ -102,6 +92,13 @@
     /// Fails if this store no longer owns the batch job, or the trainer ended it.
     fn append(&self, results: Vec<ItemResult>) -> impl Future<Output = Result<(), OwnershipLost>> + Send;
 
+    /// Returns an item of the batch job.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it cannot be read now.
+    fn load_item(&self, item: &ItemOutline) -> impl Future<Output = Result<Item, LoadError>> + Send;
+
     /// Returns a receiver of the state, which shows whether items of the batch job may still be run.
     fn state(&self) -> watch::Receiver<JobState>;
 }
--- a/crates/store-plane/src/runner/scheduling.rs
+++ b/crates/store-plane/src/runner/scheduling.rs
@@ -4,12 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use batch::{ItemIndex, ItemPhase, Precedence, Urgency};
+use batch::{ItemIndex, ItemOutline, ItemPhase, LoadError, Precedence, Urgency};
 use bytes::Bytes;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use super::ports::{ItemAttempt, ItemExecutor, ItemProgress, JobAddress, JobLog};
+use super::memory::MemoryShare;
+use super::ports::{ItemAttempt, ItemExecutor, ItemOutcome, ItemProgress, JobAddress, JobLog};
 use super::task_guard::TaskGuard;
 use super::{JobKey, Runner, RunnerEvent, RunnerSettings};
 
@@ -18,6 +19,8 @@
 /// Divisor that gives the part of the total capacity that must stay free when an item is started that no
 /// trainer waits for, since other stores run items at the same servers.
 const SURPLUS_RESERVE_DIVISOR: usize = 2;
+/// Pause before an item that could not be read is loaded again.
+const LOAD_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Maximum number of times that the timeout of a run doubles; see [`run_timeout`].
 const MAX_TIMEOUT_DOUBLINGS: u32 = 2;
 
@@ -29,7 +32,9 @@
         while streaming < self.settings.max_concurrent_items {
             let now = self.now();
             let Some((key, index)) = self.most_urgent(now, &mut free_capacity) else { return };
-            self.start_item(key, index);
+            if !self.start_item(key, index) {
+                return;
+            }
             streaming += 1;
         }
     }
@@ -70,28 +75,50 @@
         self.settings.min_surplus_reserve.max(part_of_total)
     }
 
-    /// Spawns the run of an item. The output starts over if no server can continue it.
-    fn start_item(&mut self, key: JobKey, index: ItemIndex) {
+    /// Spawns the run of an item, unless there is no memory for its request. The output starts over if no server
+    /// can continue it.
+    fn start_item(&mut self, key: JobKey, index: ItemIndex) -> bool {
         let average_run = self.average_run;
-        let Some(job) = self.jobs.get_mut(&key) else { return };
-        let body = Bytes::from(job.item(index).decoded_body());
+        let Some(job) = self.jobs.get_mut(&key) else { return false };
+        let item = job.item(index).clone();
+        if !self.memory.has_space_for(item.json.len()) {
+            return false;
+        }
+        let log = job.log();
         let work = &mut job.work[index];
         let versions = &work.progress.versions;
         if !work.progress.events.is_empty() && !self.executor.can_continue(&job.address, versions) {
             work.progress = ItemProgress::default();
         }
         let timeout = run_timeout(&self.settings, average_run, work.attempts_without_progress);
-        let attempt = ItemAttempt {
+        let run = ItemRun {
+            executor: Arc::clone(&self.executor),
+            log,
             address: job.address.clone(),
-            job: Arc::clone(&job.job),
-            index,
-            body,
             progress: work.progress.clone(),
             deadline: Instant::now() + timeout,
+            start: self.pending_starts.add(),
+            share: self.memory.take(item.json.len()),
+            item,
         };
-        let start = self.pending_starts.add();
-        work.task = Some(spawn_run(&self.executor, &self.event_sender, start, key, attempt));
+        work.task = Some(spawn_run(run, key, index, &self.event_sender));
         job.schedule.set_phase(index, ItemPhase::Streaming);
+        true
+    }
+
+    /// Schedules the next attempt of an item that could not be read. It does not count as a failure of the item.
+    pub(super) fn on_load_failed(&mut self, key: JobKey, index: ItemIndex, error: &LoadError) {
+        let now = self.now();
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        log::warn!("item {} of batch job {} is not run yet: {error}", job.item(index).id, job.id);
+        match job.schedule.phase(index) {
+            ItemPhase::Streaming => {
+                job.work[index].task = None;
+                job.postpone(index, now, LOAD_RETRY_PAUSE);
+            }
+            ItemPhase::Grading => self.call_reward(key, index, LOAD_RETRY_PAUSE),
+            ItemPhase::Pending(_) | ItemPhase::Recorded => {}
+        }
     }
 }
 
@@ -115,24 +142,51 @@
     }
 }
 
-/// Spawns a task that runs an item and reports its outcome to the runner.
-fn spawn_run<Executor: ItemExecutor, Log: JobLog>(
-    executor: &Arc<Executor>,
-    events: &mpsc::UnboundedSender<RunnerEvent<Log>>,
+/// A run of an item that has been scheduled.
+struct ItemRun<Executor, Log> {
+    executor: Arc<Executor>,
+    log: Arc<Log>,
+    item: ItemOutline,
+    address: JobAddress,
+    progress: ItemProgress,
+    deadline: Instant,
     start: PendingStart,
+    share: MemoryShare,
+}
+
+impl<Executor: ItemExecutor, Log: JobLog> ItemRun<Executor, Log> {
+    /// Loads the item and runs it. Returns the outcome and how long the run took.
+    async fn execute(self) -> Result<(ItemOutcome, Duration), LoadError> {
+        let mut item = self.log.load_item(&self.item).await?;
+        let body = Bytes::from(item.decoded_body());
+        // The decoded form is enough.
+        item.body = String::new();
+        let Self { address, progress, deadline, .. } = self;
+        let attempt = ItemAttempt { address, item, body, progress, deadline };
+        let started = Instant::now();
+        drop(self.start);
+        let outcome = self.executor.run_item(attempt).await;
+        drop(self.share);
+        Ok((outcome, started.elapsed()))
+    }
+}
+
+/// Spawns a task that executes a run and reports its outcome to the runner.
+fn spawn_run<Executor: ItemExecutor, Log: JobLog>(
+    run: ItemRun<Executor, Log>,
     key: JobKey,
-    attempt: ItemAttempt,
+    index: ItemIndex,
+    events: &mpsc::UnboundedSender<RunnerEvent<Log>>,
 ) -> TaskGuard {
-    let executor = Arc::clone(executor);
     let events = events.clone();
-    let run = tokio::spawn(async move {
-        let index = attempt.index;
-        let started = Instant::now();
-        drop(start);
-        let outcome = executor.run_item(attempt).await;
-        let _ = events.send(RunnerEvent::RunFinished { key, index, outcome, duration: started.elapsed() });
+    let task = tokio::spawn(async move {
+        let event = match run.execute().await {
+            Ok((outcome, duration)) => RunnerEvent::RunFinished { key, index, outcome, duration },
+            Err(error) => RunnerEvent::LoadFailed { key, index, error },
+        };
+        let _ = events.send(event);
     });
-    TaskGuard(run.abort_handle())
+    TaskGuard(task.abort_handle())
 }
 
 /// Returns the timeout of a run: a multiple of the average run, which doubles with
--- a/crates/store-plane/tests/runner/harness.rs
+++ b/crates/store-plane/tests/runner/harness.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use batch::{Item, ItemId, ItemResult, Job, RewardRequest};
+use batch::{Item, ItemId, ItemOutline, ItemResult, Job, JobOutline, LoadError, RewardRequest};
 use bytes::Bytes;
 use store_plane::runner::ports::{
     ItemAttempt, ItemExecutor, ItemOutcome, ItemProgress, JobAddress, JobLog, JobState, OwnedJob,
@@ -165,7 +165,7 @@
     }
 
     async fn run_item(&self, attempt: ItemAttempt) -> ItemOutcome {
-        let id = attempt.item().id.to_string();
+        let id = attempt.item.id.to_string();
         self.busy.fetch_add(1, Ordering::SeqCst);
         let _occupied = OccupiedSlot(Arc::clone(&self.busy));
         let nth = self.runs().iter().filter(|run| run.id == id).count();
@@ -191,6 +191,10 @@
     pub state: watch::Sender<JobState>,
     commit_time: Duration,
     ownership_lost: bool,
+    /// The batch job as it was submitted.
+    submission: Arc<Mutex<Vec<u8>>>,
+    /// Number of loads of items that fail before the first one that succeeds.
+    failing_loads: Arc<AtomicUsize>,
 }
 
 impl FakeLog {
@@ -202,6 +206,8 @@
             state,
             commit_time: Duration::ZERO,
             ownership_lost: false,
+            submission: Arc::default(),
+            failing_loads: Arc::default(),
         }
     }
 
@@ -215,6 +221,20 @@
         Self { ownership_lost: true, ..self }
     }
 
+    /// Makes the first `count` loads of items fail.
+    pub fn with_failing_loads(self, count: usize) -> Self {
+        self.failing_loads.store(count, Ordering::SeqCst);
+        self
+    }
+
+    /// Sets what was submitted. Returns its outline.
+    fn set_submission(&self, job: &Job) -> JobOutline {
+        let submission = serde_json::to_vec(job).expect("a job can be written");
+        let outline = JobOutline::parse(&submission).expect("the job is valid");
+        *self.submission.lock().unwrap() = submission;
+        outline
+    }
+
     pub fn results(&self) -> Vec<ItemResult> {
         self.results.lock().unwrap().clone()
     }
@@ -240,6 +260,15 @@
         Ok(())
     }
 
+    async fn load_item(&self, item: &ItemOutline) -> Result<Item, LoadError> {
+        let fail = |failing: usize| failing.checked_sub(1);
+        if self.failing_loads.fetch_update(Ordering::SeqCst, Ordering::SeqCst, fail).is_ok() {
+            return Err(LoadError("the disk fails".to_owned()));
+        }
+        let submission = self.submission.lock().unwrap();
+        Ok(item.parse(&submission[item.json.clone()]).expect("the JSON is that of the item"))
+    }
+
     fn state(&self) -> watch::Receiver<JobState> {
         self.state.subscribe()
     }
@@ -280,11 +309,17 @@
 
 impl RunnerHarness {
     pub fn start(executor: FakeExecutor) -> Self {
+        Self::start_with_memory(executor, RunnerSettings::default().max_bytes_in_flight)
+    }
+
+    /// Starts a runner with at most `max_bytes_in_flight` of requests and results.
+    pub fn start_with_memory(executor: FakeExecutor, max_bytes_in_flight: usize) -> Self {
         let executor = Arc::new(executor);
         let settings = RunnerSettings {
             min_surplus_reserve: 1,
             min_run_timeout: Duration::from_millis(2500),
             max_run_timeout: Duration::from_secs(10),
+            max_bytes_in_flight,
             ..RunnerSettings::default()
         };
         let (runner, handle) = Runner::new(Arc::clone(&executor), settings);
@@ -308,7 +343,7 @@
     ) -> FakeLog {
         self.handle.run_job(OwnedJob {
             id: id.into(),
-            job: Arc::new(job),
+            job: Arc::new(log.set_submission(&job)),
             host: "texts.example".into(),
             path: "/generate/job".into(),
             age,
--- a/crates/store-plane/tests/runner/main.rs
+++ b/crates/store-plane/tests/runner/main.rs
@@ -2,6 +2,7 @@
 
 mod forwarder_executor;
 mod harness;
+mod memory;
 mod output_cache;
 mod ownership;
 mod repeated_items;
--- a/crates/store-plane/tests/runner/output_cache.rs
+++ b/crates/store-plane/tests/runner/output_cache.rs
@@ -1,8 +1,8 @@
 //! The output cache: which outputs are found and which are evicted, and the version rules of outputs.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
-use batch::Item;
+use batch::{ItemOutline, JobOutline};
 use bytes::Bytes;
 use store_plane::runner::output_cache::{satisfies_version_rules, CachedOutput, OutputCache};
 use store_plane::runner::ports::{ItemProgress, JobAddress};
@@ -12,16 +12,10 @@
     JobAddress { host: "a.example".into(), path: "/job".into(), model: Some("m".into()), oldest_version: 1 }
 }
 
-fn item(id: usize) -> Item {
-    Item {
-        id: format!("item{id}").into(),
-        path: "/generate".to_string(),
-        headers: BTreeMap::new(),
-        body: "AAAA".to_string(),
-        tokens: 1,
-        group: None,
-        reward: None,
-    }
+fn item(id: usize) -> ItemOutline {
+    let submission = format!(r#"{{"parcels":[{{"id":"item{id}","lane":"/generate","payload":"AAAA"}}]}}"#);
+    let job = JobOutline::parse(submission.as_bytes()).expect("the job is valid");
+    job.items[0].clone()
 }
 
 fn output(bytes: usize) -> CachedOutput {
--- a/crates/store-plane/tests/runner/retries.rs
+++ b/crates/store-plane/tests/runner/retries.rs
@@ -254,3 +254,17 @@
     advance(AMPLE_TIME).await;
     assert_eq!(harness.executor.runs().len(), runs);
 }
+
+#[tokio::test(start_paused = true)]
+async fn given_items_that_cannot_be_read_at_first_when_run_then_no_attempt_is_counted_and_they_are_delivered()
+{
+    let rules = RouteRules { max_attempts: 1, ..rules() };
+    let harness = RunnerHarness::start(FakeExecutor::reliable().with_rules(rules));
+
+    let log = FakeLog::new().with_failing_loads(3);
+    let log = harness.acquire("job", job_with_items("a", 1), Duration::ZERO, Vec::new(), log);
+    advance(AMPLE_TIME).await;
+
+    assert_eq!(log.result("a-0").map(|result| result.condition), Some(ItemCondition::Delivered));
+    assert_eq!((harness.executor.runs().len(), harness.executor.rewards().len()), (1, 1));
+}
