Bound the submissions that a node handles at the same time

A node that gets several batch jobs of parcelBytes (33.5 MB) at the same time goes over its memoryMb (160 to 260 in the site files) and is killed with all that it does.

Cause: JobApi read each body at once, into memory that was enlarged as it came, and encoded it beside that, again enlarged; nothing counted them.

Change: bodies share a quarter of memoryMb (rpc::MessageBudget). One that gets no part within 2 s is answered 503 with Retry-After before its body is read, so that nothing of it runs; a declared length over parcelBytes is answered 413 at once. Bodies and encoded messages are allocated once, with their length.

--- a/crates/rpc/src/codec.rs
+++ b/crates/rpc/src/codec.rs
@@ -10,14 +10,16 @@
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
-/// Encodes a message for [`decode`].
+/// Encodes a message for [`decode`], into memory that is allocated once.
 ///
 /// # Panics
 ///
 /// Panics if the type cannot be serialized. All message types of this system can be.
 #[must_use]
 pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
-    bincode::serde::encode_to_vec(message, bincode::config::standard()).expect("messages can be serialized")
+    let mut bytes = Vec::with_capacity(encoded_length(message));
+    encode_into(message, &mut bytes).expect("messages can be serialized");
+    bytes
 }
 
 /// Writes the encoded form of a message to `writer`, piece by piece.
--- a/crates/rushrudder/src/job_api.rs
+++ b/crates/rushrudder/src/job_api.rs
@@ -11,11 +11,14 @@
 use control_plane::ViewCell;
 use data_plane::JobEndpoint;
 use futures_util::future::BoxFuture;
-use poem::error::ReadBodyError;
+use futures_util::StreamExt;
+use poem::http::header::CONTENT_LENGTH;
 use poem::http::{Method, StatusCode};
 use poem::{Request, Response};
+use rpc::{BudgetShare, MessageBudget};
 use serde::Serialize;
 use serde_json::value::RawValue;
+use settings::NodeSettings;
 use store_plane::{BodyOutcome, EndOutcome, JobClient, ReadOutcome, ResultPage, SubmitOutcome};
 
 use crate::control::ControlPlane;
@@ -35,10 +38,22 @@
 /// Value of the `Retry-After` header, in seconds, in the response to a batch job that was not accepted.
 const RETRY_AFTER_SECONDS: &str = "0.3";
 
+/// Part of the memory of the process for submissions that are handled at the same time. Each is in memory twice: as
+/// it was received, and as it is sent.
+const SUBMISSION_DIVISOR: u64 = 4;
+
 /// Interface for trainers' calls on batch jobs, which it forwards to the stores.
 pub struct JobApi {
     stores: JobClient,
     view: Arc<ViewCell>,
+    /// Memory of the submissions that are handled at the same time.
+    submissions: MessageBudget,
+}
+
+/// A submission, with its part of the memory.
+struct ReceivedSubmission {
+    body: Bytes,
+    _share: BudgetShare,
 }
 
 /// JSON body of the response to a read: the results of a batch job from the requested position on.
@@ -54,9 +69,11 @@
 
 impl JobApi {
     /// Creates an interface that reads the addresses of the stores from the view of `control`.
-    pub fn new(control: &ControlPlane) -> Self {
+    pub fn new(settings: &NodeSettings, control: &ControlPlane) -> Self {
         let stores = JobClient::new(control.clients.rpc.clone(), control.view.subscribe());
-        Self { stores, view: Arc::clone(&control.view) }
+        let submission_bytes = settings.resource_limits.memory_bytes() / SUBMISSION_DIVISOR;
+        let submissions = MessageBudget::new(usize::try_from(submission_bytes).unwrap_or(usize::MAX));
+        Self { stores, view: Arc::clone(&control.view), submissions }
     }
 
     /// Dispatches a call by its path and method. A request for any other path submits a batch job.
@@ -83,24 +100,32 @@
             return error_response(StatusCode::BAD_REQUEST, "a batch job needs Host and Attempt-Id");
         };
         let (job, host): (JobId, Arc<str>) = (Arc::from(job), Arc::from(host));
-        let body = match self.read_submission(&mut request).await {
-            Ok(body) => body,
+        let ReceivedSubmission { body, _share } = match self.read_submission(&mut request, &job).await {
+            Ok(submission) => submission,
             Err(response) => return response,
         };
         let outcome = self.stores.submit(host, path.into(), Arc::clone(&job), body).await;
         submit_response(&job, outcome)
     }
 
-    /// Reads the body of a submission. Fails with the response to send if the body is too large or cannot be
-    /// received.
-    async fn read_submission(&self, request: &mut Request) -> Result<Bytes, Response> {
+    /// Reads the body of a submission once there is memory for it. Fails with the response to send if there is none
+    /// in time, or if the body is too large or cannot be received.
+    async fn read_submission(
+        &self,
+        request: &mut Request,
+        job: &JobId,
+    ) -> Result<ReceivedSubmission, Response> {
         let configuration = self.view.view().configuration.clone();
         let max_bytes = configuration.map_or(DEFAULT_MAX_BODY_BYTES, |active| active.limits().body_bytes);
         let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-        request.take_body().into_bytes_limit(max_bytes).await.map_err(|error| match error {
-            ReadBodyError::PayloadTooLarge => StatusCode::PAYLOAD_TOO_LARGE.into(),
-            error => error_response(StatusCode::BAD_REQUEST, &error.to_string()),
-        })
+        let declared_bytes = declared_length(request);
+        if declared_bytes.is_some_and(|declared| declared > max_bytes) {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE.into());
+        }
+        let share = self.submissions.acquire(declared_bytes.unwrap_or(max_bytes)).await;
+        let share = share.ok_or_else(|| submit_response(job, SubmitOutcome::NotAccepted))?;
+        let body = read_body(request, declared_bytes.unwrap_or(0), max_bytes).await?;
+        Ok(ReceivedSubmission { body, _share: share })
     }
 
     async fn read_results(&self, job: &str, request: &Request) -> Response {
@@ -140,6 +165,30 @@
     }
 }
 
+/// Returns the length of the body according to the head of a request; `None` if the head has none.
+fn declared_length(request: &Request) -> Option<usize> {
+    request.headers().get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+/// Reads a body into memory that is allocated once if the body has `expected_bytes`. Fails with the response to send if it
+/// is longer than `max_bytes` or cannot be received.
+async fn read_body(
+    request: &mut Request,
+    expected_bytes: usize,
+    max_bytes: usize,
+) -> Result<Bytes, Response> {
+    let mut bytes = Vec::with_capacity(expected_bytes);
+    let mut chunks = request.take_body().into_bytes_stream();
+    while let Some(chunk) = chunks.next().await {
+        let chunk = chunk.map_err(|error| error_response(StatusCode::BAD_REQUEST, &error.to_string()))?;
+        if bytes.len() + chunk.len() > max_bytes {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE.into());
+        }
+        bytes.extend_from_slice(&chunk);
+    }
+    Ok(bytes.into())
+}
+
 /// Returns the value of the first query parameter called `name`; `None` if the query has none.
 fn query_value<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
     let parameters = request.uri().query()?.split('&').filter_map(|parameter| parameter.split_once('='));
--- a/crates/rushrudder/src/node.rs
+++ b/crates/rushrudder/src/node.rs
@@ -149,7 +149,7 @@
 fn ingress_settings(settings: &NodeSettings, control: &ControlPlane) -> IngressSettings {
     let (ready_view, confirmed_view) = (Arc::clone(&control.view), Arc::clone(&control.view));
     IngressSettings {
-        jobs: Arc::new(JobApi::new(control)),
+        jobs: Arc::new(JobApi::new(settings, control)),
         is_ready: Box::new(move || is_ready(&ready_view)),
         is_configuration_confirmed: Box::new(move || is_recently_confirmed(&confirmed_view)),
         accept_while_draining: ACCEPT_WHILE_DRAINING,
--- a/crates/rushrudder/tests/golden.rs
+++ b/crates/rushrudder/tests/golden.rs
@@ -134,12 +134,11 @@
 }
 
 /// Returns the control plane of a node for which `store` is the only store.
-fn control(store: &Arc<SingleStore>) -> ControlPlane {
-    let settings = NodeSettings::parse(SETTINGS).expect("the settings are valid");
+fn control(settings: &NodeSettings, store: &Arc<SingleStore>) -> ControlPlane {
     let transport: Arc<dyn Transport> = Arc::<SingleStore>::clone(store);
     let clients =
-        OutboundClients { rpc: rpc::Client::with_transport(transport), ..OutboundClients::http(&settings) };
-    let control = ControlPlane::new(&settings, None, clients);
+        OutboundClients { rpc: rpc::Client::with_transport(transport), ..OutboundClients::http(settings) };
+    let control = ControlPlane::new(settings, None, clients);
     let member =
         Member { name: "store-1".into(), incarnation: Incarnation(STORE), address: STORE_ADDRESS.into() };
     let members = vec![StoreMember { member, zone: "a".into() }];
@@ -162,8 +161,9 @@
 /// Sends a request to a node whose only store replies with `reply`. Returns the response of the node,
 /// followed by the first call to the store, as text.
 async fn response_and_call(reply: Result<Vec<u8>, CallError>, request: Request) -> String {
+    let settings = NodeSettings::parse(SETTINGS).expect("the settings are valid");
     let store = Arc::new(SingleStore { reply, calls: std::sync::Mutex::default() });
-    let response = JobApi::new(&control(&store)).handle(request).await;
+    let response = JobApi::new(&settings, &control(&settings, &store)).handle(request).await;
     let response_text = render_response(response).await;
     let calls = store.calls.lock().expect("the lock is not poisoned");
     let call = calls.first().map_or("no store was asked", String::as_str);
--- a/crates/simulator/src/process.rs
+++ b/crates/simulator/src/process.rs
@@ -263,7 +263,7 @@
     node.start(options.settings);
     let internal = node.control.internal_routes().map_to_response().boxed();
     let operator = Arc::new(node.operator_routes().map_to_response().boxed());
-    let jobs = Arc::new(JobApi::new(&node.control));
+    let jobs = Arc::new(JobApi::new(options.settings, &node.control));
     StartedRole { internal, role: Role::Node { node: Arc::new(node), operator, jobs }, incarnation }
 }
 
