store-plane: append no results while the owner's disk is far behind

Results are committed by the other replicas while the owner's own disk stalls, and the owner keeps all of them in memory until it has written them. Submissions were refused in this state already, results were not.

--- a/crates/store-plane/src/replication/ownership.rs
+++ b/crates/store-plane/src/replication/ownership.rs
@@ -19,6 +19,9 @@
 use super::owned_job::{JobOwner, JobState, OwnershipLost};
 use super::state::{OwnedEntry, ReplicationState, NO_OWNER};
 
+/// Interval at which results that wait for the disk check whether it has caught up.
+const UNDURABLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 impl StoreNode {
     /// Claims a batch job unless this store owns or claims it already. Returns `false` if this store cannot
     /// own it: it is not one of the replicas, it is draining, or its store set is outdated.
@@ -195,8 +198,19 @@
         }
     }
 
+    /// Whether so many entries wait until they are durable on this store that no further ones may be appended here.
+    pub fn has_undurable_backlog(&self) -> bool {
+        self.lock().durability.pending_append_bytes() > self.budgets.undurable_bytes
+    }
+
+    /// Whether this store owns or claims a batch job under the ownership that `token` identifies.
+    fn owns(&self, job: &JobId, token: u64) -> bool {
+        self.lock().ownerships.get(job).is_some_and(|owned| owned.token == token)
+    }
+
     /// Appends results and waits until each is committed, or another result of its item is. Results that
-    /// don't belong to the batch job are dropped.
+    /// don't belong to the batch job are dropped. Waits first while the entries before them are not durable here: the
+    /// other replicas may be faster than this store's disk.
     async fn append_until_committed(
         self: Arc<Self>,
         job: JobId,
@@ -205,6 +219,9 @@
     ) -> Result<(), OwnershipLost> {
         let mut entries: Vec<LogEntry> =
             results.into_iter().map(|result| LogEntry::from(Entry::Result(result))).collect();
+        while self.has_undurable_backlog() && self.owns(&job, token) {
+            tokio::time::sleep(UNDURABLE_POLL_INTERVAL).await;
+        }
         loop {
             let mut progress = {
                 let mut state = self.lock();
--- a/crates/store-plane/src/replication/server/submit.rs
+++ b/crates/store-plane/src/replication/server/submit.rs
@@ -26,7 +26,7 @@
             Ok(submitted) => LogEntry::from(Entry::Job(submitted)),
             Err(error) => return SubmitReply::Invalid(error),
         };
-        if self.lock().durability.pending_append_bytes() > self.budgets.undurable_bytes {
+        if self.has_undurable_backlog() {
             // The disk is slower than the submissions, and those before this one are still in memory.
             return SubmitReply::NotAccepted;
         }
--- a/crates/store-plane/tests/replication/disks.rs
+++ b/crates/store-plane/tests/replication/disks.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use store_plane::{ReadOutcome, SubmitOutcome};
+use batch::ItemResult;
+use store_plane::{ReadOutcome, StoreLimits, SubmitOutcome};
 use yare::parameterized;
 
 use crate::cluster::{eventually, item_ids, result, Cluster};
@@ -134,3 +135,20 @@
         assert_eq!(cluster.read("job", 0).await, before);
     });
 }
+
+/// Guards against an owner whose disk is slower than those of the other replicas, and which keeps all results in memory
+/// meanwhile (docs/incidents/store-memory.md).
+#[tokio::test]
+async fn given_an_owner_whose_disk_stalls_when_many_results_are_not_durable_then_no_more_are_appended() {
+    let limits = StoreLimits { result_retention: Duration::from_secs(120), memory_bytes: 1_000_000 };
+    let mut cluster = Cluster::start_with_limits(3, limits);
+    cluster.submit_until_accepted("job").await;
+    let owned = cluster.next_owned().await;
+    let long_result = |item| ItemResult { text: "x".repeat(200_000), ..result(item) };
+    cluster.stores[cluster.index_of_owner(&owned)].disk.set_mode(DiskMode::Stalls);
+
+    owned.append(vec![long_result(0)]).await.expect("two stores are a majority");
+    let second = tokio::time::timeout(Duration::from_millis(400), owned.append(vec![long_result(1)])).await;
+
+    assert!(second.is_err(), "the second result waits for the disk");
+}
