Read the results of a batch job from the disk with fewer calls

Cause: each result was read by opening its file, and read again from the disk for each reader.

Change: the reader of a ring keeps the file that it read last open, and results that were loaded for a page go into the cache of entries, which stays bounded.

New tests: a page that is read twice reads the disk once; records of several segments are read alternately while files are reused.

--- a/crates/batch/src/replication/log_entry.rs
+++ b/crates/batch/src/replication/log_entry.rs
@@ -157,6 +157,14 @@
         self.lock().stored.replace(stored).is_none()
     }
 
+    /// Keeps a content in memory that was loaded from the disk. Returns whether none was in memory before.
+    pub fn keep_loaded(&self, loaded: Arc<Entry>) -> bool {
+        let mut content = self.lock();
+        let is_absent = content.resident.is_none();
+        content.resident.get_or_insert(loaded);
+        is_absent
+    }
+
     /// Removes the content from memory if it is on the disk.
     pub fn evict(&self) {
         let mut content = self.lock();
--- a/crates/rushrudder/tests/submissions.rs
+++ b/crates/rushrudder/tests/submissions.rs
@@ -23,12 +23,12 @@
 
 /// Transport to a store that does not answer. Counts the bytes of the calls in flight.
 #[derive(Default)]
-struct SilentStore {
+struct UnresponsiveStore {
     in_flight: AtomicUsize,
     most_in_flight: AtomicUsize,
 }
 
-impl Transport for SilentStore {
+impl Transport for UnresponsiveStore {
     fn call<'a>(
         &'a self,
         _address: &'a str,
@@ -47,9 +47,9 @@
 }
 
 /// Returns the interface of a node for which `store` is the only store.
-fn job_api(store: &Arc<SilentStore>) -> JobApi {
+fn job_api(store: &Arc<UnresponsiveStore>) -> JobApi {
     let settings = NodeSettings::parse(SETTINGS).expect("the settings are valid");
-    let transport: Arc<dyn Transport> = Arc::<SilentStore>::clone(store);
+    let transport: Arc<dyn Transport> = Arc::<UnresponsiveStore>::clone(store);
     let clients =
         OutboundClients { rpc: rpc::Client::with_transport(transport), ..OutboundClients::http(&settings) };
     let control = ControlPlane::new(&settings, None, clients);
@@ -76,7 +76,7 @@
 /// (docs/incidents/store-memory.md).
 #[tokio::test(start_paused = true)]
 async fn given_more_submissions_than_memory_when_handled_then_one_is_sent_at_a_time_and_others_may_retry() {
-    let store = Arc::new(SilentStore::default());
+    let store = Arc::new(UnresponsiveStore::default());
     let api = job_api(&store);
 
     let responses: Vec<Response> = join_all((0..4).map(|number| api.handle(submission(number)))).await;
@@ -90,7 +90,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn given_a_declared_length_over_the_limit_when_submitted_then_the_body_is_not_read() {
-    let store = Arc::new(SilentStore::default());
+    let store = Arc::new(UnresponsiveStore::default());
     let api = job_api(&store);
     let mut request = submission(0);
     request.headers_mut().insert("Content-Length", "33554433".parse().expect("a header value"));
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -18,7 +18,8 @@
 //! `format` defines the bytes of a segment and `layout` the files of a ring. `recovery` reads the files when
 //! a ring is opened, with the help of `read_ahead` and `record_assembly`. [`Ring`] appends to them, long records
 //! by `part_writer`, and `append_queue` passes records from the callers of a [`Journal`] to the ring. A
-//! [`RecordReader`] reads records again by their [`RecordLocation`], on the thread of `read_queue`. All modules access the disk through [`FileSystem`],
+//! [`RecordReader`] reads records again by their [`RecordLocation`], on the thread of
+//! `read_queue`. All modules access the disk through [`FileSystem`],
 //! implemented by [`NativeFileSystem`] and by the [`simulated`] disk. [`set_aside`] renames the files of a
 //! ring whose records its owner cannot read.
 
--- a/crates/storage/src/record_reader.rs
+++ b/crates/storage/src/record_reader.rs
@@ -3,11 +3,11 @@
 use std::io;
 use std::ops::Range;
 use std::path::Path;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use crate::layout::RingDirectory;
 use crate::record_location::{Extent, RecordLocation};
-use crate::{FileSystem, RingOptions};
+use crate::{File, FileSystem, RingOptions};
 
 /// Source of the contents of records.
 pub trait RecordSource: Send + Sync {
@@ -20,21 +20,43 @@
     fn read(&self, location: &RecordLocation, range: Range<u64>) -> io::Result<Vec<u8>>;
 }
 
-/// Reader of the records of one ring. It has no part in what the ring writes.
+/// Reader of the records of one ring. It has no part in what the ring writes. Clones share the open file.
 #[derive(Clone)]
 pub struct RecordReader {
     directory: RingDirectory,
+    /// The file that was read last, which stays open since the next record is often in the same one.
+    last_file: Arc<Mutex<Option<OpenFile>>>,
+}
+
+/// An open file of a segment.
+struct OpenFile {
+    segment: u64,
+    file: Box<dyn File>,
 }
 
 impl RecordReader {
     /// Creates a reader of the ring in a directory.
     #[must_use]
     pub fn new(file_system: Arc<dyn FileSystem>, directory: &Path, options: RingOptions) -> Self {
-        Self { directory: RingDirectory::new(file_system, directory, options) }
+        Self::of(RingDirectory::new(file_system, directory, options))
     }
 
     pub(crate) fn of(directory: RingDirectory) -> Self {
-        Self { directory }
+        Self { directory, last_file: Arc::default() }
+    }
+
+    /// Takes the open file of a segment, or opens it.
+    fn take_file(&self, segment: u64) -> io::Result<OpenFile> {
+        let last = self.last_file.lock().unwrap_or_else(PoisonError::into_inner).take();
+        match last {
+            Some(open) if open.segment == segment => Ok(open),
+            _ => Ok(OpenFile { segment, file: self.directory.open_file(segment)? }),
+        }
+    }
+
+    /// Keeps a file open for the next read.
+    fn keep_file(&self, open: OpenFile) {
+        *self.last_file.lock().unwrap_or_else(PoisonError::into_inner) = Some(open);
     }
 }
 
@@ -43,7 +65,9 @@
         let mut bytes = Vec::with_capacity(usize::try_from(range.end - range.start).unwrap_or(0));
         let expected = bytes.capacity();
         for extent in location.extents_of(range) {
-            read_extent(&self.directory, extent, &mut bytes)?;
+            let mut open = self.take_file(extent.segment)?;
+            read_extent(&mut *open.file, extent, &mut bytes)?;
+            self.keep_file(open);
         }
         if bytes.len() < expected {
             return Err(io::ErrorKind::UnexpectedEof.into());
@@ -52,9 +76,8 @@
     }
 }
 
-/// Appends the bytes of `extent` to `bytes`.
-pub(crate) fn read_extent(directory: &RingDirectory, extent: Extent, bytes: &mut Vec<u8>) -> io::Result<()> {
-    let mut file = directory.open_file(extent.segment)?;
+/// Appends the bytes of `extent` of a file to `bytes`.
+pub(crate) fn read_extent(file: &mut dyn File, extent: Extent, bytes: &mut Vec<u8>) -> io::Result<()> {
     let start = bytes.len();
     bytes.resize(start + extent.length as usize, 0);
     let count = file.read_at(extent.offset, &mut bytes[start..])?;
--- a/crates/storage/src/recovered_record.rs
+++ b/crates/storage/src/recovered_record.rs
@@ -75,7 +75,7 @@
                 let Some(extent) = remaining.next() else { return Ok(0) };
                 let mut bytes = std::mem::take(part).into_inner();
                 bytes.clear();
-                read_extent(directory, extent, &mut bytes)?;
+                read_extent(&mut *directory.open_file(extent.segment)?, extent, &mut bytes)?;
                 *part = io::Cursor::new(bytes);
             },
         }
--- a/crates/storage/tests/record_reader.rs
+++ b/crates/storage/tests/record_reader.rs
@@ -106,3 +106,26 @@
     }
     assert!(journal.usage().used_bytes < 6 * 64 * 1024);
 }
+
+#[test]
+fn given_records_in_several_segments_when_read_alternately_then_each_is_returned_also_where_files_are_reused()
+{
+    let disk = SimulatedDisk::new(74);
+    let options = RingOptions { segment_bytes: 64 * 1024, segments: 3 };
+    let directory = Path::new("/data");
+    let (journal, _) = Journal::open_inline(disk.file_system(), directory, options).expect("it opens");
+    let reader = journal.reader();
+    let mut written: Vec<(RecordLocation, Vec<u8>)> = Vec::new();
+    for number in 0..24 {
+        let record = vec![number; 20_000];
+        let location = append(&journal, &record);
+        written.push((location, record));
+        if let [.., (oldest, _), _, _] = &written[..] {
+            journal.release(oldest.position);
+        }
+        for (location, record) in written.iter().rev().take(3).chain(written.iter().rev().take(3).rev()) {
+            let read = reader.read(location, 0..record.len() as u64).expect("the record can be read");
+            assert!(read == *record, "record {} is read after record {number} was written", record[0]);
+        }
+    }
+}
--- a/crates/store-plane/src/replication/loading.rs
+++ b/crates/store-plane/src/replication/loading.rs
@@ -27,6 +27,20 @@
         loaded.await.unwrap_or_else(|_| Err(LoadError("the reader of the disk has ended".to_owned())))
     }
 
+    /// Keeps the contents of entries in memory that [`load_entries`](Self::load_entries) has returned, as long as the
+    /// cache has space.
+    pub fn cache_loaded(&self, entries: Vec<LogEntry>, loaded: &[LogEntry]) {
+        if entries.iter().all(|entry| entry.resident().is_some()) {
+            return;
+        }
+        let mut state = self.lock();
+        for (entry, loaded) in entries.into_iter().zip(loaded) {
+            if let Some(content) = loaded.resident() {
+                state.durability.cache_loaded(entry, content);
+            }
+        }
+    }
+
     /// Returns the content of an entry.
     ///
     /// # Errors
--- a/crates/store-plane/src/replication/server/results.rs
+++ b/crates/store-plane/src/replication/server/results.rs
@@ -51,8 +51,9 @@
     async fn load_page(&self, entries: PageEntries, after: usize) -> Option<ResultPage> {
         let bytes = entries.results.iter().map(LogEntry::size_bytes).sum();
         let _share = self.budgets.loads.acquire(bytes).await?;
-        let loaded = self.load_entries(entries.results).await;
+        let loaded = self.load_entries(entries.results.clone()).await;
         let results = loaded.inspect_err(|error| log::error!("{error}")).ok()?;
+        self.cache_loaded(entries.results, &results);
         page(entries.total, &results, after)
     }
 
--- a/crates/store-plane/src/replication/state/durability.rs
+++ b/crates/store-plane/src/replication/state/durability.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use batch::{JobId, Record};
+use batch::{Entry, JobId, LogEntry, Record};
 use storage::{RecordLocation, RecordSource};
 use tokio::sync::oneshot::error::TryRecvError;
 use tokio::sync::{mpsc, oneshot};
@@ -140,6 +140,13 @@
         }
     }
 
+    /// Keeps the content of a durable entry in memory that was loaded from the disk, as long as the cache has space.
+    pub fn cache_loaded(&mut self, entry: LogEntry, content: Arc<Entry>) {
+        if entry.keep_loaded(content) {
+            self.cache.insert(entry);
+        }
+    }
+
     /// Marks the write of queued records as failed. The next write of each affected batch job must be a
     /// snapshot.
     pub fn on_write_failed(&mut self, records: &[Record]) {
--- a/crates/store-plane/src/replication/state/entry_cache.rs
+++ b/crates/store-plane/src/replication/state/entry_cache.rs
@@ -4,10 +4,10 @@
 
 use batch::LogEntry;
 
-/// A cache of the entries that were written last, bounded by memory. The entry that was written first is evicted
-/// first.
+/// A cache of the entries that were written or read last, bounded by memory. The entry that was added first is
+/// evicted first.
 pub(crate) struct EntryCache {
-    /// The entries in the order in which they were written.
+    /// The entries in the order in which they were added.
     entries: VecDeque<LogEntry>,
     /// Size of all entries in bytes.
     bytes: usize,
@@ -20,7 +20,7 @@
         Self { entries: VecDeque::new(), bytes: 0, max_bytes }
     }
 
-    /// Adds an entry that has just become durable, and evicts the oldest ones beyond the limit.
+    /// Adds a durable entry whose content is in memory, and evicts the oldest ones beyond the limit.
     pub fn insert(&mut self, entry: LogEntry) {
         self.bytes += entry.size_bytes();
         self.entries.push_back(entry);
--- a/crates/store-plane/tests/replication/calls.rs
+++ b/crates/store-plane/tests/replication/calls.rs
@@ -46,3 +46,19 @@
     assert_eq!(cluster.client.end("none".into()).await, EndOutcome::NoSuchJob);
     assert_eq!(cluster.client.body("none".into(), "item-1").await, BodyOutcome::NoSuchItem);
 }
+
+#[tokio::test]
+async fn given_results_that_are_on_the_disk_only_when_read_repeatedly_then_the_disk_is_read_once() {
+    let (mut cluster, _owned) = Cluster::with_owned_job(3, &[0, 1, 2]).await;
+    cluster.power_cycle();
+    let owned = cluster.next_owned().await;
+    let disk = cluster.stores[cluster.index_of_owner(&owned)].disk.clone();
+    let first = cluster.read("job", 0).await;
+    let reads = disk.reads();
+
+    let second = cluster.read("job", 0).await;
+
+    assert_eq!(second, first);
+    assert!(reads > 0, "the results were on the disk only");
+    assert_eq!(disk.reads(), reads);
+}
--- a/crates/store-plane/tests/replication/disk.rs
+++ b/crates/store-plane/tests/replication/disk.rs
@@ -32,12 +32,20 @@
     written: Arc<AtomicU64>,
     mode: Arc<AtomicU8>,
     capacity_bytes: Arc<AtomicU64>,
+    /// Number of times that the content of a record was read again.
+    reads: Arc<AtomicU64>,
 }
 
 impl Default for MemoryDisk {
     fn default() -> Self {
         let capacity_bytes = Arc::new(AtomicU64::new(DISK_CAPACITY_BYTES));
-        Self { records: Arc::default(), written: Arc::default(), mode: Arc::default(), capacity_bytes }
+        Self {
+            records: Arc::default(),
+            written: Arc::default(),
+            mode: Arc::default(),
+            capacity_bytes,
+            reads: Arc::default(),
+        }
     }
 }
 
@@ -52,6 +60,11 @@
         (self.written.load(Ordering::SeqCst), self.records.lock().unwrap().len())
     }
 
+    /// Returns the number of times that the content of a record was read again.
+    pub fn reads(&self) -> u64 {
+        self.reads.load(Ordering::SeqCst)
+    }
+
     /// Recovers the batch jobs of all records that were not released.
     pub fn recover(&self) -> StoreRecovery {
         let mut recovery = StoreRecovery::new(Arc::new(self.clone()));
@@ -75,6 +88,7 @@
 
 impl RecordSource for MemoryDisk {
     fn read(&self, location: &RecordLocation, range: Range<u64>) -> io::Result<Vec<u8>> {
+        self.reads.fetch_add(1, Ordering::SeqCst);
         let records = self.records.lock().unwrap();
         let record = records.get(&location.position.0).ok_or(io::ErrorKind::NotFound)?;
         Ok(record[range.start as usize..range.end as usize].to_vec())
