Keep batch jobs out of memory that the disk has no space for

Cause: a replica applies an append in memory before it is written. (1) An owner sends its whole log to a replica whose log is of an older term, although the replica has the same entries; all logs were then in memory again and were to be written again, which a nearly full ring refuses.

Change: (1) entries that are on the disk with the same content (kind, length, hash) are kept there; only the others are written, in most cases a record without entries. The sender's copies share the stored content. No form changes.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -139,7 +139,7 @@
 }
 
 /// Outcome of an item.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ItemCondition {
     /// The generated text is complete.
@@ -149,7 +149,7 @@
 }
 
 /// The result of an item, as trainers read it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ItemResult {
     /// Identity of the item that the result belongs to.
     pub id: ItemId,
--- a/crates/batch/src/replication/log.rs
+++ b/crates/batch/src/replication/log.rs
@@ -19,7 +19,7 @@
 pub(super) const ENTRY_OVERHEAD_BYTES: usize = 64;
 
 /// A batch job as it was submitted.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct SubmittedJob {
     /// The `Host` header of the submission.
     pub host: Arc<str>,
@@ -32,7 +32,7 @@
 }
 
 /// One entry of the log of a batch job. The first entry of each log is [`Entry::Job`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Entry {
     /// The batch job as it was submitted.
     Job(SubmittedJob),
--- a/crates/batch/src/replication/log_entry.rs
+++ b/crates/batch/src/replication/log_entry.rs
@@ -1,10 +1,12 @@
 //! [`LogEntry`]: an entry of a log, whose content may be on the disk only.
 
 use std::fmt;
+use std::hash::{Hash, Hasher};
 use std::ops::Range;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use xxhash_rust::xxh3::Xxh3;
 
 use super::log::{Entry, ENTRY_OVERHEAD_BYTES};
 use crate::ItemId;
@@ -85,6 +87,15 @@
 struct EntryContent {
     resident: Option<Arc<Entry>>,
     stored: Option<Arc<dyn StoredEntry>>,
+    /// Hash of the content, which is computed when it is needed; present once the content is stored.
+    hash: Option<u64>,
+}
+
+impl EntryContent {
+    fn hash(&mut self) -> Option<u64> {
+        self.hash = self.hash.or_else(|| self.resident.as_deref().map(hash_of));
+        self.hash
+    }
 }
 
 impl From<Entry> for LogEntry {
@@ -96,7 +107,7 @@
 impl From<Arc<Entry>> for LogEntry {
     fn from(entry: Arc<Entry>) -> Self {
         let (kind, size_bytes) = (EntryKind::of(&entry), entry.size_bytes());
-        let content = Mutex::new(EntryContent { resident: Some(entry), stored: None });
+        let content = Mutex::new(EntryContent { resident: Some(entry), stored: None, hash: None });
         Self { shared: Arc::new(SharedEntry { kind, size_bytes, content }) }
     }
 }
@@ -154,7 +165,29 @@
     /// Records that the entry was written to the disk, or written again elsewhere. Returns whether it was
     /// not on the disk before.
     pub fn set_stored(&self, stored: Arc<dyn StoredEntry>) -> bool {
-        self.lock().stored.replace(stored).is_none()
+        let mut content = self.lock();
+        content.hash();
+        content.stored.replace(stored).is_none()
+    }
+
+    /// Whether `durable` has the same content and is on the disk.
+    pub(super) fn is_stored_as(&self, durable: &Self) -> bool {
+        let is_alike = (self.kind(), self.size_bytes()) == (durable.kind(), durable.size_bytes());
+        if !is_alike || durable.stored().is_none() {
+            return false;
+        }
+        // A separate statement, since both may be the same entry.
+        let hash = self.lock().hash();
+        hash.is_some() && hash == durable.lock().hash()
+    }
+
+    /// Uses the content of `durable` on the disk, which is the same ([`is_stored_as`](Self::is_stored_as)), and
+    /// removes its own from memory.
+    pub(super) fn use_stored(&self, durable: &Self) {
+        if let Some(stored) = durable.stored() {
+            self.set_stored(stored);
+            self.evict();
+        }
     }
 
     /// Keeps a content in memory that was loaded from the disk. Returns whether none was in memory before.
@@ -178,6 +211,12 @@
     }
 }
 
+fn hash_of(entry: &Entry) -> u64 {
+    let mut hasher = Xxh3::new();
+    entry.hash(&mut hasher);
+    hasher.finish()
+}
+
 impl PartialEq for LogEntry {
     /// Whether both contents can be read and are equal.
     fn eq(&self, other: &Self) -> bool {
--- a/crates/batch/src/replication/replica_log.rs
+++ b/crates/batch/src/replication/replica_log.rs
@@ -44,6 +44,25 @@
         self.promised = self.promised.max(term);
     }
 
+    /// Returns how many of `entries`, the first of which has the index `start`, this log has there and on the disk.
+    pub(super) fn stored_prefix<'a>(
+        &self,
+        start: usize,
+        entries: impl IntoIterator<Item = &'a LogEntry>,
+    ) -> usize {
+        let own = self.entries.get(start..).unwrap_or_default();
+        own.iter().zip(entries).take_while(|(own, entry)| entry.is_stored_as(own)).count()
+    }
+
+    /// Replaces the entries from `start` on by `entries`, which have the same contents, so that whoever has sent them
+    /// needs no memory for them.
+    pub(super) fn replace_stored(&mut self, start: usize, entries: &[LogEntry]) {
+        for (own, entry) in self.entries[start..].iter_mut().zip(entries) {
+            entry.use_stored(own);
+            *own = entry.clone();
+        }
+    }
+
     /// Returns the entries that a log with the end `other` lacks, and the index of the first of them. Empty
     /// unless this log is more advanced, or if they are too large for the reply to a claim.
     pub(super) fn entries_ahead_of(&self, other: LogEnd) -> (usize, Vec<LogEntry>) {
--- a/crates/batch/src/replication/replicas.rs
+++ b/crates/batch/src/replication/replicas.rs
@@ -211,6 +211,12 @@
             if entries.is_empty() {
                 return (ReplicaReply::Appended { term, length }, Vec::new());
             }
+        } else {
+            // What is on the disk is not written again, so that a full disk can still take part in a new term.
+            let stored = log.stored_prefix(start, &entries);
+            log.replace_stored(start, &entries[..stored]);
+            entries.drain(..stored);
+            start += stored;
         }
         log.write(term, start, entries.clone());
         let length = log.entries.len();
@@ -218,6 +224,22 @@
         (ReplicaReply::Appended { term, length }, vec![record])
     }
 
+    /// Returns the size of the entries that a request makes the store write, in bytes.
+    #[must_use]
+    pub fn written_bytes(&self, job: &str, request: &ReplicaRequest) -> usize {
+        let ReplicaRequest::Append { term, start, entries, .. } = request else { return 0 };
+        let staged = self.staged.get(job).filter(|staged| staged.can_precede(*term, *start));
+        let (first, staged_entries) = staged.map_or((*start, &[][..]), |staged| {
+            (staged.start, &staged.entries[..(*start - staged.start).min(staged.entries.len())])
+        });
+        let all = || staged_entries.iter().chain(entries);
+        let kept = self.logs.get(job).map_or(0, |log| match log.accepted == *term {
+            true => log.entries.len().saturating_sub(first),
+            false => log.stored_prefix(first, all()),
+        });
+        all().skip(kept).map(LogEntry::size_bytes).sum()
+    }
+
     /// Returns the append preceded by the entries that are staged for it. They are no longer staged then.
     fn with_staged_entries(&mut self, job: &str, append: Append) -> Append {
         let staged = self.staged.remove(job);
--- a/crates/simulator/tests/scenarios/memory.rs
+++ b/crates/simulator/tests/scenarios/memory.rs
@@ -9,6 +9,8 @@
 const LARGE_ITEMS: ItemSize = ItemSize { id_padding: 0, payload_quads: 9_000 };
 /// Number of batch jobs. Together their logs take about as much as the memory of a store.
 const JOBS: usize = 20;
+/// Number of batch jobs that are more than the ring of a store has space for.
+const MAX_JOBS_IN_RING: usize = 60;
 /// Memory that a store may use, in megabytes.
 const STORE_MEMORY_MB: f64 = 4.0;
 
@@ -87,3 +89,33 @@
         assert_stores_are_within_their_memory(&scenario.fleet, seed);
     }
 }
+
+/// Guards against stores whose disks are nearly full (docs/incidents/store-memory.md): batch jobs that could not be
+/// written stayed in memory, and after a change of the owner all others were to be written again.
+#[test]
+fn given_nearly_full_rings_when_stores_restart_and_a_disk_is_lost_then_all_results_can_be_read_within_the_memory(
+) {
+    for seed in 0..3 {
+        let mut scenario = Scenario::start(seed, SHAPE);
+        for number in 0..MAX_JOBS_IN_RING {
+            if !scenario.try_submit_job_of_size(&format!("job-{seed}-{number}"), LARGE_ITEMS, 6) {
+                break;
+            }
+            scenario.read_all_results();
+        }
+        for refused in 0..5 {
+            scenario.try_submit_job_of_size(&format!("refused-{seed}-{refused}"), LARGE_ITEMS, 6);
+        }
+        assert_stores_are_within_their_memory(&scenario.fleet, seed);
+        for store in [4, 3] {
+            scenario.fleet.lose_power(store);
+            scenario.fleet.run_for(seconds(6));
+        }
+        assert_stores_are_within_their_memory(&scenario.fleet, seed);
+        scenario.fleet.lose_disk(5);
+        scenario.fleet.run_for(seconds(20));
+        scenario.read_all_results();
+        scenario.assert_acknowledged_work();
+        assert_stores_are_within_their_memory(&scenario.fleet, seed);
+    }
+}
--- a/crates/simulator/tests/scenarios/scenario.rs
+++ b/crates/simulator/tests/scenarios/scenario.rs
@@ -124,6 +124,22 @@
         assert_status(&self.fleet.execute_job_call(ORDER_TIMEOUT, job, body), 202);
     }
 
+    /// Submits a batch job at one node after the other, `attempts` times at most, until it is accepted. Returns whether
+    /// it was.
+    pub fn try_submit_job_of_size(&mut self, job: &str, size: ItemSize, attempts: usize) -> bool {
+        let submission = JobCall::Submit(job_body(job, self.target_version, size));
+        let request = ExternalRequest::Job(job.to_owned(), submission);
+        let nodes: Vec<usize> = self.fleet.nodes().collect();
+        for node in nodes.iter().cycle().take(attempts) {
+            if self.fleet.request_and_wait(*node, request.clone()) == Some(ExternalReply::Status(202)) {
+                self.jobs.push((job.to_owned(), Vec::new()));
+                return true;
+            }
+            self.fleet.run_for(Duration::from_millis(300));
+        }
+        false
+    }
+
     /// Reads all batch jobs until all results are complete.
     pub fn read_all_results(&mut self) {
         let until = self.fleet.now + Duration::from_secs(60);
--- a/crates/store-plane/src/replication/mod.rs
+++ b/crates/store-plane/src/replication/mod.rs
@@ -14,6 +14,7 @@
 //! - [`writer`] makes records durable in the [`journal`]; no reply is sent before its records are durable.
 //!   [`recovery`] reads them at the start. The contents of durable entries are on the disk, where
 //!   [`record_layout`] finds them and [`loading`] reads them, and in a bounded cache.
+//!   [`journal_space`] decides what may still be written.
 //! - [`memory_budgets`] bounds what is in memory at once and grows with the batch jobs.
 //! - [`heartbeat`], [`maintenance`] and [`handover`] detect failed owners and move batch jobs between stores.
 //! - [`server`] answers the calls of other processes, [`client`] makes the calls of traffic nodes; both use
@@ -24,6 +25,7 @@
 mod handover;
 mod heartbeat;
 mod journal;
+mod journal_space;
 mod loading;
 mod log_entries;
 mod maintenance;
--- a/crates/store-plane/src/replication/replicate.rs
+++ b/crates/store-plane/src/replication/replicate.rs
@@ -62,7 +62,7 @@
     }
 
     /// Executes a request of an owner or claimant; returns `None`, which means no reply, if it could not be
-    /// made durable.
+    /// made durable, or if the journal has no space for it.
     ///
     /// A claim waits until the read lease of another owner has ended. If that owner keeps making contact with
     /// this store, so that its lease lasts beyond [`MAX_LEASE_WAIT`], the claim gets no reply either. The
@@ -73,6 +73,9 @@
                 return None;
             }
         }
+        if !self.has_space_to_write(job, &request) {
+            return None;
+        }
         let (reply, durable, age) = {
             let mut state = self.lock();
             let now = Instant::now();
--- a/crates/store-plane/src/replication/server/submit.rs
+++ b/crates/store-plane/src/replication/server/submit.rs
@@ -26,6 +26,10 @@
             Ok(submitted) => LogEntry::from(Entry::Job(submitted)),
             Err(error) => return SubmitReply::Invalid(error),
         };
+        if !self.has_space_for_submission(entry.size_bytes()) {
+            log::warn!("batch job {id} is not accepted here: the journal has no space for it");
+            return SubmitReply::NotAccepted;
+        }
         if self.has_undurable_backlog() {
             // The disk is slower than the submissions, and those before this one are still in memory.
             return SubmitReply::NotAccepted;
--- a/crates/store-plane/src/replication/writer.rs
+++ b/crates/store-plane/src/replication/writer.rs
@@ -6,10 +6,11 @@
 
 use batch::Record;
 use futures_util::future::join_all;
-use storage::{RecordContent, RecordLocation, RingUsage};
+use storage::{RecordContent, RecordLocation};
 use tokio::sync::mpsc;
 
 use super::journal::{Appended, JournalFailed};
+use super::journal_space::has_space_for;
 use super::node::StoreNode;
 use super::record_layout::RecordLayout;
 use super::state::WriteRequest;
@@ -22,11 +23,6 @@
 /// time.
 const MAX_ENCODED_BYTES: u64 = 1024 * 1024;
 
-/// Divisor that gives the part of the journal that is reserved for compaction.
-const RESERVE_DIVISOR: u64 = 8;
-/// Length up to which a record may take a part of the reserve.
-const MAX_SHORT_RECORD_BYTES: u64 = 4096;
-
 /// The task that takes write requests from the queue and appends their records to the journal.
 pub(super) struct JournalWriter {
     node: Arc<StoreNode>,
@@ -121,7 +117,7 @@
             log::error!("{error}");
             JournalFailed
         })?;
-        if !request.is_compaction && !self.has_space_for(layout.length, pending_bytes) {
+        if !request.is_compaction && !has_space_for(self.node.journal.usage(), pending_bytes, layout.length) {
             log::warn!(bytes = layout.length; "the journal of batch jobs has only the space of its compaction left");
             return Err(JournalFailed);
         }
@@ -129,15 +125,6 @@
         Ok(PendingAppend { layout, appended: Some(appended) })
     }
 
-    /// Whether a record can be appended without the space that is reserved for compaction. Short ones always can,
-    /// so that a store still answers claims.
-    fn has_space_for(&self, length: u64, pending_bytes: u64) -> bool {
-        let RingUsage { used_bytes, capacity_bytes } = self.node.journal.usage();
-        let reserved_bytes = capacity_bytes / RESERVE_DIVISOR;
-        length <= MAX_SHORT_RECORD_BYTES
-            || used_bytes + pending_bytes + length + reserved_bytes <= capacity_bytes
-    }
-
     /// Drops the failed request, which is the first one, and all requests queued behind it, without acknowledging
     /// any, since later records may depend on the failed ones. The next write of each affected batch job is a
     /// snapshot. Returns the snapshots of compaction among them, which depend on nothing and are still written.
