batch: explore replicas whose entries are on the disk

The exploration of the log kept all contents in memory and let machines share entries, so that the entries that a replica keeps because it has them on the disk were not explored.

--- a/crates/batch/tests/cluster/machine.rs
+++ b/crates/batch/tests/cluster/machine.rs
@@ -1,6 +1,12 @@
 //! A machine of the simulated cluster: a store with its disk, and an owner that may run on it.
 
-use batch::{JobId, Ownership, OwnershipPhase, OwnershipTerm, Record, ReplicaSet, Replicas, StoreId};
+use std::ops::Range;
+use std::sync::Arc;
+
+use batch::{
+    Entry, JobId, LoadError, Ownership, OwnershipPhase, OwnershipTerm, Record, ReplicaSet, Replicas, StoreId,
+    StoredEntry,
+};
 use fastrand::Rng;
 
 use super::message::Message;
@@ -18,6 +24,33 @@
     pub reply: Option<Message>,
 }
 
+/// The content of an entry on a disk.
+struct DiskEntry(Entry);
+
+impl StoredEntry for DiskEntry {
+    fn load(&self) -> Result<Entry, LoadError> {
+        Ok(self.0.clone())
+    }
+
+    fn read(&self, _range: Range<u64>) -> Result<Vec<u8>, LoadError> {
+        Err(LoadError("parts of entries are not read here".to_owned()))
+    }
+
+    fn encoded_form(&self) -> (u64, u32) {
+        (0, 0)
+    }
+}
+
+/// Returns records that have reached the disk: the contents of their entries are no longer in memory.
+fn on_disk(records: Vec<Record>) -> Vec<Record> {
+    for entry in records.iter().flat_map(Record::entries) {
+        let content = entry.load().expect("it is in memory or on the disk");
+        entry.set_stored(Arc::new(DiskEntry((*content).clone())));
+        entry.evict();
+    }
+    records
+}
+
 /// A store, and the owner that may run on the same machine.
 pub struct Machine {
     /// Identity of the disk, and so of the store.
@@ -64,7 +97,7 @@
         let count = random.usize(0..=self.pending_writes.len());
         let mut replies = Vec::new();
         for write in self.pending_writes.drain(..count) {
-            self.disk.extend(write.records);
+            self.disk.extend(on_disk(write.records));
             replies.extend(write.reply);
         }
         replies
@@ -75,7 +108,7 @@
     pub fn crash(&mut self, random: &mut Rng) {
         let written = random.usize(0..=self.pending_writes.len());
         for write in self.pending_writes.drain(..).take(written) {
-            self.disk.extend(write.records);
+            self.disk.extend(on_disk(write.records));
         }
         self.replicas = Replicas::default();
         self.disk.iter().cloned().for_each(|record| self.replicas.replay(record));
--- a/crates/batch/tests/cluster/message.rs
+++ b/crates/batch/tests/cluster/message.rs
@@ -1,6 +1,6 @@
 //! Messages between the machines of the simulated cluster.
 
-use batch::{OwnershipTerm, ReplicaReply, ReplicaRequest, StoreId};
+use batch::{LogEntry, OwnershipTerm, ReplicaReply, ReplicaRequest, StoreId};
 
 /// A message in flight. An owner is identified by the index of its machine and its term, a replica by the
 /// identity of its disk.
@@ -32,6 +32,20 @@
 }
 
 impl Message {
+    /// Returns the message as it arrives: its entries share nothing with those of the sender.
+    pub fn transferred(mut self) -> Self {
+        let entries = match &mut self {
+            Self::Request { request, .. } => request.entries_mut(),
+            Self::Reply { reply, .. } => reply.entries_mut(),
+            Self::NoReply { .. } | Self::Committed { .. } => None,
+        };
+        for entry in entries.into_iter().flatten() {
+            let content = entry.load().expect("it is in memory or on the disk");
+            *entry = LogEntry::from((*content).clone());
+        }
+        self
+    }
+
     /// Returns the message that replaces this one if it is lost: [`Message::NoReply`] to the owner for a
     /// request or its reply, none for a heartbeat.
     pub fn replacement_if_lost(self) -> Option<Self> {
--- a/crates/batch/tests/cluster/mod.rs
+++ b/crates/batch/tests/cluster/mod.rs
@@ -235,7 +235,7 @@
     }
 
     fn deliver(&mut self, message: Message) {
-        match message {
+        match message.transferred() {
             Message::Request { from, owner, to, request } => self.deliver_request(from, owner, to, request),
             Message::Reply { to, owner, from, reply } => {
                 let machine = &mut self.machines[to];
