--- a/crates/batch/src/replication/record.rs
+++ b/crates/batch/src/replication/record.rs
@@ -50,7 +50,7 @@
 }
 
 impl Record {
-    /// Returns the size of its entries in bytes, see [`Entry::size_bytes`].
+    /// Returns the size of its entries in bytes, see [`Entry::size_bytes`](super::log::Entry::size_bytes).
     #[must_use]
     pub fn size_bytes(&self) -> usize {
         size_bytes(self.entries())
