--- a/crates/simulator/tests/scenarios/memory.rs
+++ b/crates/simulator/tests/scenarios/memory.rs
@@ -98,13 +98,13 @@
     for seed in 0..3 {
         let mut scenario = Scenario::start(seed, SHAPE);
         for number in 0..MAX_JOBS_IN_RING {
-            if !scenario.try_submit_job_of_size(&format!("job-{seed}-{number}"), LARGE_ITEMS, 6) {
+            if !scenario.submit_job_with_attempts(&format!("job-{seed}-{number}"), LARGE_ITEMS, 6) {
                 break;
             }
             scenario.read_all_results();
         }
         for refused in 0..5 {
-            scenario.try_submit_job_of_size(&format!("refused-{seed}-{refused}"), LARGE_ITEMS, 6);
+            scenario.submit_job_with_attempts(&format!("refused-{seed}-{refused}"), LARGE_ITEMS, 6);
         }
         assert_stores_are_within_their_memory(&scenario.fleet, seed);
         for store in [4, 3] {
--- a/crates/simulator/tests/scenarios/scenario.rs
+++ b/crates/simulator/tests/scenarios/scenario.rs
@@ -126,7 +126,7 @@
 
     /// Submits a batch job at one node after the other, `attempts` times at most, until it is accepted. Returns whether
     /// it was.
-    pub fn try_submit_job_of_size(&mut self, job: &str, size: ItemSize, attempts: usize) -> bool {
+    pub fn submit_job_with_attempts(&mut self, job: &str, size: ItemSize, attempts: usize) -> bool {
         let submission = JobCall::Submit(job_body(job, self.target_version, size));
         let request = ExternalRequest::Job(job.to_owned(), submission);
         let nodes: Vec<usize> = self.fleet.nodes().collect();
